--- /dev/null
+++ b/cmd/wasabihill/main.go
@@ -0,0 +1,5 @@
+// Command wasabihill runs the processes of the scheduler and its operators'
+// verbs.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/link/listener.go
@@ -0,0 +1,108 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+)
+
+// Listener accepts sessions of peers. Set the exported fields before Run.
+type Listener struct {
+	Address  string       // IP:port to listen on; port 0 picks one
+	Handler  http.Handler // serves the peers' requests
+	Sessions int          // most sessions at a time; 0 means defaultSessions
+
+	mu       sync.Mutex
+	listener net.Listener
+	sessions map[*Session]struct{}
+}
+
+// defaultSessions admits every agent of the target of 1,000 workers twice over,
+// so that reconnecting agents are not refused while old sessions time out.
+const defaultSessions = 2048
+
+// Listen binds the address. Run calls it when it has not been called.
+func (l *Listener) Listen() (net.Addr, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener == nil {
+		listener, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			return nil, err
+		}
+		l.listener = listener
+		l.sessions = make(map[*Session]struct{})
+		if l.Sessions == 0 {
+			l.Sessions = defaultSessions
+		}
+	}
+	return l.listener.Addr(), nil
+}
+
+// Run accepts sessions until ctx ends, then stops accepting and returns without
+// ending the sessions; Shutdown ends them.
+func (l *Listener) Run(ctx context.Context) error {
+	if _, err := l.Listen(); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return l.listener.Close()
+	})
+	group.Go(func() error {
+		for {
+			conn, err := l.listener.Accept()
+			if err != nil {
+				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+					return nil
+				}
+				return err
+			}
+			l.admit(conn)
+		}
+	})
+	return group.Wait()
+}
+
+func (l *Listener) admit(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.sessions) >= l.Sessions {
+		conn.Close()
+		return
+	}
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	s := newSession(mux, l.Handler, conn.RemoteAddr().String())
+	l.sessions[s] = struct{}{}
+	go func() {
+		<-s.Done()
+		l.mu.Lock()
+		delete(l.sessions, s)
+		l.mu.Unlock()
+	}()
+}
+
+// Shutdown ends every session gracefully, bounded by ctx.
+func (l *Listener) Shutdown(ctx context.Context) {
+	l.mu.Lock()
+	open := make([]*Session, 0, len(l.sessions))
+	for s := range l.sessions {
+		open = append(open, s)
+	}
+	l.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, s := range open {
+		wait.Go(func() { s.Shutdown(ctx) })
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/internal/wire/generate.go
@@ -0,0 +1,7 @@
+// Package wire holds the protobuf messages between the processes of wasabihill
+// and the records of its own streams. The generated files are committed, so a
+// build needs no generator; `make generate` needs protoc.
+package wire
+
+//go:generate go build -o ../../bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+//go:generate protoc --plugin=../../bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative link.proto records.proto
