Add the worker client, its HTTP handler and the stand-in worker

cause: The agent needs a worker to talk to, over HTTP and in memory. change: workerapi.Client and workerapi.NewHandler carry the interface as JSON; standin/worker.Core implements it with leases that lapse by themselves, lagging usage, faults and a log of every run. measured: go test -race ./internal/standin/worker passes; the contract cases run against the core and against the client over loopback. conclusion: One suite holds for both implementations.

--- /dev/null
+++ b/internal/standin/worker/contract_test.go
@@ -0,0 +1,271 @@
+package worker
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixture is one worker behind the interface, with a clock moved by hand.
+type fixture struct {
+	workerapi.Worker
+	core  *Core
+	clock atomic.Int64
+	epoch units.Epoch
+}
+
+func (f *fixture) sleep(d time.Duration) { f.clock.Add(int64(d)); f.core.Advance() }
+
+func (f *fixture) now() workerapi.Clock { return workerapi.Clock(f.clock.Load()) }
+
+var oneCore = units.Resources{Processors: 1000, Memory: units.GiB}
+
+func (f *fixture) request(attempt units.Attempt) workerapi.StartRequest {
+	return workerapi.StartRequest{
+		Epoch: f.epoch, Task: units.Task{Job: "watcher/freezer", Index: 0}, Attempt: attempt, Kind: "monitor",
+		Size: oneCore, RunTime: 5 * time.Second, LeaseUntil: f.now() + workerapi.Clock(8*time.Second), Label: "label",
+	}
+}
+
+// implementations are the ways to reach a worker; each passes the same cases.
+var implementations = map[string]func(*testing.T, *Core) workerapi.Worker{
+	"core": func(_ *testing.T, c *Core) workerapi.Worker { return c },
+	"client": func(t *testing.T, c *Core) workerapi.Worker {
+		server := httptest.NewServer(NewHandler(c))
+		transport := &http.Transport{}
+		t.Cleanup(func() { transport.CloseIdleConnections(); server.Close() })
+		return &workerapi.Client{BaseURL: server.URL, HTTP: &http.Client{Transport: transport}}
+	},
+}
+
+func contract(t *testing.T, test func(t *testing.T, ctx context.Context, f *fixture)) {
+	for name, implementation := range implementations {
+		t.Run(name, func(t *testing.T) {
+			f := &fixture{}
+			f.clock.Store(int64(time.Second))
+			f.core = &Core{Name: "worker-1", Capacity: units.Resources{Processors: 4000, Memory: 8 * units.GiB}, Clock: f.now, UsageLag: 2 * time.Second}
+			f.Worker = implementation(t, f.core)
+			holder, err := f.Hold(t.Context(), "agent-1")
+			if err != nil || holder.Epoch != 1 || holder.Capacity != f.core.Capacity || holder.Clock != f.now() {
+				t.Fatalf("Hold: got %+v, %v", holder, err)
+			}
+			f.epoch = holder.Epoch
+			test(t, t.Context(), f)
+		})
+	}
+}
+
+func (f *fixture) row(t *testing.T) workerapi.Task {
+	t.Helper()
+	table, err := f.Tasks(context.Background())
+	if err != nil || len(table.Tasks) != 1 {
+		t.Fatalf("Tasks: got %+v, %v, want one row", table, err)
+	}
+	return table.Tasks[0]
+}
+
+func wantKind(t *testing.T, what string, err error, want workerapi.Kind) {
+	t.Helper()
+	if want == "" && err == nil {
+		return
+	}
+	if !fault.Is(err, want) {
+		t.Errorf("%s: got error %v, want kind %q", what, err, want)
+	}
+}
+
+// Guards against tasks that outlive their lease, are extended by a late
+// renewal, or make progress while the worker's process was paused.
+func TestLeaseLapses(t *testing.T) {
+	contract(t, func(t *testing.T, ctx context.Context, f *fixture) {
+		wantKind(t, "start", f.Start(ctx, f.request(1)), "")
+		f.sleep(time.Second)
+		f.clock.Add(int64(time.Minute)) // paused: no ticks in between
+		task := f.row(t)
+		if task.State != workerapi.Expired || task.Ran != time.Second {
+			t.Errorf("got %s after %s, want expired after 1s", task.State, task.Ran)
+		}
+		_, err := f.Renew(ctx, f.epoch, f.now()+workerapi.Clock(time.Hour), []units.Task{task.Task})
+		wantKind(t, "late renewal", err, "")
+		if got := f.row(t).State; got != workerapi.Expired {
+			t.Errorf("after a late renewal: got %s, want expired", got)
+		}
+		run := f.core.Runs()[0]
+		if got, want := run.End.Sub(run.Start), 8*time.Second; got > want || run.Open {
+			t.Errorf("run: got %s open=%t, want at most %s, closed", got, run.Open, want)
+		}
+	})
+}
+
+// Guards against a worker that obeys a former holder.
+func TestStaleEpochIsFenced(t *testing.T) {
+	contract(t, func(t *testing.T, ctx context.Context, f *fixture) {
+		wantKind(t, "start", f.Start(ctx, f.request(1)), "")
+		if _, err := f.Hold(ctx, "agent-2"); err != nil {
+			t.Fatal(err)
+		}
+		task, old := f.request(1).Task, f.epoch
+		calls := map[string]func() error{
+			"start":      func() error { return f.Start(ctx, f.request(2)) },
+			"activate":   func() error { return f.Activate(ctx, old, task, 1, 2) },
+			"renew":      func() error { _, err := f.Renew(ctx, old, 1<<60, []units.Task{task}); return err },
+			"throttle":   func() error { return f.Throttle(ctx, old, task, 1, 0.5) },
+			"checkpoint": func() error { _, err := f.Checkpoint(ctx, old, task, 1, true); return err },
+			"stop":       func() error { return f.Stop(ctx, old, task, 1) },
+			"forget":     func() error { return f.Forget(ctx, old, task, 1) },
+		}
+		before := f.row(t)
+		for name, call := range calls {
+			wantKind(t, name, call(), workerapi.Fenced)
+		}
+		if got := f.row(t); got != before {
+			t.Errorf("fenced calls changed the task: got %+v, want %+v", got, before)
+		}
+	})
+}
+
+// Guards against effects that depend on whether the reply of a call arrived: a
+// repeat after a lost reply must succeed and change nothing more.
+func TestLostReplies(t *testing.T) {
+	task := units.Task{Job: "watcher/freezer", Index: 0}
+	cases := []struct {
+		op      string
+		prepare func(context.Context, *fixture) error
+		call    func(context.Context, *fixture) error
+		want    workerapi.TaskState // "" when the row is gone
+	}{
+		{"start", nil, func(ctx context.Context, f *fixture) error { return f.Start(ctx, f.request(1)) }, workerapi.Running},
+		{"renew", startOne, func(ctx context.Context, f *fixture) error {
+			_, err := f.Renew(ctx, f.epoch, 1<<50, []units.Task{task})
+			return err
+		}, workerapi.Running},
+		{"throttle", startOne, func(ctx context.Context, f *fixture) error { return f.Throttle(ctx, f.epoch, task, 1, 0.5) }, workerapi.Running},
+		{"checkpoint", startOne, func(ctx context.Context, f *fixture) error {
+			_, err := f.Checkpoint(ctx, f.epoch, task, 1, true)
+			return err
+		}, workerapi.Checkpointed},
+		{"stop", startOne, func(ctx context.Context, f *fixture) error { return f.Stop(ctx, f.epoch, task, 1) }, workerapi.Stopped},
+		{"activate", standbyOne, func(ctx context.Context, f *fixture) error { return f.Activate(ctx, f.epoch, task, 1, 2) }, workerapi.Running},
+		{"forget", func(ctx context.Context, f *fixture) error {
+			return firstError(startOne(ctx, f), f.Stop(ctx, f.epoch, task, 1))
+		}, func(ctx context.Context, f *fixture) error { return f.Forget(ctx, f.epoch, task, 1) }, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.op, func(t *testing.T) {
+			contract(t, func(t *testing.T, ctx context.Context, f *fixture) {
+				if c.prepare != nil {
+					wantKind(t, "prepare", c.prepare(ctx, f), "")
+				}
+				f.core.SetFaults(Faults{LoseReplies: 1, LoseOp: c.op})
+				wantKind(t, "reply lost", c.call(ctx, f), workerapi.Unknown)
+				first, _ := f.Tasks(ctx)
+				wantKind(t, "repeat", c.call(ctx, f), "")
+				second, _ := f.Tasks(ctx)
+				if len(first.Tasks) != len(second.Tasks) || len(second.Tasks) > 0 && first.Tasks[0] != second.Tasks[0] {
+					t.Errorf("the repeat changed the table: got %+v, want %+v", second, first)
+				}
+				if c.want != "" && second.Tasks[0].State != c.want || c.want == "" && len(second.Tasks) != 0 {
+					t.Errorf("got %+v, want state %q", second.Tasks, c.want)
+				}
+			})
+		})
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startOne(ctx context.Context, f *fixture) error { return f.Start(ctx, f.request(1)) }
+
+func standbyOne(ctx context.Context, f *fixture) error {
+	r := f.request(1)
+	r.Standby = true
+	return f.Start(ctx, r)
+}
+
+// Guards against a delayed start that repeats an attempt or brings an older one
+// back, and against a table beyond the worker's capacity.
+func TestStartRules(t *testing.T) {
+	contract(t, func(t *testing.T, ctx context.Context, f *fixture) {
+		wantKind(t, "start", f.Start(ctx, f.request(2)), "")
+		wantKind(t, "duplicate", f.Start(ctx, f.request(2)), "")
+		wantKind(t, "lower attempt", f.Start(ctx, f.request(1)), workerapi.Conflict)
+		wantKind(t, "higher attempt while running", f.Start(ctx, f.request(3)), workerapi.Conflict)
+		large := f.request(1)
+		large.Task.Index, large.Size.Processors = 1, 3001
+		wantKind(t, "too large", f.Start(ctx, large), workerapi.Full)
+		late := f.request(1)
+		late.Task.Index, late.LeaseUntil = 1, f.now()
+		wantKind(t, "lease over", f.Start(ctx, late), workerapi.Conflict)
+		wantKind(t, "attempt 0", f.Start(ctx, f.request(0)), workerapi.Invalid)
+		wantKind(t, "unknown task", f.Stop(ctx, f.epoch, units.Task{Job: "other"}, 1), workerapi.NotFound)
+		wantKind(t, "forget while running", f.Forget(ctx, f.epoch, f.request(2).Task, 2), workerapi.Conflict)
+		wantKind(t, "stop", f.Stop(ctx, f.epoch, f.request(2).Task, 2), "")
+		wantKind(t, "forget", f.Forget(ctx, f.epoch, f.request(2).Task, 2), "")
+		wantKind(t, "forgotten attempt", f.Start(ctx, f.request(2)), workerapi.Conflict)
+		wantKind(t, "next attempt", f.Start(ctx, f.request(3)), "")
+	})
+}
+
+// Guards against progress that ignores throttling or is lost at a checkpoint,
+// and against usage that shows without its lag.
+func TestProgress(t *testing.T) {
+	contract(t, func(t *testing.T, ctx context.Context, f *fixture) {
+		f.core.ActualSize = func(r workerapi.StartRequest) units.Resources {
+			r.Size.Processors *= 2
+			return r.Size
+		}
+		r := f.request(1)
+		wantKind(t, "start", f.Start(ctx, r), "")
+		f.sleep(time.Second)
+		if got := f.row(t); got.Usage != (units.Resources{}) {
+			t.Errorf("usage before the lag: got %v, want none", got.Usage)
+		}
+		f.sleep(time.Second)
+		if got := f.row(t); got.Usage.Processors != 2000 || got.UsageAge != 2*time.Second {
+			t.Errorf("usage: got %v aged %s, want 2 cores aged 2s", got.Usage, got.UsageAge)
+		}
+		wantKind(t, "throttle", f.Throttle(ctx, f.epoch, r.Task, 1, 0.5), "")
+		f.sleep(2 * time.Second) // 3 s of work done
+		name, err := f.Checkpoint(ctx, f.epoch, r.Task, 1, true)
+		wantKind(t, "checkpoint", err, "")
+		next := f.request(2)
+		next.Checkpoint = name
+		wantKind(t, "resume", f.Start(ctx, next), "")
+		f.sleep(1900 * time.Millisecond)
+		if got := f.row(t).State; got != workerapi.Running {
+			t.Errorf("before the remaining work is done: got %s, want running", got)
+		}
+		f.sleep(100 * time.Millisecond)
+		if got := f.row(t).State; got != workerapi.Completed {
+			t.Errorf("after the remaining work: got %s, want completed", got)
+		}
+		f.core.SetFaults(Faults{FailTasks: true})
+		wantKind(t, "start on a failing worker", f.Start(ctx, f.request(3)), "")
+		if got := f.row(t); got.State != workerapi.Failed || got.Reason == "" {
+			t.Errorf("failing worker: got %s %q, want failed with a reason", got.State, got.Reason)
+		}
+		f.core.SetFaults(Faults{Unreachable: true})
+		wantKind(t, "unreachable", f.Stop(ctx, f.epoch, r.Task, 3), workerapi.Unknown)
+		if found := Overlaps(f.core.Runs()); len(found) != 0 {
+			t.Errorf("overlaps: got %v, want none", found)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/worker/runs.go
@@ -0,0 +1,90 @@
+package worker
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// Run is one interval in which an attempt really ran. Start and End lie on the
+// host's wall clock as read when the worker started plus its monotonic clock,
+// so that the runs of several workers on one host compare.
+type Run struct {
+	Worker  units.WorkerID      `json:"worker"`
+	Task    string              `json:"task"`
+	Attempt units.Attempt       `json:"attempt"`
+	Epoch   units.Epoch         `json:"epoch"`
+	Start   time.Time           `json:"start"`
+	End     time.Time           `json:"end"`  // the present while Open
+	Open    bool                `json:"open"` // still running
+	State   workerapi.TaskState `json:"state"`
+}
+
+// maxRuns bounds the log; it holds a day of the target's tasks on one worker
+// many times over.
+const maxRuns = 200_000
+
+func (c *Core) wall(at workerapi.Clock) time.Time {
+	if c.Clock != nil {
+		return time.Unix(0, int64(at)).UTC()
+	}
+	return c.origin.Round(0).Add(time.Duration(at)).UTC()
+}
+
+func (c *Core) openRun(r *row) {
+	if len(c.runs) >= maxRuns {
+		return
+	}
+	r.run = len(c.runs)
+	now := c.wall(c.last)
+	c.runs = append(c.runs, Run{
+		Worker: c.Name, Task: r.Task.Task.String(), Attempt: r.Attempt, Epoch: c.epoch,
+		Start: now, End: now, Open: true, State: workerapi.Running,
+	})
+}
+
+// Runs returns the log, oldest first.
+func (c *Core) Runs() []Run {
+	c.lock()
+	defer c.mu.Unlock()
+	runs := append([]Run(nil), c.runs...)
+	for i := range runs {
+		if runs[i].Open {
+			runs[i].End = c.wall(c.last)
+		}
+	}
+	return runs
+}
+
+// Overlaps describes every pair of runs of one task that share an instant. It
+// also reports an attempt that ran twice, on one worker or on two.
+func Overlaps(runs []Run) []string {
+	ordered := append([]Run(nil), runs...)
+	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].Start.Before(ordered[j].Start) })
+	type attempt struct {
+		task   string
+		number units.Attempt
+	}
+	var found []string
+	latest := make(map[string]Run)
+	seen := make(map[attempt]Run)
+	for _, r := range ordered {
+		if p, ok := latest[r.Task]; ok && r.Start.Before(p.End) {
+			found = append(found, fmt.Sprintf("task %s: attempt %d on %s ran until %s, attempt %d on %s from %s",
+				r.Task, p.Attempt, p.Worker, clockText(p.End), r.Attempt, r.Worker, clockText(r.Start)))
+		}
+		if p, ok := seen[attempt{r.Task, r.Attempt}]; ok {
+			found = append(found, fmt.Sprintf("task %s: attempt %d ran on %s and again on %s", r.Task, r.Attempt, p.Worker, r.Worker))
+		}
+		seen[attempt{r.Task, r.Attempt}] = r
+		if p, ok := latest[r.Task]; !ok || p.End.Before(r.End) {
+			latest[r.Task] = r
+		}
+	}
+	return found
+}
+
+func clockText(t time.Time) string { return t.Format("15:04:05.000") }
--- /dev/null
+++ b/pkg/workerapi/bodies.go
@@ -0,0 +1,155 @@
+package workerapi
+
+import (
+	"time"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// milliseconds is how the interface carries clock readings and durations.
+type milliseconds int64
+
+func millisecondsOf(c Clock) milliseconds { return milliseconds(time.Duration(c).Milliseconds()) }
+
+func durationMilliseconds(d time.Duration) milliseconds { return milliseconds(d.Milliseconds()) }
+
+func (m milliseconds) clock() Clock { return Clock(m.duration()) }
+
+func (m milliseconds) duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+type resourcesBody struct {
+	Processors   units.Millicores `json:"processors"` // millicores
+	Memory       units.Bytes      `json:"memory"`
+	Accelerators int32            `json:"accelerators"`
+}
+
+func resourcesBodyOf(r units.Resources) resourcesBody {
+	return resourcesBody{r.Processors, r.Memory, r.Accelerators}
+}
+
+func (b resourcesBody) resources() units.Resources {
+	return units.Resources{Processors: b.Processors, Memory: b.Memory, Accelerators: b.Accelerators}
+}
+
+type holdBody struct {
+	Holder string `json:"holder"`
+}
+
+type holderBody struct {
+	Epoch    units.Epoch   `json:"epoch"`
+	Clock    milliseconds  `json:"clock"`
+	Capacity resourcesBody `json:"capacity"`
+}
+
+type clockBody struct {
+	Clock milliseconds `json:"clock"`
+}
+
+type renewBody struct {
+	Epoch      units.Epoch  `json:"epoch"`
+	Tasks      []string     `json:"tasks"`
+	LeaseUntil milliseconds `json:"leaseUntil"`
+}
+
+type commandBody struct {
+	Epoch   units.Epoch   `json:"epoch"`
+	Attempt units.Attempt `json:"attempt"`
+	As      units.Attempt `json:"as,omitempty"`
+	Share   float64       `json:"share,omitempty"`
+	Stop    bool          `json:"stop,omitempty"`
+}
+
+type checkpointBody struct {
+	Checkpoint string `json:"checkpoint"`
+}
+
+type errorBody struct {
+	Kind  Kind   `json:"kind"`
+	Error string `json:"error"`
+}
+
+type startBody struct {
+	Epoch      units.Epoch   `json:"epoch"`
+	Task       string        `json:"task"`
+	Attempt    units.Attempt `json:"attempt"`
+	Kind       string        `json:"kind"`
+	Size       resourcesBody `json:"size"`
+	RunTime    milliseconds  `json:"runTime"`
+	LeaseUntil milliseconds  `json:"leaseUntil"`
+	Checkpoint string        `json:"checkpoint,omitempty"`
+	Standby    bool          `json:"standby,omitempty"`
+	Label      string        `json:"label,omitempty"`
+}
+
+func startBodyOf(r StartRequest) startBody {
+	return startBody{
+		Epoch: r.Epoch, Task: r.Task.String(), Attempt: r.Attempt, Kind: r.Kind,
+		Size: resourcesBodyOf(r.Size), RunTime: durationMilliseconds(r.RunTime),
+		LeaseUntil: millisecondsOf(r.LeaseUntil), Checkpoint: r.Checkpoint,
+		Standby: r.Standby, Label: r.Label,
+	}
+}
+
+func (b startBody) request() (StartRequest, error) {
+	task, err := units.ParseTask(b.Task)
+	return StartRequest{
+		Epoch: b.Epoch, Task: task, Attempt: b.Attempt, Kind: b.Kind,
+		Size: b.Size.resources(), RunTime: b.RunTime.duration(),
+		LeaseUntil: b.LeaseUntil.clock(), Checkpoint: b.Checkpoint,
+		Standby: b.Standby, Label: b.Label,
+	}, err
+}
+
+type taskBody struct {
+	Task       string        `json:"task"`
+	Attempt    units.Attempt `json:"attempt"`
+	Kind       string        `json:"kind"`
+	State      TaskState     `json:"state"`
+	Size       resourcesBody `json:"size"`
+	LeaseUntil milliseconds  `json:"leaseUntil"`
+	Throttle   float64       `json:"throttle"`
+	Checkpoint string        `json:"checkpoint,omitempty"`
+	Reason     string        `json:"exit,omitempty"`
+	Ran        milliseconds  `json:"ran"`
+	Usage      resourcesBody `json:"usage"`
+	UsageAge   milliseconds  `json:"usageAge"`
+	Label      string        `json:"label,omitempty"`
+}
+
+type tableBody struct {
+	Epoch units.Epoch  `json:"epoch"`
+	Clock milliseconds `json:"clock"`
+	Tasks []taskBody   `json:"tasks"`
+}
+
+func tableBodyOf(t Table) tableBody {
+	body := tableBody{Epoch: t.Epoch, Clock: millisecondsOf(t.Clock), Tasks: make([]taskBody, len(t.Tasks))}
+	for i, k := range t.Tasks {
+		body.Tasks[i] = taskBody{
+			Task: k.Task.String(), Attempt: k.Attempt, Kind: k.Kind, State: k.State,
+			Size: resourcesBodyOf(k.Size), LeaseUntil: millisecondsOf(k.LeaseUntil),
+			Throttle: k.Throttle, Checkpoint: k.Checkpoint, Reason: k.Reason,
+			Ran: durationMilliseconds(k.Ran), Usage: resourcesBodyOf(k.Usage),
+			UsageAge: durationMilliseconds(k.UsageAge), Label: k.Label,
+		}
+	}
+	return body
+}
+
+func (b tableBody) table() (Table, error) {
+	table := Table{Epoch: b.Epoch, Clock: b.Clock.clock(), Tasks: make([]Task, len(b.Tasks))}
+	for i, k := range b.Tasks {
+		task, err := units.ParseTask(k.Task)
+		if err != nil {
+			return Table{}, err
+		}
+		table.Tasks[i] = Task{
+			Task: task, Attempt: k.Attempt, Kind: k.Kind, State: k.State,
+			Size: k.Size.resources(), LeaseUntil: k.LeaseUntil.clock(),
+			Throttle: k.Throttle, Checkpoint: k.Checkpoint, Reason: k.Reason,
+			Ran: k.Ran.duration(), Usage: k.Usage.resources(),
+			UsageAge: k.UsageAge.duration(), Label: k.Label,
+		}
+	}
+	return table, nil
+}
