--- /dev/null
+++ b/internal/ledger/decode.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// maxRunTime bounds declared and reported run times, so that a damaged value
+// cannot overflow a duration.
+const maxRunTime = 366 * 24 * time.Hour
+
+// maxProcessors and maxMemory bound the sizes of an entry, so that sums over
+// all tasks stay far from overflow.
+const (
+	maxProcessors = 1 << 24
+	maxMemory     = 1 << 44
+	maxAccel      = 1 << 10
+)
+
+// decodeEvent reads an entry about one task and checks every field that the
+// fold stores.
+func decodeEvent(offset units.Offset, m *wire.JobsEntry) (*event, error) {
+	e := &event{offset: offset}
+	var ref *wire.TaskRef
+	var committed, used *wire.Resources
+	var run int64
+	switch k := m.GetKind().(type) {
+	case *wire.JobsEntry_Assigned:
+		a := k.Assigned
+		e.kind, ref, committed = kindAssigned, a.GetTask(), a.GetCommitted()
+		e.worker, e.epoch, e.borrowed = units.WorkerID(a.GetWorker()), units.Epoch(a.GetEpoch()), a.GetBorrowed()
+		if !validText(a.GetWorker()) || a.GetEpoch() == 0 {
+			return nil, fmt.Errorf("assigned: worker %q epoch %d", cut(a.GetWorker()), a.GetEpoch())
+		}
+	case *wire.JobsEntry_Started:
+		e.kind, ref = kindStarted, k.Started.GetTask()
+	case *wire.JobsEntry_Released:
+		r := k.Released
+		e.kind, ref, e.reason, e.checkpoint, e.isFailure = kindReleased, r.GetTask(), cut(r.GetReason()), r.GetCheckpoint(), r.GetCountsAsFailure()
+	case *wire.JobsEntry_Ended:
+		d := k.Ended
+		e.kind, ref, e.outcome, run, used = kindEnded, d.GetTask(), d.GetOutcome(), d.GetRunMilliseconds(), d.GetUsed()
+	case *wire.JobsEntry_Evicted:
+		v := k.Evicted
+		e.kind, ref, e.reason, e.checkpoint = kindEvicted, v.GetTask(), cut(v.GetReason()), v.GetCheckpoint()
+	case *wire.JobsEntry_Failed:
+		f := k.Failed
+		e.kind, e.reason = kindFailed, cut(f.GetReason())
+		ref = &wire.TaskRef{Job: f.GetJob(), Index: f.GetIndex(), Attempt: 1}
+	default:
+		return nil, fmt.Errorf("entry of no known kind")
+	}
+	if !validText(ref.GetJob()) || ref.GetAttempt() == 0 {
+		return nil, fmt.Errorf("%s: task %q attempt %d", kindNames[e.kind], cut(ref.GetJob()), ref.GetAttempt())
+	}
+	if len(e.checkpoint) > MaxReason {
+		return nil, fmt.Errorf("%s: checkpoint name of %d bytes", kindNames[e.kind], len(e.checkpoint))
+	}
+	e.task, e.attempt = ref.Task(), units.Attempt(ref.GetAttempt())
+	return e, e.decodeSizes(committed, used, run)
+}
+
+func (e *event) decodeSizes(committed, used *wire.Resources, run int64) error {
+	e.committed, e.used = committed.Units(), used.Units()
+	if !sane(e.committed) || !sane(e.used) {
+		return fmt.Errorf("%s: size out of range", kindNames[e.kind])
+	}
+	if run < 0 || run > maxRunTime.Milliseconds() {
+		return fmt.Errorf("%s: run time of %d ms", kindNames[e.kind], run)
+	}
+	e.runTime = time.Duration(run) * time.Millisecond
+	return nil
+}
+
+func sane(r units.Resources) bool {
+	return r.Processors >= 0 && r.Memory >= 0 && r.Accelerators >= 0 &&
+		r.Processors <= maxProcessors && r.Memory <= maxMemory && r.Accelerators <= maxAccel
+}
+
+// checkSubmitted reports the first thing wrong with a submission.
+func checkSubmitted(m *wire.JobSubmitted) error {
+	s := m.GetSpec()
+	watcher := s.GetKind() == wire.TaskKind_TASK_KIND_WATCHER
+	switch {
+	case !validText(m.GetJob()) || !validText(m.GetTeam()):
+		return fmt.Errorf("submitted: job %q of team %q", cut(m.GetJob()), cut(m.GetTeam()))
+	case len(m.GetKey()) > MaxText || len(m.GetName()) > MaxText || len(s.GetJobKind()) > MaxText || len(s.GetCheckpoint()) > MaxReason:
+		return fmt.Errorf("submitted: job %q has a text that is too long", m.GetJob())
+	case m.GetTasks() == 0 || m.GetTasks() > MaxTasks || (watcher && m.GetTasks() != 1):
+		return fmt.Errorf("submitted: job %q has %d tasks", m.GetJob(), m.GetTasks())
+	case !watcher && s.GetKind() != wire.TaskKind_TASK_KIND_BATCH:
+		return fmt.Errorf("submitted: job %q is of kind %d", m.GetJob(), s.GetKind())
+	case watcher != strings.HasPrefix(m.GetJob(), WatcherPrefix):
+		return fmt.Errorf("submitted: job %q: the prefix %q is for watchers", m.GetJob(), WatcherPrefix)
+	case s.GetPriority() < wire.Priority_PRIORITY_LOW || s.GetPriority() > wire.Priority_PRIORITY_URGENT:
+		return fmt.Errorf("submitted: job %q has priority %d", m.GetJob(), s.GetPriority())
+	case !sane(s.GetSize().Units()) || s.GetSize().Units().IsZero():
+		return fmt.Errorf("submitted: job %q has size %v", m.GetJob(), s.GetSize().Units())
+	case s.GetRunMilliseconds() < 0 || s.GetRunMilliseconds() > maxRunTime.Milliseconds():
+		return fmt.Errorf("submitted: job %q declares %d ms", m.GetJob(), s.GetRunMilliseconds())
+	}
+	return nil
+}
+
+// newJob returns the row of a checked submission, with empty tasks.
+func newJob(m *wire.JobSubmitted) *Job {
+	s := m.GetSpec()
+	return &Job{
+		ID: units.JobID(m.GetJob()), Key: m.GetKey(), Team: units.TeamName(m.GetTeam()), Name: m.GetName(),
+		Kind: s.GetKind(), Priority: s.GetPriority().Units(), JobKind: units.JobKind(s.GetJobKind()),
+		Size: s.GetSize().Units(), RunTime: time.Duration(s.GetRunMilliseconds()) * time.Millisecond,
+		Checkpoint: s.GetCheckpoint(), SubmittedAt: time.UnixMilli(m.GetSubmittedUnixMilliseconds()),
+		Tasks: make([]Task, m.GetTasks()),
+	}
+}
+
+// Submission returns the submission that the row was made from.
+func (j *Job) Submission() *wire.JobSubmitted {
+	return &wire.JobSubmitted{
+		Job: string(j.ID), Key: j.Key, Team: string(j.Team), Name: j.Name,
+		Tasks: uint32(max(len(j.Tasks), len(j.Outcomes))), SubmittedUnixMilliseconds: j.SubmittedAt.UnixMilli(),
+		Spec: j.spec(j.Size, j.Checkpoint),
+	}
+}
+
+func (j *Job) spec(size units.Resources, checkpoint string) *wire.TaskSpec {
+	return &wire.TaskSpec{
+		Kind: j.Kind, Priority: wire.FromPriority(j.Priority), Team: string(j.Team), JobKind: string(j.JobKind),
+		Size: wire.FromResources(size), RunMilliseconds: j.RunTime.Milliseconds(), Checkpoint: checkpoint,
+	}
+}
+
+// Launch returns what the agent needs to start the current attempt of a task.
+// A borrowed attempt runs at the lowest priority, so that the agent evicts it
+// before work that is within its team's quota.
+func (j *Job) Launch(index uint32) *wire.TaskSpec {
+	t := &j.Tasks[index]
+	s := j.spec(t.Committed, t.Checkpoint)
+	if t.Borrowed {
+		s.Priority = wire.Priority_PRIORITY_LOW
+	}
+	return s
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,181 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Snapshot encodes the state. Equal histories encode to equal bytes.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	s := &wire.LedgerState{NextSequence: l.nextSequence, NextEnded: l.nextEnded}
+	jobs := slices.SortedFunc(maps.Values(l.jobs), func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	for _, j := range jobs {
+		s.Jobs = append(s.Jobs, encodeJob(j))
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.kinds)) {
+		k := l.kinds[name]
+		s.Kinds = append(s.Kinds, &wire.LearnedKind{JobKind: string(name), Updated: uint64(k.Updated),
+			Processors: k.Processors.encode(), Memory: k.Memory.encode(), RunTime: k.RunTime.encode()})
+	}
+	for _, w := range slices.Sorted(maps.Keys(l.failing)) {
+		f := l.failing[w]
+		s.Failing = append(s.Failing, &wire.WorkerFailures{Worker: string(w), Consecutive: f.consecutive,
+			LastJob: string(f.lastJob), Updated: uint64(f.updated)})
+	}
+	for _, r := range slices.Sorted(maps.Keys(l.rejections)) {
+		s.Rejections = append(s.Rejections, &wire.Rejections{Reason: string(r), Count: l.rejections[r]})
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		return nil, fault.Wrap("snapshot", BadState, err)
+	}
+	return b, nil
+}
+
+func encodeJob(j *Job) *wire.LedgerJob {
+	m := &wire.LedgerJob{Submitted: j.Submission(), Cancelled: j.Cancelled, Failed: j.Failed, CancelReason: j.Reason,
+		Sequence: j.Sequence, SubmittedOffset: uint64(j.Submitted), Ended: j.Ended, EndedOffset: uint64(j.EndedAt)}
+	for i := range j.Tasks {
+		m.Tasks = append(m.Tasks, encodeTask(&j.Tasks[i]))
+	}
+	for _, o := range j.Outcomes {
+		m.OutcomeStates = append(m.OutcomeStates, uint32(o.State))
+		m.OutcomeAttempts = append(m.OutcomeAttempts, uint32(o.Attempt))
+	}
+	return m
+}
+
+func encodeTask(t *Task) *wire.LedgerTask {
+	m := &wire.LedgerTask{Attempt: uint32(t.Attempt), State: uint32(t.State), Worker: string(t.Worker), Epoch: uint64(t.Epoch),
+		Failures: t.Failures, Checkpoint: t.Checkpoint, Reason: t.Reason, Since: uint64(t.Since), Borrowed: t.Borrowed}
+	if !t.Committed.IsZero() {
+		m.Committed = wire.FromResources(t.Committed)
+	}
+	for _, w := range t.FailedWorkers {
+		m.FailedWorkers = append(m.FailedWorkers, string(w))
+	}
+	return m
+}
+
+// Restore replaces the state by an encoded one. On an error the state is
+// unchanged.
+func (l *Ledger) Restore(state []byte) error {
+	var s wire.LedgerState
+	if err := proto.Unmarshal(state, &s); err != nil {
+		return fault.Wrap("restore", BadState, err)
+	}
+	n := New()
+	n.Observe = l.Observe
+	if err := n.restoreJobs(s.GetJobs()); err != nil {
+		return err
+	}
+	n.nextSequence, n.nextEnded = max(1, s.GetNextSequence()), max(1, s.GetNextEnded())
+	for _, m := range s.GetKinds() {
+		k := &Learned{Updated: units.Offset(m.GetUpdated())}
+		k.Processors.decode(m.GetProcessors())
+		k.Memory.decode(m.GetMemory())
+		k.RunTime.decode(m.GetRunTime())
+		n.kinds[units.JobKind(m.GetJobKind())] = k
+	}
+	for _, f := range s.GetFailing() {
+		n.failing[units.WorkerID(f.GetWorker())] = &failing{f.GetConsecutive(), units.JobID(f.GetLastJob()), units.Offset(f.GetUpdated())}
+	}
+	for _, r := range s.GetRejections() {
+		n.rejections[Reason(r.GetReason())] = r.GetCount()
+	}
+	*l = *n
+	return nil
+}
+
+func (l *Ledger) restoreJobs(jobs []*wire.LedgerJob) error {
+	shared := map[string]string{} // one copy of each team, kind and worker name
+	for _, m := range jobs {
+		if err := checkSubmitted(m.GetSubmitted()); err != nil {
+			return fault.Wrap("restore", BadState, err)
+		}
+		j, err := decodeJob(m, shared)
+		if err != nil {
+			return err
+		}
+		l.add(j)
+		if j.Ended != 0 {
+			l.ended = append(l.ended, j)
+			l.endedTasks += len(j.Outcomes)
+		}
+	}
+	slices.SortFunc(l.ended, func(a, b *Job) int { return cmp.Compare(a.Ended, b.Ended) })
+	return nil
+}
+
+func decodeJob(m *wire.LedgerJob, shared map[string]string) (*Job, error) {
+	n := m.GetSubmitted().GetTasks()
+	ended := m.GetEnded() != 0
+	if ended && (uint32(len(m.GetOutcomeStates())) != n || uint32(len(m.GetOutcomeAttempts())) != n) || !ended && uint32(len(m.GetTasks())) != n {
+		return nil, fault.New("restore", BadState, "job %q: rows of its %d tasks are missing", m.GetSubmitted().GetJob(), n)
+	}
+	j := newJob(m.GetSubmitted())
+	j.Team, j.JobKind = units.TeamName(share(shared, string(j.Team))), units.JobKind(share(shared, string(j.JobKind)))
+	j.Cancelled, j.Failed, j.Reason = m.GetCancelled(), m.GetFailed(), m.GetCancelReason()
+	j.Sequence, j.Submitted = m.GetSequence(), units.Offset(m.GetSubmittedOffset())
+	j.Ended, j.EndedAt = m.GetEnded(), units.Offset(m.GetEndedOffset())
+	if ended {
+		j.Tasks, j.Outcomes = nil, make([]Outcome, n)
+		for i := range j.Outcomes {
+			j.Outcomes[i] = Outcome{State(m.GetOutcomeStates()[i]), units.Attempt(m.GetOutcomeAttempts()[i])}
+		}
+		return j, nil
+	}
+	for i, t := range m.GetTasks() {
+		if s := State(t.GetState()); t.GetState() >= uint32(stateCount) || s < Pending {
+			return nil, fault.New("restore", BadState, "task %s/%d is in state %d", j.ID, i, t.GetState())
+		}
+		j.Tasks[i] = decodeTask(t, shared)
+	}
+	return j, nil
+}
+
+func decodeTask(m *wire.LedgerTask, shared map[string]string) Task {
+	t := Task{Attempt: units.Attempt(m.GetAttempt()), State: State(m.GetState()), Worker: units.WorkerID(share(shared, m.GetWorker())),
+		Epoch: units.Epoch(m.GetEpoch()), Failures: m.GetFailures(), Checkpoint: m.GetCheckpoint(), Reason: m.GetReason(),
+		Since: units.Offset(m.GetSince()), Committed: m.GetCommitted().Units(), Borrowed: m.GetBorrowed()}
+	for _, w := range m.GetFailedWorkers() {
+		t.FailedWorkers = append(t.FailedWorkers, units.WorkerID(share(shared, w)))
+	}
+	return t
+}
+
+func share(shared map[string]string, s string) string {
+	if old, ok := shared[s]; ok {
+		return old
+	}
+	shared[s] = s
+	return s
+}
+
+func (h *Histogram) encode() *wire.Histogram {
+	m := &wire.Histogram{Samples: h.Samples}
+	for _, w := range h.buckets {
+		m.Buckets, m.Weights = append(m.Buckets, w.bucket), append(m.Weights, w.weight)
+	}
+	return m
+}
+
+// decode reads what encode wrote; buckets that are damaged are left out.
+func (h *Histogram) decode(m *wire.Histogram) {
+	h.Samples = m.GetSamples()
+	last := -1
+	for i, b := range m.GetBuckets() {
+		if i >= len(m.GetWeights()) || int(b) <= last || b > bucketOf(1<<63) || m.GetWeights()[i] > halveAt {
+			continue
+		}
+		last = int(b)
+		h.buckets = append(h.buckets, weighted{b, m.GetWeights()[i]})
+		h.total += m.GetWeights()[i]
+	}
+}
