--- a/internal/ledger/index.go
+++ b/internal/ledger/index.go
@@ -14,7 +14,6 @@
 	jobs    []*Job                           // by sequence, ended ones included
 	waiting [units.PriorityUrgent + 1][]*Job // jobs with waiting tasks, by sequence
 	used    units.Resources                  // committed by open attempts
-	open    int
 }
 
 func (l *Ledger) team(name units.TeamName) *team {
@@ -68,7 +67,10 @@
 		h := Holder{t.Worker, t.Epoch}
 		l.holders[h] = append(l.holders[h], units.Task{Job: j.ID, Index: index})
 		tm := l.team(j.Team)
-		tm.used, tm.open = tm.used.Add(t.Committed), tm.open+1
+		tm.used = tm.used.Add(t.Committed)
+		if t.State == Assigned {
+			l.addLaunching(h, t.Committed, 1)
+		}
 	}
 }
 
@@ -94,7 +96,10 @@
 		l.openTasks--
 		l.unhold(Holder{t.Worker, t.Epoch}, units.Task{Job: j.ID, Index: index})
 		tm := l.team(j.Team)
-		tm.used, tm.open = tm.used.Sub(t.Committed), tm.open-1
+		tm.used = tm.used.Sub(t.Committed)
+		if t.State == Assigned {
+			l.addLaunching(Holder{t.Worker, t.Epoch}, t.Committed, -1)
+		}
 	}
 }
 
@@ -114,6 +119,32 @@
 	l.holders[h] = held
 }
 
+// Launching is what the assigned attempts on a holder commit that no report
+// says have started, so a heartbeat may not show them yet.
+type Launching struct {
+	Committed units.Resources
+	Count     int
+}
+
+func (l *Ledger) addLaunching(h Holder, size units.Resources, n int) {
+	s := l.launching[h]
+	s.Count += n
+	if s.Count <= 0 {
+		delete(l.launching, h)
+		return
+	}
+	if n > 0 {
+		s.Committed = s.Committed.Add(size)
+	} else {
+		s.Committed = s.Committed.Sub(size)
+	}
+	l.launching[h] = s
+}
+
+// LaunchingOn returns the sum of the attempts that are assigned to the holder
+// and not known to have started.
+func (l *Ledger) LaunchingOn(h Holder) Launching { return l.launching[h] }
+
 // Job returns the row of a job, or nil. It is valid until the next Apply.
 func (l *Ledger) Job(id units.JobID) *Job { return l.jobs[id] }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -157,6 +157,7 @@
 	keys         map[teamKey]units.JobID
 	teams        map[units.TeamName]*team
 	holders      map[Holder][]units.Task
+	launching    map[Holder]Launching
 	watchers     map[units.JobID]*Job // not ended
 	ended        []*Job               // by order of ending
 	endedTasks   int
@@ -188,6 +189,7 @@
 		keys:       map[teamKey]units.JobID{},
 		teams:      map[units.TeamName]*team{},
 		holders:    map[Holder][]units.Task{},
+		launching:  map[Holder]Launching{},
 		watchers:   map[units.JobID]*Job{},
 		kinds:      map[units.JobKind]*Learned{},
 		failing:    map[units.WorkerID]*failing{},
--- a/internal/ledger/rules.go
+++ b/internal/ledger/rules.go
@@ -203,10 +203,19 @@
 }
 
 func (l *Ledger) start(j *Job, t *Task, e *event) Reason {
-	t.State, t.Since = Running, e.offset // same indexes as Assigned
+	l.leaveAssigned(t, Running, e.offset)
 	return ""
 }
 
+// leaveAssigned changes between open states: the attempt keeps its holder and
+// what it commits.
+func (l *Ledger) leaveAssigned(t *Task, to State, offset units.Offset) {
+	if t.State == Assigned {
+		l.addLaunching(Holder{t.Worker, t.Epoch}, t.Committed, -1)
+	}
+	t.State, t.Since = to, offset
+}
+
 func (l *Ledger) release(j *Job, t *Task, e *event) Reason {
 	if e.isFailure {
 		l.noteFailure(t.Worker, j.ID, e.offset)
@@ -327,7 +336,7 @@
 		case s.Waiting():
 			l.move(j, uint32(i), Cancelled, offset, nil)
 		case s == Assigned || s == Running:
-			j.Tasks[i].State, j.Tasks[i].Since = Stopping, offset // same indexes
+			l.leaveAssigned(&j.Tasks[i], Stopping, offset)
 		}
 	}
 	l.noteResult(c, "")
--- /dev/null
+++ b/internal/roster/liveness.go
@@ -0,0 +1,58 @@
+package roster
+
+import (
+	"time"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// DeadAfter is how long an entry process counts as alive after its last
+// announcement: three announcements of 5 s.
+const DeadAfter = 15 * time.Second
+
+// Liveness tracks, on the local monotonic clock, when announcements of entry
+// processes were applied. The fold itself holds no times, because entry
+// processes apply the same entry at different moments.
+type Liveness struct {
+	seen map[units.EntryID]announcement
+}
+
+type announcement struct {
+	offset units.Offset
+	at     time.Time
+}
+
+// Update records the announcements that are new in the roster since the last
+// call. An entry first met, for example in a snapshot, counts from now.
+func (l *Liveness) Update(r *Roster, now time.Time) {
+	if l.seen == nil {
+		l.seen = map[units.EntryID]announcement{}
+	}
+	for id, e := range r.entries {
+		if a, ok := l.seen[id]; !ok || a.offset != e.Announced {
+			l.seen[id] = announcement{e.Announced, now}
+		}
+	}
+	for id := range l.seen {
+		if r.entries[id] == nil {
+			delete(l.seen, id)
+		}
+	}
+}
+
+// Alive reports whether the entry announced itself recently.
+func (l *Liveness) Alive(id units.EntryID, now time.Time) bool {
+	a, ok := l.seen[id]
+	return ok && now.Sub(a.at) <= DeadAfter
+}
+
+// Live returns the rows of the entries that are alive, by id.
+func (l *Liveness) Live(r *Roster, now time.Time) []Entry {
+	var live []Entry
+	for _, e := range r.Entries() {
+		if l.Alive(e.ID, now) {
+			live = append(live, e)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,176 @@
+package roster
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func worker(id string, epoch units.Epoch, domain, rack string, lessor Holder) Worker {
+	return Worker{ID: units.WorkerID(id), Epoch: epoch, Domain: units.DomainName(domain), Rack: units.RackName(rack), Region: "pwani",
+		Capacity: units.Resources{Processors: 32000, Memory: 125 * units.GiB}, Lessor: lessor}
+}
+
+func apply(t *testing.T, r *Roster, entries ...[]byte) {
+	t.Helper()
+	for i, e := range entries {
+		if err := r.Apply(units.Offset(i+1), e); err != nil {
+			t.Fatalf("Apply of entry %d: %v", i, err)
+		}
+	}
+}
+
+// TestLeaseRules guards against an expiry or a change of lessor that is based
+// on an earlier epoch or term: it would release tasks that still run.
+func TestLeaseRules(t *testing.T) {
+	r := New()
+	a, b, c := Holder{"a", 1}, Holder{"b", 1}, Holder{"c", 1}
+	apply(t, r, EncodeRegistered(worker("a", 1, "d1", "r1", Holder{})), EncodeRegistered(worker("b", 1, "d2", "r2", a)),
+		EncodeRegistered(worker("c", 1, "d3", "r3", a)), EncodeLessorChanged(b, 2, c))
+	steps := []struct {
+		entry []byte
+		want  Reason
+	}{
+		{EncodeLeaseExpired(b, 1), ReasonTerm},                                     // recorded by the earlier lessor
+		{EncodeLessorChanged(b, 2, a), ReasonTerm},                                 // lost the race
+		{EncodeLessorChanged(b, 3, b), ReasonLessor},                               // itself
+		{EncodeLessorChanged(b, 3, Holder{"a", 9}), ReasonLessor},                  // not registered
+		{EncodeRegistered(worker("b", 1, "d2", "r2", a)), ReasonOldEpoch},          // repeated
+		{EncodeRegistered(worker("b", 2, "d2", "r2", a)), ""},                      // restarted agent
+		{EncodeLeaseExpired(b, 2), ReasonOldEpoch},                                 // of the earlier epoch
+		{EncodeLeaseExpired(Holder{"b", 2}, 1), ""},                                // now valid
+		{EncodeLeft(Holder{"b", 2}), ReasonEnded},                                  // ended once
+		{EncodeLessorChanged(Holder{"b", 2}, 2, c), ReasonEnded},                   // cannot come back
+		{EncodeLessorChanged(c, 2, Holder{"b", 2}), ReasonLessor},                  // lessor has ended
+		{EncodeLeaseExpired(Holder{"x", 1}, 1), ReasonUnknownWorker},               // never registered
+		{EncodeRegistered(worker("b", 3, "d2", "r2", Holder{"c", 1})), Reason("")}, // the worker returns
+	}
+	for i, s := range steps {
+		var got Reason
+		r.Observe = func(c Change) { got = c.Reason }
+		apply(t, r, s.entry)
+		if got != s.want {
+			t.Errorf("step %d: got reason %q, want %q", i, got, s.want)
+		}
+	}
+	if !r.EndedEpoch("b", 2) || r.EndedEpoch("b", 3) || r.EndedEpoch("x", 1) {
+		t.Error("ended epochs are wrong")
+	}
+	if got := fmt.Sprint(r.Lessees(c), r.Lessees(a)); got != "[b] [c]" {
+		t.Errorf("got lessees %s, want [b] [c]", got)
+	}
+}
+
+// TestChain guards the lessee of a lessor that has itself expired: nobody
+// would ever record its expiry.
+func TestChain(t *testing.T) {
+	r := New()
+	apply(t, r, EncodeRegistered(worker("a", 1, "d1", "r1", Holder{})), EncodeRegistered(worker("b", 1, "d2", "r2", Holder{"a", 1})))
+	if _, ok := r.ChainExpirable("b"); ok {
+		t.Error("expirable while the lessor holds")
+	}
+	_ = r.Apply(7, EncodeLeaseExpired(Holder{"a", 1}, 1))
+	if at, ok := r.ChainExpirable("b"); !ok || at != 7 {
+		t.Errorf("got %d, %v, want expirable since 7", at, ok)
+	}
+	_ = r.Apply(8, EncodeRegistered(worker("a", 2, "d1", "r1", Holder{"b", 1})))
+	_ = r.Apply(9, EncodeLessorChanged(Holder{"b", 1}, 2, Holder{"a", 2}))
+	if _, ok := r.ChainExpirable("b"); ok {
+		t.Error("expirable after the lessor changed")
+	}
+}
+
+// TestChooseLessor guards against a lessor that fails together with its
+// lessee, against mutual lessors and against one lessor for all.
+func TestChooseLessor(t *testing.T) {
+	r := New()
+	offset := units.Offset(0)
+	for i := range 33 {
+		domain := fmt.Sprint("d", i%3)
+		id, place := fmt.Sprint("w", i), Place{units.DomainName(domain), "", "pwani"}
+		lessor, _ := r.ChooseLessor(units.WorkerID(id), place, nil)
+		offset++
+		if err := r.Apply(offset, EncodeRegistered(worker(id, 1, domain, "", lessor))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	most := 0
+	for _, w := range r.Workers() {
+		l, ok := r.Worker(w.Lessor.Worker)
+		if ok && (l.Domain == w.Domain || l.Lessor.Worker == w.ID) {
+			t.Errorf("worker %s in %s has lessor %s in %s, whose lessor is %s", w.ID, w.Domain, l.ID, l.Domain, l.Lessor.Worker)
+		}
+		most = max(most, len(r.Lessees(w.Holder())))
+	}
+	if most > 3 {
+		t.Errorf("one lessor has %d lessees, want at most 3", most)
+	}
+	got, ok := r.ChooseLessor("new", Place{"d1", "", "pwani"}, func(h Holder) bool { return h.Worker == "w1" || h.Worker == "w4" })
+	if !ok || (got.Worker != "w1" && got.Worker != "w4") {
+		t.Errorf("got %v, want one of the two that are usable", got)
+	}
+}
+
+// TestEntries guards against dead entry processes that keep their share of
+// the work, and against a table that grows with every replacement.
+func TestEntries(t *testing.T) {
+	r := New()
+	var l Liveness
+	start := time.Unix(100, 0)
+	apply(t, r, EncodeEntryAnnounced(Entry{ID: "e1"}), EncodeEntryAnnounced(Entry{ID: "e2"}))
+	l.Update(r, start)
+	_ = r.Apply(5, EncodeEntryAnnounced(Entry{ID: "e1"}))
+	l.Update(r, start.Add(10*time.Second))
+	if live := l.Live(r, start.Add(20*time.Second)); len(live) != 1 || live[0].ID != "e1" {
+		t.Errorf("got live entries %v, want e1", live)
+	}
+	for i := range 2 * MaxEntries {
+		_ = r.Apply(units.Offset(10+i), EncodeEntryAnnounced(Entry{ID: units.EntryID(fmt.Sprint("n", i))}))
+	}
+	if got := len(r.Entries()); got != MaxEntries {
+		t.Errorf("got %d entries, want %d", got, MaxEntries)
+	}
+	counts, moved, ids := map[units.EntryID]int{}, 0, []units.EntryID{"e1", "e2", "e3", "e4"}
+	for i := range 4000 {
+		key := fmt.Sprint("job-", i)
+		owner := Owner(key, ids)
+		counts[owner]++
+		if after := Owner(key, ids[:3]); owner != "e4" && after != owner {
+			moved++
+		}
+	}
+	if counts["e1"] < 900 || counts["e4"] < 900 || moved != 0 {
+		t.Errorf("got shares %v, %d keys moved between entries that stayed", counts, moved)
+	}
+}
+
+// TestSnapshot guards against a restored state that differs from the folded
+// one, and against damaged input.
+func TestSnapshot(t *testing.T) {
+	r, restored := New(), New()
+	apply(t, r, EncodeEntryAnnounced(Entry{ID: "e1", LinkAddress: "127.0.0.1:1"}), EncodeRegistered(worker("a", 1, "d1", "r1", Holder{})),
+		EncodeRegistered(worker("b", 1, "d2", "r2", Holder{"a", 1})), EncodeLeft(Holder{"a", 1}), EncodeLeft(Holder{"a", 1}))
+	before, _ := r.Snapshot()
+	if err := restored.Restore(before); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []*Roster{r, restored} {
+		_ = x.Apply(20, EncodeLeaseExpired(Holder{"b", 1}, 1))
+	}
+	got, _ := restored.Snapshot()
+	if want, _ := r.Snapshot(); !bytes.Equal(got, want) {
+		t.Error("restored state and folded state encode differently")
+	}
+	for _, bad := range [][]byte{{0xff}, got[:len(got)-1]} {
+		if err := restored.Restore(bad); !fault.Is(err, BadState) {
+			t.Errorf("got error %v, want kind %q", err, BadState)
+		}
+	}
+	if err := r.Apply(21, []byte{1, 2}); !fault.Is(err, Malformed) {
+		t.Errorf("got error %v, want kind %q", err, Malformed)
+	}
+}
--- /dev/null
+++ b/internal/roster/rules.go
@@ -0,0 +1,230 @@
+package roster
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Apply folds one entry. It returns an error only for an entry that cannot be
+// decoded or breaks a limit; one that the rules do not allow is counted and
+// ignored.
+func (r *Roster) Apply(offset units.Offset, entry []byte) error {
+	var m wire.MembersEntry
+	err := proto.Unmarshal(entry, &m)
+	c, reason := Change{Offset: offset}, Reason("")
+	if err == nil {
+		switch k := m.GetKind().(type) {
+		case *wire.MembersEntry_EntryAnnounced:
+			c.Kind, c.Entry = "entryAnnounced", units.EntryID(k.EntryAnnounced.GetEntry())
+			err = r.announce(offset, k.EntryAnnounced)
+		case *wire.MembersEntry_EntryLeft:
+			c.Kind, c.Entry = "entryLeft", units.EntryID(k.EntryLeft.GetEntry())
+			reason = r.entryLeft(c.Entry)
+		case *wire.MembersEntry_WorkerRegistered:
+			m := k.WorkerRegistered
+			c.Kind, c.Worker = "registered", holder(m.GetWorker(), m.GetEpoch())
+			reason, err = r.register(offset, m)
+		case *wire.MembersEntry_LessorChanged:
+			m := k.LessorChanged
+			c.Kind, c.Worker = "lessorChanged", holder(m.GetWorker(), m.GetEpoch())
+			reason = r.changeLessor(offset, c.Worker, units.Term(m.GetTerm()), holder(m.GetLessor(), m.GetLessorEpoch()))
+		case *wire.MembersEntry_LeaseExpired:
+			m := k.LeaseExpired
+			c.Kind, c.Worker = "leaseExpired", holder(m.GetWorker(), m.GetEpoch())
+			reason = r.expire(offset, c.Worker, units.Term(m.GetTerm()))
+		case *wire.MembersEntry_WorkerLeft:
+			c.Kind, c.Worker = "left", holder(k.WorkerLeft.GetWorker(), k.WorkerLeft.GetEpoch())
+			reason = r.leave(offset, c.Worker)
+		default:
+			err = fmt.Errorf("entry of no known kind")
+		}
+	}
+	if err != nil {
+		reason = ReasonMalformed
+	}
+	if reason != "" {
+		r.rejections[reason]++
+	}
+	if c.Reason = reason; r.Observe != nil {
+		r.Observe(c)
+	}
+	if err != nil {
+		return fault.Wrap("apply", Malformed, err)
+	}
+	return nil
+}
+
+func holder(worker string, epoch uint64) Holder {
+	return Holder{units.WorkerID(worker), units.Epoch(epoch)}
+}
+
+func (r *Roster) announce(offset units.Offset, m *wire.EntryAnnounced) error {
+	if m.GetEntry() == "" || tooLong(m.GetEntry(), m.GetLinkAddress(), m.GetFailureDomain(), m.GetRegion()) {
+		return fmt.Errorf("entryAnnounced: an id is empty or a text too long")
+	}
+	id := units.EntryID(m.GetEntry())
+	r.entries[id] = &Entry{id, m.GetLinkAddress(), units.DomainName(m.GetFailureDomain()), units.RegionName(m.GetRegion()), offset}
+	if len(r.entries) <= MaxEntries {
+		return nil
+	}
+	var oldest *Entry
+	for _, e := range r.entries {
+		if oldest == nil || e.Announced < oldest.Announced || (e.Announced == oldest.Announced && e.ID < oldest.ID) {
+			oldest = e
+		}
+	}
+	delete(r.entries, oldest.ID)
+	return nil
+}
+
+func (r *Roster) entryLeft(id units.EntryID) Reason {
+	if r.entries[id] == nil {
+		return ReasonUnknownEntry
+	}
+	delete(r.entries, id)
+	return ""
+}
+
+func (r *Roster) register(offset units.Offset, m *wire.WorkerRegistered) (Reason, error) {
+	capacity := m.GetCapacity().Units()
+	switch {
+	case m.GetWorker() == "" || m.GetEpoch() == 0 || m.GetFailureDomain() == "":
+		return "", fmt.Errorf("registered: worker %.40q epoch %d in domain %.40q", m.GetWorker(), m.GetEpoch(), m.GetFailureDomain())
+	case tooLong(m.GetWorker(), m.GetFailureDomain(), m.GetRack(), m.GetRegion(), m.GetLinkAddress(), m.GetLessor()):
+		return "", fmt.Errorf("registered: a text is too long")
+	case capacity.Processors < 0 || capacity.Memory < 0 || capacity.Accelerators < 0:
+		return "", fmt.Errorf("registered: capacity %v", capacity)
+	}
+	id, epoch := units.WorkerID(m.GetWorker()), units.Epoch(m.GetEpoch())
+	old := r.workers[id]
+	if old != nil && epoch <= max(old.Epoch, old.EpochFloor) {
+		return ReasonOldEpoch, nil
+	}
+	if old == nil && len(r.workers)-r.ended >= MaxWorkers {
+		return "", fmt.Errorf("registered: more than %d workers", MaxWorkers)
+	}
+	lessor := holder(m.GetLessor(), m.GetLessorEpoch())
+	if lessor != (Holder{}) && !r.mayLease(lessor, id) {
+		return ReasonLessor, nil
+	}
+	w := &Worker{ID: id, Epoch: epoch, Domain: units.DomainName(m.GetFailureDomain()), Rack: units.RackName(m.GetRack()),
+		Region: units.RegionName(m.GetRegion()), LinkAddress: m.GetLinkAddress(), Capacity: capacity,
+		Lessor: lessor, Term: 1, Registered: offset, LessorSince: offset,
+		EpochFloor: epoch - 1} // ends every lower epoch, also those that never registered
+	if old != nil {
+		if old.Holds() {
+			r.unlease(old)
+		} else {
+			r.ended--
+		}
+	}
+	r.workers[id] = w
+	r.lease(w)
+	return "", nil
+}
+
+// mayLease reports whether the lessor is in force and another worker. A lessor
+// that has ended would grant nothing and could record no expiry.
+func (r *Roster) mayLease(lessor Holder, lessee units.WorkerID) bool {
+	w := r.workers[lessor.Worker]
+	return lessor.Worker != lessee && w != nil && w.Epoch == lessor.Epoch && w.Holds()
+}
+
+// current returns the row if h is its epoch in force.
+func (r *Roster) current(h Holder) (*Worker, Reason) {
+	w := r.workers[h.Worker]
+	switch {
+	case w == nil || h.Epoch > w.Epoch:
+		return nil, ReasonUnknownWorker
+	case h.Epoch < w.Epoch:
+		return nil, ReasonOldEpoch
+	case !w.Holds():
+		return nil, ReasonEnded
+	}
+	return w, ""
+}
+
+func (r *Roster) changeLessor(offset units.Offset, h Holder, term units.Term, lessor Holder) Reason {
+	w, reason := r.current(h)
+	switch {
+	case reason != "":
+		return reason
+	case term != w.Term+1:
+		return ReasonTerm
+	case !r.mayLease(lessor, w.ID):
+		return ReasonLessor
+	}
+	r.unlease(w)
+	w.Lessor, w.Term, w.LessorSince = lessor, term, offset
+	r.lease(w)
+	return ""
+}
+
+func (r *Roster) expire(offset units.Offset, h Holder, term units.Term) Reason {
+	w, reason := r.current(h)
+	if reason != "" {
+		return reason
+	}
+	if term != w.Term {
+		return ReasonTerm
+	}
+	w.Expired = true
+	r.end(w, offset)
+	return ""
+}
+
+func (r *Roster) leave(offset units.Offset, h Holder) Reason {
+	w, reason := r.current(h)
+	if reason != "" {
+		return reason
+	}
+	w.Left = true
+	r.end(w, offset)
+	return ""
+}
+
+func (r *Roster) end(w *Worker, offset units.Offset) {
+	r.unlease(w)
+	w.EpochFloor, w.EndedAt = w.Epoch, offset
+	if r.ended++; r.ended <= MaxEnded {
+		return
+	}
+	var oldest *Worker
+	for _, w := range r.workers {
+		if !w.Holds() && (oldest == nil || w.EndedAt < oldest.EndedAt || (w.EndedAt == oldest.EndedAt && w.ID < oldest.ID)) {
+			oldest = w
+		}
+	}
+	delete(r.workers, oldest.ID)
+	r.ended--
+}
+
+func (r *Roster) lease(w *Worker) {
+	if w.Lessor == (Holder{}) {
+		return
+	}
+	if r.lessees[w.Lessor] == nil {
+		r.lessees[w.Lessor] = map[units.WorkerID]bool{}
+	}
+	r.lessees[w.Lessor][w.ID] = true
+}
+
+func (r *Roster) unlease(w *Worker) {
+	delete(r.lessees[w.Lessor], w.ID)
+	if len(r.lessees[w.Lessor]) == 0 {
+		delete(r.lessees, w.Lessor)
+	}
+}
+
+func tooLong(texts ...string) bool {
+	for _, s := range texts {
+		if len(s) > maxText {
+			return true
+		}
+	}
+	return false
+}
