--- /dev/null
+++ b/internal/strictjson/node.go
@@ -0,0 +1,226 @@
+package strictjson
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Node is one value of the text, with the path that leads to it.
+type Node struct {
+	reader *Reader
+	value  *hujson.Value
+	path   string
+}
+
+// Valid reports whether there is a value to read.
+func (n Node) Valid() bool { return n.value != nil }
+
+// Path returns the field path, such as teams[0].name.
+func (n Node) Path() string { return n.path }
+
+// Report adds a problem at the node.
+func (n Node) Report(format string, args ...any) { n.reader.Report(n.path, format, args...) }
+
+// kindNames says in the user's words what the text holds.
+var kindNames = map[hujson.Kind]string{
+	'n': "null", 'f': "false", 't': "true", '"': "a string", '0': "a number", '{': "an object", '[': "an array",
+}
+
+func (n Node) wrongKind(want string) {
+	n.Report("got %s; want %s", kindNames[n.value.Value.Kind()], want)
+}
+
+// String reads a non-empty string without control characters.
+func (n Node) String() string {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		n.wrongKind("a string")
+		return ""
+	}
+	s := literal.String()
+	if strings.TrimSpace(s) == "" || strings.ContainsFunc(s, func(c rune) bool { return c < ' ' || c == 0x7f }) {
+		n.Report("got %q; want a string that is not empty and has no control characters", s)
+		return ""
+	}
+	return s
+}
+
+// MaxNameLength limits names, which become keys of log records and metrics.
+const MaxNameLength = 128
+
+// Name reads an id: letters, digits, '-', '_' and '.', so that it can stand in
+// a path of the administration API and in a stream name.
+func (n Node) Name() string {
+	s := n.String()
+	if s != "" && !ValidName(s) {
+		n.Report("name %q: want 1 to %d letters, digits, '-', '_' or '.', starting with a letter or digit", s, MaxNameLength)
+		return ""
+	}
+	return s
+}
+
+// ValidName reports whether s may be used as an id.
+func ValidName(s string) bool {
+	if s == "" || len(s) > MaxNameLength || strings.ContainsAny(s[:1], "-_.") {
+		return false
+	}
+	return !strings.ContainsFunc(s, func(c rune) bool {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		return !letter && (c < '0' || c > '9') && c != '-' && c != '_' && c != '.'
+	})
+}
+
+// Bool reads true or false.
+func (n Node) Bool() bool {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != 't' && literal.Kind() != 'f' {
+		n.wrongKind("true or false")
+		return false
+	}
+	return literal.Bool()
+}
+
+// Int reads a whole number of at most most.
+func (n Node) Int(least, most int64) int64 {
+	var v int64
+	if literal, ok := n.value.Value.(hujson.Literal); !ok || literal.Kind() != '0' {
+		n.wrongKind("a whole number")
+	} else if err := json.Unmarshal(literal, &v); err != nil {
+		n.Report("got %s; want a whole number", literal)
+	} else if v < least || v > most {
+		n.Report("got %d; want a whole number from %d to %d", v, least, most)
+	}
+	return v
+}
+
+// Float reads a finite number.
+func (n Node) Float() float64 {
+	var v float64
+	if literal, ok := n.value.Value.(hujson.Literal); !ok || literal.Kind() != '0' {
+		n.wrongKind("a number")
+	} else if err := json.Unmarshal(literal, &v); err != nil {
+		n.Report("got %s; want a number", literal)
+	}
+	return v
+}
+
+// Duration reads a positive Go duration.
+func (n Node) Duration() time.Duration {
+	s := n.String()
+	if s == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d <= 0 {
+		n.Report("duration %q: want a positive duration such as \"50ms\" or \"2s\"", s)
+		return 0
+	}
+	return d
+}
+
+// plainNumber reports whether s has none of the forms that ParseFloat accepts
+// beyond decimals, such as NaN, exponents and hexadecimal.
+func plainNumber(s string) bool {
+	return s != "" && s[0] >= '0' && s[0] <= '9' && !strings.ContainsAny(s, "xXeEpP_nN")
+}
+
+// maxCores limits processors so that sums over all workers cannot overflow.
+const maxCores units.Millicores = 1e9
+
+// Processors reads cores.
+func (n Node) Processors() units.Millicores {
+	s := n.String()
+	if s == "" {
+		return 0
+	}
+	m, err := units.ParseMillicores(s)
+	if err != nil || !plainNumber(s) || m < 0 || m > maxCores {
+		n.Report("processors %q: want cores from 0 to 1000000, such as \"2\", \"0.5\" or \"250m\"", s)
+		return 0
+	}
+	return m
+}
+
+// maxMemory keeps a number of bytes exact in the floating point that units use.
+const maxMemory units.Bytes = 1 << 53
+
+// Memory reads a number of bytes with its unit.
+func (n Node) Memory() units.Bytes {
+	s := n.String()
+	if s == "" {
+		return 0
+	}
+	b, err := units.ParseBytes(s)
+	if err != nil || !plainNumber(s) || b < 0 || b > maxMemory {
+		n.Report("memory %q: want a number up to 8192TiB and one of KiB, MiB, GiB, TiB, KB, MB, GB, B", s)
+		return 0
+	}
+	return b
+}
+
+// Priority reads the name of a priority.
+func (n Node) Priority() units.Priority {
+	s := n.String()
+	if s == "" {
+		return 0
+	}
+	p, err := units.ParsePriority(s)
+	if err != nil {
+		n.Report("%v", err)
+	}
+	return p
+}
+
+// Each calls read for every element of an array.
+func (n Node) Each(read func(Node)) {
+	array, ok := n.value.Value.(*hujson.Array)
+	if !ok {
+		n.wrongKind("an array")
+		return
+	}
+	for i := range array.Elements {
+		read(n.child(fmt.Sprintf("%s[%d]", n.path, i), &array.Elements[i]))
+	}
+}
+
+// Members calls read for every member of an object with free keys.
+func (n Node) Members(read func(key string, value Node)) {
+	object, ok := n.value.Value.(*hujson.Object)
+	if !ok {
+		n.wrongKind("an object")
+		return
+	}
+	seen := map[string]bool{}
+	for i := range object.Members {
+		m := &object.Members[i]
+		key := m.Name.Value.(hujson.Literal).String()
+		path := joinPath(n.path, key)
+		if seen[key] {
+			n.reader.reportAt(m.Name.StartOffset, path, "duplicate key")
+			continue
+		}
+		seen[key] = true
+		read(key, n.child(path, &m.Value))
+	}
+}
+
+// IsObject reports whether the value is an object.
+func (n Node) IsObject() bool { return n.value.Value.Kind() == '{' }
+
+func (n Node) child(path string, value *hujson.Value) Node {
+	n.reader.offsets[path] = value.StartOffset
+	return Node{n.reader, value, path}
+}
+
+func joinPath(parent, key string) string {
+	if parent == "" {
+		return key
+	}
+	return parent + "." + key
+}
--- /dev/null
+++ b/pkg/environment/edit.go
@@ -0,0 +1,161 @@
+package environment
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// The edits below change the text of a document and keep its comments and
+// layout, because operators explain their decisions in comments.
+
+// SetDomainState returns raw with the state of one failure domain changed.
+func SetDomainState(raw []byte, name units.DomainName, state DomainState) ([]byte, error) {
+	const op = "set failure domain state"
+	root, object, err := parseObject(op, raw)
+	if err != nil {
+		return nil, err
+	}
+	if state != DomainIn && state != DomainOut {
+		return nil, fault.New(op, KindInvalid, "state %q: want in or out", state)
+	}
+	var known []string
+	if m := member(object, "failureDomains"); m != nil {
+		domains, _ := m.Value.Value.(*hujson.Array)
+		for i := 0; domains != nil && i < len(domains.Elements); i++ {
+			domain, ok := domains.Elements[i].Value.(*hujson.Object)
+			if !ok || member(domain, "name") == nil {
+				continue
+			}
+			found := text(member(domain, "name").Value)
+			if found == string(name) {
+				setMember(domain, "state", hujson.String(string(state)))
+				return root.Pack(), nil
+			}
+			known = append(known, found)
+		}
+	}
+	return nil, fault.New(op, KindNotFound, "unknown failure domain %q; want one of: %s", name, strings.Join(known, ", "))
+}
+
+// SetEnvironment returns raw with another environment name, for promotion.
+func SetEnvironment(raw []byte, name units.EnvironmentName) ([]byte, error) {
+	root, object, err := parseObject("set environment", raw)
+	if err != nil {
+		return nil, err
+	}
+	setMember(object, "environment", hujson.String(string(name)))
+	return root.Pack(), nil
+}
+
+// SetDrained returns raw with a worker added to or removed from
+// drainedWorkers. It changes nothing when the worker already is, or is not,
+// listed.
+func SetDrained(raw []byte, worker units.WorkerID, drained bool) ([]byte, error) {
+	const op = "set drained"
+	root, object, err := parseObject(op, raw)
+	if err != nil {
+		return nil, err
+	}
+	m := member(object, "drainedWorkers")
+	if m == nil {
+		if !drained {
+			return raw, nil
+		}
+		m = addMember(object, "drainedWorkers", &hujson.Array{})
+	}
+	list, ok := m.Value.Value.(*hujson.Array)
+	if !ok {
+		return nil, fault.New(op, KindInvalid, "drainedWorkers is no array")
+	}
+	at := slices.IndexFunc(list.Elements, func(e hujson.Value) bool { return text(e) == string(worker) })
+	switch {
+	case drained && at < 0:
+		appendElement(list, hujson.String(string(worker)))
+	case !drained && at >= 0:
+		removeElement(list, at)
+	}
+	return root.Pack(), nil
+}
+
+func parseObject(op string, raw []byte) (*hujson.Value, *hujson.Object, error) {
+	if _, err := Parse("document", raw); err != nil {
+		return nil, nil, fault.Wrap(op, KindInvalid, err)
+	}
+	root, err := hujson.Parse(bytes.Clone(raw))
+	if err != nil {
+		return nil, nil, fault.Wrap(op, KindInvalid, err)
+	}
+	return &root, root.Value.(*hujson.Object), nil // Parse accepts objects only
+}
+
+func member(object *hujson.Object, name string) *hujson.ObjectMember {
+	for i := range object.Members {
+		if text(object.Members[i].Name) == name {
+			return &object.Members[i]
+		}
+	}
+	return nil
+}
+
+// text returns the unescaped string of a literal, or "" for another value.
+func text(v hujson.Value) string {
+	if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == '"' {
+		return literal.String()
+	}
+	return ""
+}
+
+func setMember(object *hujson.Object, name string, value hujson.ValueTrimmed) {
+	if m := member(object, name); m != nil {
+		m.Value.Value = value
+		return
+	}
+	addMember(object, name, value)
+}
+
+// addMember appends a member on a line of its own.
+func addMember(object *hujson.Object, name string, value hujson.ValueTrimmed) *hujson.ObjectMember {
+	m := hujson.ObjectMember{
+		Name:  hujson.Value{Value: hujson.String(name), BeforeExtra: append(bytes.Clone(object.AfterExtra), "\n  "...)},
+		Value: hujson.Value{Value: value, BeforeExtra: hujson.Extra(" ")},
+	}
+	object.AfterExtra = hujson.Extra("\n")
+	object.Members = append(object.Members, m)
+	return &object.Members[len(object.Members)-1]
+}
+
+// appendElement adds a value after the last one. Comments that stand between
+// the last element and the bracket stay with that element.
+func appendElement(list *hujson.Array, value hujson.ValueTrimmed) {
+	before := bytes.Clone(list.AfterExtra)
+	list.AfterExtra = nil
+	if n := len(list.Elements); n > 0 && len(before) == 0 {
+		before = []byte(" ")
+	}
+	list.Elements = append(list.Elements, hujson.Value{Value: value, BeforeExtra: before})
+}
+
+// removeElement drops a value and keeps the comments around it, which may be
+// about the element before.
+func removeElement(list *hujson.Array, at int) {
+	gone := list.Elements[at]
+	list.Elements = slices.Delete(list.Elements, at, at+1)
+	var kept hujson.Extra
+	for _, extra := range []hujson.Extra{gone.BeforeExtra, gone.AfterExtra} {
+		if !extra.IsStandard() {
+			kept = append(kept, extra...)
+		}
+	}
+	if at < len(list.Elements) {
+		next := &list.Elements[at]
+		next.BeforeExtra = append(kept, next.BeforeExtra...)
+	} else {
+		list.AfterExtra = append(kept, list.AfterExtra...)
+	}
+}
