--- /dev/null
+++ b/internal/settings/agent.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"wasabihill.example/wasabihill/internal/strictjson"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Worker                units.WorkerID
+	Environment           units.EnvironmentName
+	FailureDomain         units.DomainName
+	Rack                  units.RackName
+	Region                units.RegionName
+	LinkAddress           netip.AddrPort      // lease requests of other agents
+	AdvertisedLinkAddress netip.AddrPort      // what other agents dial; LinkAddress when omitted
+	AnnounceAddress       netip.AddrPort      // announcements of the endpoint
+	StatusAddress         netip.AddrPort      // health and metrics; invalid when omitted
+	WorkerAddress         netip.AddrPort      // the worker's API
+	EndpointServices      []units.ServiceName // services that may announce an endpoint here; any when empty
+	Entries               []netip.AddrPort    // link addresses to start from; the rest is learned
+	Limits                AgentLimits
+}
+
+// AgentLimits bound what an agent keeps for its endpoint.
+type AgentLimits struct {
+	QueuedRequests int // requests that wait for a slot
+	TimelineEvents int // events kept until an entry process acknowledges them
+}
+
+// defaultAgentLimits keep an agent within 64 MB.
+var defaultAgentLimits = AgentLimits{QueuedRequests: 256, TimelineEvents: 2000}
+
+var agentFields = []strictjson.Field[Agent]{
+	{Name: "worker", Type: "name", Required: true, Purpose: "unique name of the worker beside the agent",
+		Read: func(a *Agent, n strictjson.Node) { a.Worker = units.WorkerID(n.Name()) }},
+	{Name: "environment", Type: "name", Required: true, Purpose: "environment that the worker belongs to",
+		Read: func(a *Agent, n strictjson.Node) { a.Environment = units.EnvironmentName(n.Name()) }},
+	{Name: "failureDomain", Type: "name", Required: true, Purpose: "failure domain of the worker",
+		Read: func(a *Agent, n strictjson.Node) { a.FailureDomain = units.DomainName(n.Name()) }},
+	{Name: "rack", Type: "name", Required: true, Purpose: "rack of the worker",
+		Read: func(a *Agent, n strictjson.Node) { a.Rack = units.RackName(n.Name()) }},
+	{Name: "region", Type: "name", Required: true, Purpose: "region of the failure domain",
+		Read: func(a *Agent, n strictjson.Node) { a.Region = units.RegionName(n.Name()) }},
+	{Name: "linkAddress", Type: "IP:port", Required: true, Purpose: "listens for lease requests of other agents",
+		Read: func(a *Agent, n strictjson.Node) { a.LinkAddress = readAddress(n) }},
+	{Name: "advertisedLinkAddress", Type: "IP:port", Purpose: "address that other agents dial; `linkAddress` when omitted",
+		Read: func(a *Agent, n strictjson.Node) { a.AdvertisedLinkAddress = readDialAddress(n) }},
+	{Name: "announceAddress", Type: "IP:port", Required: true, Purpose: "listens for announcements of the endpoint",
+		Read: func(a *Agent, n strictjson.Node) { a.AnnounceAddress = readAddress(n) }},
+	{Name: "statusAddress", Type: "IP:port", Purpose: "listens for health and metrics; none when omitted",
+		Read: func(a *Agent, n strictjson.Node) { a.StatusAddress = readAddress(n) }},
+	{Name: "workerAddress", Type: "IP:port", Required: true, Purpose: "API of the worker",
+		Read: func(a *Agent, n strictjson.Node) { a.WorkerAddress = readDialAddress(n) }},
+	{Name: "endpointServices", Type: "array of names", Purpose: "services that may announce an endpoint to this agent; any when omitted",
+		Read: func(a *Agent, n strictjson.Node) {
+			n.Each(func(e strictjson.Node) { a.EndpointServices = append(a.EndpointServices, units.ServiceName(e.Name())) })
+		}},
+	{Name: "entries", Type: "array of IP:port", Required: true, Purpose: "link addresses of entry processes to start from; at least one",
+		Read: func(a *Agent, n strictjson.Node) {
+			n.Each(func(e strictjson.Node) { a.Entries = append(a.Entries, readDialAddress(e)) })
+		}},
+	{Name: "limits", Type: "object", Purpose: "what the agent keeps",
+		Read:   func(a *Agent, n strictjson.Node) { strictjson.Object(n, &a.Limits, agentLimitFields) },
+		Nested: func(prefix string) []strictjson.Row { return strictjson.Rows(prefix, agentLimitFields) }},
+}
+
+var agentLimitFields = []strictjson.Field[AgentLimits]{
+	{Name: "queuedRequests", Type: "whole number", Purpose: "requests that wait for a slot of the endpoint; 256 when omitted",
+		Read: func(l *AgentLimits, n strictjson.Node) { l.QueuedRequests = int(n.Int(1, 65536)) }},
+	{Name: "timelineEvents", Type: "whole number", Purpose: "events kept until an entry process has them; 2000 when omitted",
+		Read: func(l *AgentLimits, n strictjson.Node) { l.TimelineEvents = int(n.Int(1, 65536)) }},
+}
+
+// ParseAgent reads the settings of an agent. name is the file that problems
+// mention.
+func ParseAgent(name string, data []byte, _ Lookup) (*Agent, error) {
+	a := &Agent{Limits: defaultAgentLimits}
+	_, err := parse(name, data, a, agentFields, func(report report) {
+		if len(a.Entries) == 0 {
+			report("entries", "is empty; want at least one entry process")
+		}
+		if !a.AdvertisedLinkAddress.IsValid() && a.LinkAddress.IsValid() &&
+			(a.LinkAddress.Port() == 0 || a.LinkAddress.Addr().IsUnspecified()) {
+			report("advertisedLinkAddress", "missing; other agents cannot dial linkAddress %s", a.LinkAddress)
+		}
+		checkDistinct(report, []named{{"linkAddress", a.LinkAddress}, {"announceAddress", a.AnnounceAddress}, {"statusAddress", a.StatusAddress}})
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !a.AdvertisedLinkAddress.IsValid() {
+		a.AdvertisedLinkAddress = a.LinkAddress
+	}
+	return a, nil
+}
+
+type named struct {
+	field   string
+	address netip.AddrPort
+}
+
+// checkDistinct refuses two listeners on one address.
+func checkDistinct(report report, all []named) {
+	seen := map[netip.AddrPort]string{}
+	for _, one := range all {
+		if !one.address.IsValid() || one.address.Port() == 0 {
+			continue
+		}
+		if first, ok := seen[one.address]; ok {
+			report(one.field, "address %s is also %s; want different ones", one.address, first)
+			continue
+		}
+		seen[one.address] = one.field
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// EntryReference lists every field of an entry process's settings.
+func EntryReference() []strictjson.Row { return strictjson.Rows("", entryFields) }
+
+// AgentReference lists every field of an agent's settings.
+func AgentReference() []strictjson.Row { return strictjson.Rows("", agentFields) }
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,183 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/strictjson"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Entry holds the settings of an entry process.
+type Entry struct {
+	ID                    units.EntryID
+	Environment           units.EnvironmentName
+	FailureDomain         units.DomainName
+	Region                units.RegionName
+	CallerAddress         netip.AddrPort // HTTP for callers
+	AdminAddress          netip.AddrPort // HTTP for teams and operators
+	LinkAddress           netip.AddrPort // sessions of agents
+	AdvertisedLinkAddress netip.AddrPort // what agents dial; LinkAddress when omitted
+	LogAddress            netip.AddrPort // the platform's log service
+	OperatorToken         Secret
+	TeamTokens            map[units.TeamName]Secret // no two tokens are equal
+	Limits                EntryLimits
+	Distances             map[units.DomainName]time.Duration // one way, from FailureDomain
+
+	lookup Lookup
+}
+
+// EntryLimits bound what one process accepts at a time.
+type EntryLimits struct {
+	CallerRequests    int           // requests of callers in flight
+	CallerBody        units.Bytes   // body of one request of a caller
+	CallerTimeout     time.Duration // longest time for one request of a caller
+	AdminRequests     int           // administration requests in flight
+	AdminBody         units.Bytes   // body of one administration request
+	AdminTimeout      time.Duration // longest time for one administration request
+	HeaderBytes       units.Bytes   // header of any request
+	Connections       int           // connections per listener
+	TimelineEvents    int           // events kept for the time line
+	StreamsPerSession int           // requests at a time over one agent's session
+}
+
+// defaultEntryLimits fit the target of 1,000 agents and about 12 entry
+// processes: 980 task starts/s and their callers spread over them.
+var defaultEntryLimits = EntryLimits{
+	CallerRequests: 10_000, CallerBody: units.MiB, CallerTimeout: time.Minute,
+	AdminRequests: 256, AdminBody: units.MiB, AdminTimeout: 10 * time.Second,
+	HeaderBytes: 16 * units.KiB, Connections: 20_000, TimelineEvents: 20_000, StreamsPerSession: 1024,
+}
+
+var entryFields = []strictjson.Field[Entry]{
+	{Name: "id", Type: "name", Required: true, Purpose: "unique name of this process",
+		Read: func(e *Entry, n strictjson.Node) { e.ID = units.EntryID(n.Name()) }},
+	{Name: "environment", Type: "name", Required: true, Purpose: "environment whose document the process follows",
+		Read: func(e *Entry, n strictjson.Node) { e.Environment = units.EnvironmentName(n.Name()) }},
+	{Name: "failureDomain", Type: "name", Required: true, Purpose: "failure domain that the process runs in",
+		Read: func(e *Entry, n strictjson.Node) { e.FailureDomain = units.DomainName(n.Name()) }},
+	{Name: "region", Type: "name", Required: true, Purpose: "region of the failure domain",
+		Read: func(e *Entry, n strictjson.Node) { e.Region = units.RegionName(n.Name()) }},
+	{Name: "callerAddress", Type: "IP:port", Required: true, Purpose: "listens for requests of callers",
+		Read: func(e *Entry, n strictjson.Node) { e.CallerAddress = readAddress(n) }},
+	{Name: "adminAddress", Type: "IP:port", Required: true, Purpose: "listens for the administration API, health and metrics",
+		Read: func(e *Entry, n strictjson.Node) { e.AdminAddress = readAddress(n) }},
+	{Name: "linkAddress", Type: "IP:port", Required: true, Purpose: "listens for sessions of agents",
+		Read: func(e *Entry, n strictjson.Node) { e.LinkAddress = readAddress(n) }},
+	{Name: "advertisedLinkAddress", Type: "IP:port", Purpose: "address that agents dial; `linkAddress` when omitted",
+		Read: func(e *Entry, n strictjson.Node) { e.AdvertisedLinkAddress = readDialAddress(n) }},
+	{Name: "logAddress", Type: "IP:port", Required: true, Purpose: "log service of the platform",
+		Read: func(e *Entry, n strictjson.Node) { e.LogAddress = readDialAddress(n) }},
+	{Name: "operatorToken", Type: "token", Required: true, Purpose: "bearer token of operators: a string, or {\"environmentVariable\": \"NAME\"}",
+		Read: func(e *Entry, n strictjson.Node) { e.OperatorToken = readSecret(n, e.lookup) }},
+	{Name: "teamTokens", Type: "object of tokens", Purpose: "bearer token of each team, by team name",
+		Read: readTeamTokens},
+	{Name: "limits", Type: "object", Purpose: "what the process accepts at a time",
+		Read: func(e *Entry, n strictjson.Node) { strictjson.Object(n, &e.Limits, entryLimitFields) },
+		Nested: func(prefix string) []strictjson.Row {
+			return strictjson.Rows(prefix, entryLimitFields)
+		}},
+	{Name: "distances", Type: "object of durations", Purpose: "one-way network time from this failure domain, by failure domain",
+		Read: readDistances},
+}
+
+func readTeamTokens(e *Entry, n strictjson.Node) {
+	e.TeamTokens = map[units.TeamName]Secret{}
+	n.Members(func(team string, value strictjson.Node) {
+		if !strictjson.ValidName(team) {
+			value.Report("team %q is no valid name", team)
+			return
+		}
+		e.TeamTokens[units.TeamName(team)] = readSecret(value, e.lookup)
+	})
+}
+
+func readDistances(e *Entry, n strictjson.Node) {
+	e.Distances = map[units.DomainName]time.Duration{}
+	n.Members(func(domain string, value strictjson.Node) {
+		if !strictjson.ValidName(domain) {
+			value.Report("failure domain %q is no valid name", domain)
+			return
+		}
+		e.Distances[units.DomainName(domain)] = value.Duration()
+	})
+}
+
+type limitField = strictjson.Field[EntryLimits]
+
+var entryLimitFields = []limitField{
+	countField("callerRequests", "requests of callers in flight; 10000 when omitted", func(l *EntryLimits) *int { return &l.CallerRequests }),
+	memoryField("callerBody", "body of one request of a caller; 1MiB when omitted", func(l *EntryLimits) *units.Bytes { return &l.CallerBody }),
+	durationField("callerTimeout", "longest time for one request of a caller; 1m when omitted", func(l *EntryLimits) *time.Duration { return &l.CallerTimeout }),
+	countField("adminRequests", "administration requests in flight; 256 when omitted", func(l *EntryLimits) *int { return &l.AdminRequests }),
+	memoryField("adminBody", "body of one administration request; 1MiB when omitted", func(l *EntryLimits) *units.Bytes { return &l.AdminBody }),
+	durationField("adminTimeout", "longest time for one administration request; 10s when omitted", func(l *EntryLimits) *time.Duration { return &l.AdminTimeout }),
+	memoryField("headerBytes", "header of any request; 16KiB when omitted", func(l *EntryLimits) *units.Bytes { return &l.HeaderBytes }),
+	countField("connections", "connections of each listener; 20000 when omitted", func(l *EntryLimits) *int { return &l.Connections }),
+	countField("timelineEvents", "events kept for the time line; 20000 when omitted", func(l *EntryLimits) *int { return &l.TimelineEvents }),
+	countField("streamsPerSession", "requests at a time over the session of one agent; 1024 when omitted", func(l *EntryLimits) *int { return &l.StreamsPerSession }),
+}
+
+func countField(name, purpose string, at func(*EntryLimits) *int) limitField {
+	return limitField{Name: name, Type: "whole number", Purpose: purpose,
+		Read: func(l *EntryLimits, n strictjson.Node) { *at(l) = int(n.Int(1, 10_000_000)) }}
+}
+
+func memoryField(name, purpose string, at func(*EntryLimits) *units.Bytes) limitField {
+	return limitField{Name: name, Type: "memory", Purpose: purpose, Read: func(l *EntryLimits, n strictjson.Node) {
+		*at(l) = n.Memory()
+		if *at(l) < units.KiB || *at(l) > units.GiB {
+			n.Report("got %v; want 1KiB to 1GiB", *at(l))
+		}
+	}}
+}
+
+func durationField(name, purpose string, at func(*EntryLimits) *time.Duration) limitField {
+	return limitField{Name: name, Type: "duration", Purpose: purpose,
+		Read: func(l *EntryLimits, n strictjson.Node) { *at(l) = n.Duration() }}
+}
+
+// ParseEntry reads the settings of an entry process. name is the file that
+// problems mention.
+func ParseEntry(name string, data []byte, lookup Lookup) (*Entry, error) {
+	e, err := parseEntry(name, data, lookup)
+	if err != nil {
+		return nil, err
+	}
+	e.lookup = nil
+	if !e.AdvertisedLinkAddress.IsValid() {
+		e.AdvertisedLinkAddress = e.LinkAddress
+	}
+	return e, nil
+}
+
+func parseEntry(name string, data []byte, lookup Lookup) (*Entry, error) {
+	e := &Entry{Limits: defaultEntryLimits, lookup: lookup}
+	return parse(name, data, e, entryFields, func(report report) {
+		if !e.AdvertisedLinkAddress.IsValid() && e.LinkAddress.IsValid() &&
+			(e.LinkAddress.Port() == 0 || e.LinkAddress.Addr().IsUnspecified()) {
+			report("advertisedLinkAddress", "missing; agents cannot dial linkAddress %s", e.LinkAddress)
+		}
+		e.checkTokens(report)
+		checkDistinct(report, []named{{"callerAddress", e.CallerAddress}, {"adminAddress", e.AdminAddress}, {"linkAddress", e.LinkAddress}})
+	})
+}
+
+// checkTokens refuses equal tokens, which would give one team the rights of
+// another.
+func (e *Entry) checkTokens(report report) {
+	holders := map[string]bool{}
+	if !e.OperatorToken.IsZero() {
+		holders[e.OperatorToken.Reveal()] = true
+	}
+	for _, team := range sortedKeys(e.TeamTokens) {
+		token := e.TeamTokens[team]
+		if token.IsZero() {
+			continue
+		}
+		if holders[token.Reveal()] {
+			report("teamTokens."+string(team), "the token is also used elsewhere; want a different one for each team and for operators")
+		}
+		holders[token.Reveal()] = true
+	}
+}
--- a/internal/strictjson/node.go
+++ b/internal/strictjson/node.go
@@ -51,6 +51,16 @@
 	return s
 }
 
+// Secret reads a string whose value must not appear in problems.
+func (n Node) Secret() string {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		n.wrongKind("a string or an object")
+		return ""
+	}
+	return literal.String()
+}
+
 // MaxNameLength limits names, which become keys of log records and metrics.
 const MaxNameLength = 128
 
