--- /dev/null
+++ b/internal/standin/logservice/log.go
@@ -0,0 +1,302 @@
+// Package logservice is a small in-memory substitute for the platform's log
+// service, for tests and `make run`. It has the limits that the product must
+// live with: capped append rate, maximum record size, limited retention,
+// outages, slowness and replies lost after the append took effect.
+package logservice
+
+import (
+	"context"
+	"regexp"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/pkg/logservice"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Limits of a Log whose fields are zero.
+const (
+	DefaultMaxRecord = 1 << 20
+	DefaultReadLimit = 1000
+	// maxReadBytes bounds one read so that its reply stays below the client's limit.
+	maxReadBytes = 8 << 20
+	maxStreams   = 1024
+	// maxReadWait bounds how long one read holds a connection.
+	maxReadWait = 30 * time.Second
+)
+
+var streamName = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
+
+// Log is the log service in memory. It implements the client's Service, so
+// tests use it directly. Fields are set before the first call; the zero value
+// keeps everything and limits nothing but the record size.
+type Log struct {
+	Rate        float64       // appends per second over all streams; 0 means no limit
+	MaxRecord   int           // bytes of one payload
+	RetainAge   time.Duration // 0 means forever
+	RetainCount int           // records per stream; 0 means all
+	ReadLimit   int           // records returned by one read
+	FromZero    bool          // streams start at offset 0 instead of 1
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	bucket   bucket
+	injector injector
+	counts   Counts
+}
+
+var _ logservice.Service = (*Log)(nil)
+
+// Counts says what a Log has done since it was made.
+type Counts struct {
+	Appends, Reads, Bytes, Limited int64
+}
+
+type entry struct {
+	payload []byte
+	at      time.Time
+}
+
+type stream struct {
+	first   units.Offset
+	entries []entry
+	late    [][]byte      // payloads that take effect after the next append
+	grown   chan struct{} // closed on the next append
+}
+
+func (s *stream) next() units.Offset { return s.first + units.Offset(len(s.entries)) }
+
+// Append implements the client's Service.
+func (l *Log) Append(ctx context.Context, name string, payload []byte) (units.Offset, error) {
+	const op = "append"
+	if err := ctx.Err(); err != nil {
+		return 0, fault.Wrap(op, logservice.Unavailable, err)
+	}
+	if !streamName.MatchString(name) {
+		return 0, fault.New(op, logservice.Refused, "bad stream name %.40q", name)
+	}
+	if limit := orDefault(l.MaxRecord, DefaultMaxRecord); len(payload) > limit {
+		return 0, fault.New(op, logservice.Refused, "record of %d bytes exceeds %d", len(payload), limit)
+	}
+	l.mu.Lock()
+	outcome, delay := l.injector.forAppend()
+	l.mu.Unlock()
+	if !sleep(ctx, delay) {
+		return 0, fault.Wrap(op, logservice.Unknown, ctx.Err())
+	}
+	offset, err := l.commit(op, name, payload, outcome)
+	if err == nil && !sleep(ctx, delay) {
+		return 0, fault.Wrap(op, logservice.Unknown, ctx.Err())
+	}
+	return offset, err
+}
+
+// commit gives the append its effect and outcome under the lock.
+func (l *Log) commit(op, name string, payload []byte, outcome Outcome) (units.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if outcome == OutcomeUnavailable {
+		return 0, fault.New(op, logservice.Unavailable, "injected outage")
+	}
+	if !l.bucket.take(l.Rate, now) {
+		l.counts.Limited++
+		return 0, fault.New(op, logservice.Unavailable, "append rate exceeds %g/s", l.Rate)
+	}
+	s, err := l.stream(op, name)
+	if err != nil {
+		return 0, err
+	}
+	payload = append([]byte(nil), payload...)
+	if outcome == OutcomeLate {
+		s.late = append(s.late, payload)
+		return 0, fault.New(op, logservice.Unknown, "injected late append")
+	}
+	offset := l.add(s, payload, now)
+	for _, p := range s.late {
+		l.add(s, p, now)
+	}
+	s.late = nil
+	l.prune(s, now)
+	close(s.grown)
+	s.grown = make(chan struct{})
+	if outcome == OutcomeLost {
+		return 0, fault.New(op, logservice.Unknown, "injected loss of the reply")
+	}
+	return offset, nil
+}
+
+func (l *Log) add(s *stream, payload []byte, now time.Time) units.Offset {
+	offset := s.next()
+	s.entries = append(s.entries, entry{payload, now})
+	l.counts.Appends++
+	l.counts.Bytes += int64(len(payload))
+	return offset
+}
+
+// Read implements the client's Service.
+func (l *Log) Read(ctx context.Context, name string, from units.Offset, wait time.Duration) (logservice.Batch, error) {
+	return l.read(ctx, name, from, wait, orDefault(l.ReadLimit, DefaultReadLimit))
+}
+
+func (l *Log) read(ctx context.Context, name string, from units.Offset, wait time.Duration, limit int) (logservice.Batch, error) {
+	const op = "read"
+	if !streamName.MatchString(name) {
+		return logservice.Batch{}, fault.New(op, logservice.Refused, "bad stream name %.40q", name)
+	}
+	l.mu.Lock()
+	l.counts.Reads++
+	outage, delay := l.injector.forRead()
+	l.mu.Unlock()
+	if !sleep(ctx, delay) {
+		return logservice.Batch{}, fault.Wrap(op, logservice.Unavailable, ctx.Err())
+	}
+	if outage {
+		return logservice.Batch{}, fault.New(op, logservice.Unavailable, "injected outage")
+	}
+	timer := time.NewTimer(min(max(wait, 0), maxReadWait))
+	defer timer.Stop()
+	for {
+		batch, grown, err := l.slice(name, from, limit)
+		if err != nil || len(batch.Records) > 0 || from > batch.Next || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return logservice.Batch{}, fault.Wrap(op, logservice.Unavailable, ctx.Err())
+		}
+	}
+}
+
+// slice returns the records from offset from on and the channel that the next
+// append closes.
+func (l *Log) slice(name string, from units.Offset, limit int) (logservice.Batch, <-chan struct{}, error) {
+	const op = "read"
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, err := l.stream(op, name)
+	if err != nil {
+		return logservice.Batch{}, nil, err
+	}
+	l.prune(s, time.Now())
+	batch := logservice.Batch{First: s.first, Next: s.next()}
+	if from < s.first {
+		return batch, nil, fault.New(op, logservice.Expired, "offset %d is below the first retained %d", from, s.first)
+	}
+	for bytes := 0; from < s.next() && len(batch.Records) < limit && bytes < maxReadBytes; from++ {
+		payload := s.entries[from-s.first].payload
+		batch.Records = append(batch.Records, logservice.Record{Offset: from, Payload: payload})
+		bytes += len(payload)
+	}
+	return batch, s.grown, nil
+}
+
+// SetFaults replaces the injected faults.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.injector.set(f)
+}
+
+// Counts returns what the log has done so far.
+func (l *Log) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+// Expire drops all records of a stream below offset, as retention would.
+func (l *Log) Expire(name string, below units.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, err := l.stream("expire", name); err == nil && below > s.first {
+		s.drop(int(min(below, s.next()) - s.first))
+	}
+}
+
+// stream returns the stream of that name; streams exist from first use.
+func (l *Log) stream(op, name string) (*stream, error) {
+	if s, ok := l.streams[name]; ok {
+		return s, nil
+	}
+	if len(l.streams) >= maxStreams {
+		return nil, fault.New(op, logservice.Refused, "more than %d streams", maxStreams)
+	}
+	if l.streams == nil {
+		l.streams = make(map[string]*stream)
+	}
+	s := &stream{first: 1, grown: make(chan struct{})}
+	if l.FromZero {
+		s.first = 0
+	}
+	l.streams[name] = s
+	return s, nil
+}
+
+// prune applies the retention limits.
+func (l *Log) prune(s *stream, now time.Time) {
+	excess := 0
+	if l.RetainCount > 0 {
+		excess = max(0, len(s.entries)-l.RetainCount)
+	}
+	for l.RetainAge > 0 && excess < len(s.entries) && now.Sub(s.entries[excess].at) > l.RetainAge {
+		excess++
+	}
+	s.drop(excess)
+}
+
+func (s *stream) drop(n int) {
+	clear(s.entries[:n])
+	s.entries = s.entries[n:]
+	s.first += units.Offset(n)
+}
+
+// bucket is a token bucket that holds at most a tenth of a second of appends.
+type bucket struct {
+	tokens float64
+	filled time.Time
+}
+
+func (b *bucket) take(rate float64, now time.Time) bool {
+	if rate <= 0 {
+		return true
+	}
+	burst := max(1, rate/10)
+	if b.filled.IsZero() {
+		b.tokens = burst
+	} else {
+		b.tokens = min(burst, b.tokens+rate*now.Sub(b.filled).Seconds())
+	}
+	b.filled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// sleep waits for d and reports false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func orDefault(value, otherwise int) int {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
--- a/pkg/logservice/logservice.go
+++ b/pkg/logservice/logservice.go
@@ -38,7 +38,8 @@
 	Append(ctx context.Context, stream string, payload []byte) (units.Offset, error)
 	// Read returns records from offset from on. At the tail it waits up to
 	// wait for a new record and then returns an empty batch. An error of kind
-	// Expired means that from is below First.
+	// Expired means that from is below First; the batch then still carries First
+	// and Next. A from above the tail yields an empty batch.
 	Read(ctx context.Context, stream string, from units.Offset, wait time.Duration) (Batch, error)
 }
 
@@ -55,3 +56,9 @@
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
+
+func fail(op string, kind Kind, format string, args ...any) error {
+	return fault.New(op, kind, format, args...)
+}
+
+func wrap(op string, kind Kind, err error) error { return fault.Wrap(op, kind, err) }
