--- /dev/null
+++ b/internal/stream/recovery.go
@@ -0,0 +1,269 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/logservice"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// scanWindow is how many records the search for a snapshot steps back at a time.
+	scanWindow = 512
+	// maxSnapshotBytes bounds what a reader collects of one snapshot.
+	maxSnapshotBytes = 256 << 20
+	// maxCandidates bounds the incomplete snapshots that are collected at a time.
+	maxCandidates = 8
+	// maxFetch bounds the records that a reload holds in memory.
+	maxFetch = 1 << 17
+	// snapshotPatience is how long a Follower that retention has passed waits
+	// for a snapshot before it goes on with what the log still holds.
+	snapshotPatience = time.Minute
+)
+
+// snapshotKey names one snapshot. Parts that a writer appended twice after a
+// lost reply have the same key and part number.
+type snapshotKey struct {
+	writer string
+	offset uint64
+	parts  uint32
+}
+
+// candidate collects the parts of one snapshot.
+type candidate struct {
+	parts map[uint32][]byte
+	size  int
+}
+
+// add keeps a part and returns the whole snapshot once every part is there.
+func (c *candidate) add(s *wire.Snapshot) []byte {
+	if _, known := c.parts[s.GetPart()]; known || c.size+len(s.GetState()) > maxSnapshotBytes {
+		return nil
+	}
+	c.parts[s.GetPart()] = s.GetState()
+	c.size += len(s.GetState())
+	if len(c.parts) < int(s.GetParts()) {
+		return nil
+	}
+	whole := make([]byte, 0, c.size)
+	for n := range s.GetParts() {
+		whole = append(whole, c.parts[n]...)
+	}
+	return whole
+}
+
+// checkpoint is a decoded snapshot, or the start of the retained records.
+type checkpoint struct {
+	state  []byte
+	next   units.Offset
+	memory writers
+	size   int // encoded; 0 when there was no snapshot
+}
+
+// load replaces the state by the newest snapshot, or by the empty state at the
+// first retained offset when there is no snapshot. A state that is already
+// ahead of the snapshot is caught up before anyone sees it, so that no reader
+// moves to a lower offset.
+func (f *Follower[S]) load(ctx context.Context) error {
+	started := time.Now()
+	ends, err := f.read(ctx, 0, 0)
+	if err != nil && !fault.Is(err, logservice.Expired) {
+		return err
+	}
+	from, err := f.findCheckpoint(ctx, ends)
+	if err != nil {
+		return err
+	}
+	applied := f.Applied()
+	if from.size == 0 && applied > 0 && f.awaitSnapshot(started) {
+		return fail("reload "+f.Stream, Incomplete, "no snapshot between %d and the tail %d", ends.First, ends.Next)
+	}
+	again, err := f.fetch(ctx, from.next, applied)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.restore(from, ends.First); err != nil {
+		return err
+	}
+	for _, r := range again {
+		f.applyRecord(r)
+		f.next++
+	}
+	f.loaded, f.first, f.waiting = true, ends.First, time.Time{}
+	f.stats.Loads++
+	f.stats.SnapshotBytes = from.size
+	f.stats.LoadSeconds = time.Since(started).Seconds()
+	f.notify()
+	klog.InfoS("loaded log stream", "stream", f.Stream, "offset", f.next, "tail", ends.Next,
+		"snapshotBytes", from.size, "seconds", f.stats.LoadSeconds, "incomplete", f.incomplete)
+	return nil
+}
+
+func (f *Follower[S]) findCheckpoint(ctx context.Context, ends logservice.Batch) (checkpoint, error) {
+	encoded, err := f.newestSnapshot(ctx, ends.First, ends.Next)
+	if err != nil || encoded == nil {
+		return checkpoint{next: ends.First, memory: writers{}}, err
+	}
+	found := checkpoint{size: len(encoded)}
+	if found.state, found.next, found.memory, err = decodeCheckpoint(encoded); err != nil {
+		return found, fault.Wrap("decode snapshot of "+f.Stream, Incomplete, err)
+	}
+	return found, nil
+}
+
+// awaitSnapshot reports whether a Follower that retention has passed should
+// still wait for a process that knows more to append a snapshot.
+func (f *Follower[S]) awaitSnapshot(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waiting.IsZero() {
+		f.waiting = now
+	}
+	return now.Sub(f.waiting) < snapshotPatience
+}
+
+// fetch reads the records from low up to high.
+func (f *Follower[S]) fetch(ctx context.Context, low, high units.Offset) ([]logservice.Record, error) {
+	var records []logservice.Record
+	if high > low+maxFetch {
+		return nil, fail("reload "+f.Stream, Incomplete, "snapshot at %d is too far behind %d", low, high)
+	}
+	for low < high {
+		batch, err := f.read(ctx, low, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(batch.Records) == 0 {
+			return nil, fail("reload "+f.Stream, Unavailable, "no record at %d", low)
+		}
+		kept := batch.Records[:min(len(batch.Records), int(high-low))]
+		records = append(records, kept...)
+		low += units.Offset(len(kept))
+	}
+	return records, nil
+}
+
+// restore sets state, position and memory of writers.
+func (f *Follower[S]) restore(from checkpoint, first units.Offset) error {
+	if err := f.State.Restore(from.state); err != nil {
+		return fault.Wrap("restore snapshot of "+f.Stream, Incomplete, err)
+	}
+	f.next, f.memory = from.next, from.memory
+	f.latest = snapshotMark{offset: from.next}
+	if from.size > 0 {
+		f.latest.seen, f.latest.inherited = time.Now(), true
+	}
+	// Streams start at offset 0 or 1, so a later first offset without a snapshot
+	// means that records are gone.
+	f.incomplete = from.size == 0 && first > 1
+	return nil
+}
+
+// newestSnapshot looks from the tail backwards for the newest complete snapshot
+// that the retained records continue. It reads each retained record at most once.
+func (f *Follower[S]) newestSnapshot(ctx context.Context, first, tail units.Offset) ([]byte, error) {
+	candidates := make(map[snapshotKey]*candidate)
+	for high := tail; high > first; {
+		low := first
+		if high-first > scanWindow {
+			low = high - scanWindow
+		}
+		found, err := f.scan(ctx, low, high, first, candidates)
+		if err != nil || found != nil {
+			return found, err
+		}
+		high = low
+	}
+	return nil, nil
+}
+
+// scan reads the records from low up to high and adds snapshot parts to
+// candidates. It returns the newest snapshot that became complete.
+func (f *Follower[S]) scan(ctx context.Context, low, high, first units.Offset, candidates map[snapshotKey]*candidate) ([]byte, error) {
+	var newest []byte
+	var newestOffset uint64
+	for low < high {
+		batch, err := f.read(ctx, low, 0)
+		if fault.Is(err, logservice.Expired) && batch.First > low {
+			low = batch.First
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(batch.Records) == 0 {
+			return nil, fail("scan "+f.Stream, Unavailable, "no record at %d below the tail %d", low, high)
+		}
+		for _, r := range batch.Records {
+			if r.Offset >= high {
+				break
+			}
+			key, whole := f.collect(r, first, candidates)
+			if whole != nil && key.offset >= newestOffset {
+				newest, newestOffset = whole, key.offset
+			}
+		}
+		low += units.Offset(len(batch.Records))
+	}
+	return newest, nil
+}
+
+// collect adds the record to its candidate if it is a usable snapshot part.
+func (f *Follower[S]) collect(r logservice.Record, first units.Offset, candidates map[snapshotKey]*candidate) (snapshotKey, []byte) {
+	record, err := f.decode(r.Payload)
+	// A snapshot below the first retained offset misses the records in between.
+	if err != nil || record.Snapshot == nil || units.Offset(record.Snapshot.GetOffset()) < first {
+		return snapshotKey{}, nil
+	}
+	key := keyOf(record)
+	c := candidates[key]
+	if c == nil {
+		if len(candidates) >= maxCandidates {
+			dropOldest(candidates)
+		}
+		c = &candidate{parts: make(map[uint32][]byte)}
+		candidates[key] = c
+	}
+	return key, c.add(record.Snapshot)
+}
+
+func keyOf(r Record) snapshotKey {
+	return snapshotKey{r.Writer, r.Snapshot.GetOffset(), r.Snapshot.GetParts()}
+}
+
+// dropOldest forgets the candidate with the lowest offset.
+func dropOldest(candidates map[snapshotKey]*candidate) {
+	var oldest snapshotKey
+	found := false
+	for key := range candidates {
+		if !found || key.offset < oldest.offset {
+			oldest, found = key, true
+		}
+	}
+	delete(candidates, oldest)
+}
+
+// noteSnapshot counts the parts of a snapshot that passes by. A complete one
+// restarts the interval until the next; a Follower that lost records loads it.
+func (f *Follower[S]) noteSnapshot(r Record) {
+	key := keyOf(r)
+	if f.latest.parts == nil || len(f.latest.parts) >= maxCandidates {
+		f.latest.parts = make(map[snapshotKey]int)
+	}
+	f.latest.parts[key]++
+	if f.latest.parts[key] < int(key.parts) {
+		return
+	}
+	f.stats.Snapshots++
+	f.latest = snapshotMark{offset: units.Offset(key.offset), seen: time.Now()}
+	if f.incomplete && f.latest.offset >= f.first {
+		f.loaded = false
+	}
+}
