--- /dev/null
+++ b/internal/configuration/record.go
@@ -0,0 +1,129 @@
+// Package configuration folds the stream "config" into the current document of
+// each environment, and publishes new documents by compare-and-set.
+//
+// The fold accepts a record for its form and its base alone, never for the
+// content of its document: a check that differs between program versions would
+// make processes disagree on which offset is current, and a later record that
+// one process accepts would lose in another. Publisher checks a document before
+// it appends it. A document that an operator appended to the log directly may
+// fail the check; then it is current, the next record must be based on it, and
+// each process keeps the newest version that passes its own check in force.
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"regexp"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+
+	"wasabihill.example/wasabihill/internal/stream"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Stream is the stream of configuration records.
+const Stream = "config"
+
+// Limits of a record. They decide which records count, so that changing one
+// makes old and new processes disagree.
+const (
+	MaxDocument = 512 << 10 // bytes
+	maxKey      = 128
+	maxAuthor   = 256
+)
+
+var environmentName = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+// Record proposes a new document for an environment.
+type Record struct {
+	Key         string // names the proposal; empty in records that operators append by hand
+	Environment units.EnvironmentName
+	Base        units.Offset // version that the proposal replaces; 0 for none
+	Author      string
+	Document    []byte // raw, JSON with comments
+}
+
+// recordBody is the JSON of a Record. The document is a string, which keeps its
+// comments; an operator may also write it as an object.
+type recordBody struct {
+	Key         string          `json:"key"`
+	Environment string          `json:"environment"`
+	BaseOffset  units.Offset    `json:"baseOffset"`
+	Author      string          `json:"author"`
+	Document    json.RawMessage `json:"document"`
+}
+
+// EncodeRecord returns the payload of r.
+func EncodeRecord(r Record) ([]byte, error) {
+	document, err := json.Marshal(string(r.Document))
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(recordBody{r.Key, string(r.Environment), r.Base, r.Author, document})
+}
+
+// DecodeRecord reads a payload, which may contain comments. Unknown keys are
+// ignored, so that a later version may add some without splitting the readers.
+func DecodeRecord(payload []byte) (Record, error) {
+	if len(payload) > 4*MaxDocument {
+		return Record{}, fmt.Errorf("record of %d bytes is too large", len(payload))
+	}
+	var body recordBody
+	if err := json.Unmarshal(payload, &body); err != nil {
+		standard, commentErr := hujson.Standardize(bytes.Clone(payload))
+		if commentErr != nil {
+			return Record{}, err
+		}
+		if err := json.Unmarshal(standard, &body); err != nil {
+			return Record{}, err
+		}
+	}
+	document := []byte(body.Document)
+	if len(document) > 0 && document[0] == '"' {
+		var text string
+		if err := json.Unmarshal(document, &text); err != nil {
+			return Record{}, err
+		}
+		document = []byte(text)
+	}
+	r := Record{body.Key, units.EnvironmentName(body.Environment), body.BaseOffset, body.Author, document}
+	return r, r.validate()
+}
+
+func (r Record) validate() error {
+	switch {
+	case !environmentName.MatchString(string(r.Environment)):
+		return fmt.Errorf("bad environment name %.64q", r.Environment)
+	case len(r.Key) > maxKey:
+		return fmt.Errorf("key of %d bytes exceeds %d", len(r.Key), maxKey)
+	case len(r.Author) > maxAuthor:
+		return fmt.Errorf("author of %d bytes exceeds %d", len(r.Author), maxAuthor)
+	case len(r.Document) == 0 || bytes.Equal(r.Document, []byte("null")):
+		return errors.New("no document")
+	case !utf8.Valid(r.Document) || !utf8.ValidString(r.Key) || !utf8.ValidString(r.Author):
+		return errors.New("record is not UTF-8")
+	case len(r.Document) > MaxDocument:
+		return fmt.Errorf("document of %d bytes exceeds %d", len(r.Document), MaxDocument)
+	}
+	return nil
+}
+
+// DecodePayload is the stream.Decoder of the config stream. A payload that
+// starts as a JSON object or comment is a record; anything else must be an
+// envelope with a snapshot part.
+func DecodePayload(payload []byte) (stream.Record, error) {
+	if text := bytes.TrimLeft(payload, " \t\r\n"); len(text) > 0 && (text[0] == '{' || text[0] == '/') {
+		if _, err := DecodeRecord(payload); err != nil {
+			return stream.Record{}, err
+		}
+		return stream.Record{Entries: [][]byte{payload}}, nil
+	}
+	record, err := stream.DecodeEnvelope(payload)
+	if err == nil && record.Snapshot == nil {
+		err = errors.New("envelope without a snapshot in the config stream")
+	}
+	return record, err
+}
