--- /dev/null
+++ b/pkg/administration/submission.go
@@ -0,0 +1,110 @@
+package administration
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/strictjson"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// MaxTasks limits the tasks of one job. At 13,000 jobs a day and 980 starts/s
+// no job needs more, and the record of a job's state stays small.
+const MaxTasks = 10_000
+
+// submissionFields are the form of a job file.
+var submissionFields = []strictjson.Field[Submission]{
+	{Name: "team", Type: "name", Purpose: "team that owns the job; the token's team when omitted",
+		Read: func(s *Submission, n strictjson.Node) { s.Team = units.TeamName(n.Name()) }},
+	{Name: "name", Type: "name", Required: true, Purpose: "name shown to people; need not be unique",
+		Read: func(s *Submission, n strictjson.Node) { s.Name = n.Name() }},
+	{Name: "kind", Type: "name", Purpose: "jobs of one kind share learned sizes and run times; `name` when omitted",
+		Read: func(s *Submission, n strictjson.Node) { s.Kind = units.JobKind(n.Name()) }},
+	{Name: "priority", Type: "low, normal, high or urgent", Purpose: "rank against other work; normal when omitted",
+		Read: func(s *Submission, n strictjson.Node) { s.Priority = n.Priority() }},
+	{Name: "tasks", Type: "whole number", Purpose: "number of equal tasks, 1 to 10000; 1 when omitted",
+		Read: func(s *Submission, n strictjson.Node) { s.Tasks = int(n.Int(1, MaxTasks)) }},
+	{Name: "size", Type: "object", Required: true, Purpose: "resources that each task needs",
+		Read:   func(s *Submission, n strictjson.Node) { strictjson.Object(n, &s.Size, submissionSizeFields) },
+		Nested: func(prefix string) []strictjson.Row { return strictjson.Rows(prefix, submissionSizeFields) }},
+	{Name: "runTime", Type: "duration", Required: true, Purpose: "how long a task is expected to run; positive",
+		Read: func(s *Submission, n strictjson.Node) { s.RunTime = n.Duration() }},
+}
+
+var submissionSizeFields = []strictjson.Field[units.Resources]{
+	{Name: "processors", Type: "cores", Required: true, Purpose: "such as \"2\", \"0.5\" or \"250m\"",
+		Read: func(r *units.Resources, n strictjson.Node) { r.Processors = n.Processors() }},
+	{Name: "memory", Type: "memory", Required: true, Purpose: "such as \"16GiB\"",
+		Read: func(r *units.Resources, n strictjson.Node) { r.Memory = n.Memory() }},
+	{Name: "accelerators", Type: "whole number", Purpose: "accelerator cards; 0 when omitted",
+		Read: func(r *units.Resources, n strictjson.Node) { r.Accelerators = int32(n.Int(0, 1<<20)) }},
+}
+
+// SubmissionReference lists every field of a job file for the manual.
+func SubmissionReference() []strictjson.Row { return strictjson.Rows("", submissionFields) }
+
+// ParseSubmission reads a job in JSON with comments. name is the file that
+// problems mention, and owner the team of a job that names none. Against a
+// document, which may be nil, it checks the team and the size.
+func ParseSubmission(name string, data []byte, owner units.TeamName, document *environment.Document) (Submission, error) {
+	s := Submission{Team: owner, Tasks: 1, Priority: units.PriorityNormal}
+	reader, root := strictjson.Open(name, data)
+	if root.Valid() {
+		strictjson.Object(root, &s, submissionFields)
+		checkPositive(s.Size, reader.Report)
+		if s.RunTime < time.Millisecond {
+			reader.Report("runTime", "got %v; want at least 1ms", s.RunTime)
+		}
+		if document != nil {
+			if s.Team == "" {
+				reader.Report("team", "missing; want the team that owns the job")
+			} else if document.Team(s.Team) == nil {
+				reader.Report("team", "unknown team %q", s.Team)
+			}
+			for _, p := range document.CheckSize("size", s.Size) {
+				reader.Report(p.Field, "%s", p.Message)
+			}
+			if t := document.Team(s.Team); t != nil && !t.MayBorrow && !s.Size.Fits(t.Quota) {
+				reader.Report("size", "a task of %v can never run: team %q may not borrow and its quota is %v", s.Size, t.Name, t.Quota)
+			}
+		}
+	}
+	if s.Kind == "" {
+		s.Kind = units.JobKind(s.Name)
+	}
+	if err := reader.Err(); err != nil {
+		var ps strictjson.Problems
+		errors.As(err, &ps)
+		return Submission{}, &Error{Op: "read job", Kind: KindInvalid, Message: "the job is not valid", Details: Details{Problems: ps}}
+	}
+	return s, nil
+}
+
+func checkPositive(size units.Resources, report func(string, string, ...any)) {
+	if size.Processors <= 0 {
+		report("size.processors", "got %v; want more than 0", size.Processors)
+	}
+	if size.Memory <= 0 {
+		report("size.memory", "got %v; want more than 0", size.Memory)
+	}
+}
+
+// EncodeSubmission writes a job in the form that ParseSubmission reads. The key
+// is not part of it.
+func EncodeSubmission(s Submission) []byte {
+	body, err := json.Marshal(struct {
+		Team     units.TeamName `json:"team,omitempty"`
+		Name     string         `json:"name"`
+		Kind     units.JobKind  `json:"kind,omitempty"`
+		Priority string         `json:"priority"`
+		Tasks    int            `json:"tasks"`
+		Size     Size           `json:"size"`
+		RunTime  string         `json:"runTime"`
+	}{s.Team, s.Name, s.Kind, s.Priority.String(), s.Tasks, Size(s.Size), s.RunTime.Round(time.Millisecond).String()})
+	if err != nil {
+		panic("administration: encode job: " + err.Error()) // strings and numbers always encode
+	}
+	return body
+}
--- a/pkg/environment/check.go
+++ b/pkg/environment/check.go
@@ -75,6 +75,16 @@
 	return nil
 }
 
+// HasDomain reports whether the document names the failure domain.
+func (d *Document) HasDomain(name units.DomainName) bool {
+	for _, f := range d.FailureDomains {
+		if f.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // checkSize reports a size that is not positive or larger than any worker.
 func (d *Document) checkSize(path string, size units.Resources, report report) {
 	checkPositive(path, size, report)
