--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,324 @@
+// Package agent is the process beside one worker and its endpoint. It is the
+// only one that admits work to that worker: it holds the worker's newest epoch,
+// renews the leases of its tasks while its own lease is valid, and reports to
+// every entry process.
+//
+// One goroutine owns the control state. Calls to the worker and the network run
+// in goroutines of their own and report back as functions posted to it.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/guard"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+const (
+	// leaseDuration is L of docs/design.md.
+	leaseDuration = 8 * time.Second
+	// leaseMargin covers clock drift and scheduling pauses of the lessor.
+	leaseMargin = time.Second
+	// freshness is how old the evidence of the tail of config may be when a
+	// task starts.
+	freshness = 2500 * time.Millisecond
+	// startGrace bounds how long after the evidence ends a start that was sent
+	// in time may still take effect; freshness plus startGrace stays below 3 s.
+	startGrace = 400 * time.Millisecond
+	// workerTimeout bounds a call to the worker beside the agent.
+	workerTimeout = time.Second
+	// tickInterval is the resolution of every deadline of the control loop.
+	tickInterval = 100 * time.Millisecond
+	// tableInterval is how often the worker's task table is read when nothing
+	// asks for it sooner.
+	tableInterval = time.Second
+	// retryInterval spaces repeated calls for one task.
+	retryInterval = 300 * time.Millisecond
+	// drainTimeout bounds the wait for requests in flight on a planned stop.
+	drainTimeout = 20 * time.Second
+	// leaveNotice lets every entry hear that the agent is leaving before its
+	// sessions refuse requests.
+	leaveNotice = 1200 * time.Millisecond
+)
+
+// Kind tells failures of an agent apart.
+type Kind string
+
+// The kinds of Error.
+const (
+	Fenced   Kind = "fenced"   // a newer epoch holds the worker
+	Listen   Kind = "listen"   // the link address cannot be bound
+	NotReady Kind = "notReady" // the agent cannot decide yet; the caller repeats
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Session is a connection to a peer; *link.Session implements it.
+type Session interface {
+	Call(ctx context.Context, path string, message, reply Message) error
+	Done() <-chan struct{}
+	Close()
+	Shutdown(ctx context.Context)
+}
+
+// Agent is one agent process. Set the exported fields before Run.
+type Agent struct {
+	WorkerID    units.WorkerID
+	Domain      units.DomainName
+	Rack        units.RackName
+	Region      units.RegionName
+	LinkAddress string // IP:port on which other agents request leases
+	Process     string // name of this process; empty means "agent/" + WorkerID
+
+	Worker          workerapi.Worker
+	Entries         []string                       // seed addresses of entry processes
+	RequestHandler  http.Handler                   // serves /services/ on every session; may be nil
+	EndpointReports func() []*wire.EndpointReport  // may be nil
+	ParseDocument   func([]byte) (*environment.Document, error)
+	Guard           *guard.Controller              // nil switches the control loop off
+	OverQuota       func(units.TeamName) bool      // may be nil
+	Document        func(*environment.Document)    // called with each newer document; may be nil
+
+	// Events records a change of state; may be nil. It must not block.
+	Events func(kind, subject, text string)
+	// PendingEvents returns events for the next heartbeat, and
+	// AcknowledgeEvents drops those up to a sequence; either may be nil.
+	PendingEvents     func() []*wire.Event
+	AcknowledgeEvents func(sequence uint64)
+	// Clock returns the hybrid logical clock, and ObserveClock takes in that of
+	// a peer; either may be nil.
+	Clock        func() int64
+	ObserveClock func(int64)
+
+	// Dial and Listen are the network; nil means package link over TCP.
+	Dial   func(ctx context.Context, address string, handler http.Handler) (Session, error)
+	Listen func(ctx context.Context, address string, handler http.Handler) (stop func(context.Context), err error)
+
+	inbox   chan func()
+	done    chan struct{} // closed when the loop has ended
+	ctx     context.Context
+	group   sync.WaitGroup // goroutines started by spawn
+	handler http.Handler
+	state
+}
+
+// state is owned by the control loop.
+type state struct {
+	origin   time.Time
+	epoch    units.Epoch
+	capacity units.Resources
+	adopted  bool // the table of this epoch has been read; nothing is admitted before
+	leaving  bool // a planned stop is under way
+	failure  error
+
+	tasks     map[units.Task]*task
+	memory    memory
+	services  map[units.ServiceName]units.Resources // reservations that count as committed
+	endpoints []*wire.EndpointReport
+	failures  failures
+	worker    workerState
+	config    config
+	lease     lease
+	lessees   map[units.WorkerID]*lessee
+	entries   map[string]*entry
+	guarded   guardState
+}
+
+// Run acquires the worker and acts until ctx ends or a newer epoch holds the
+// worker. On a planned stop it waits for requests in flight; the tasks go on
+// under their leases for the next agent to adopt.
+func (a *Agent) Run(ctx context.Context) error {
+	a.init()
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	a.ctx = calls
+	stop, err := a.listen(calls)
+	if err != nil {
+		cancel()
+		return fault.Wrap("run", Listen, err)
+	}
+	for _, address := range a.Entries {
+		a.addEntry(address, true)
+	}
+	a.acquire(true)
+	a.loop(ctx)
+	failure := a.failure
+	a.drain(stop)
+	cancel()
+	close(a.done)
+	a.group.Wait()
+	return failure
+}
+
+func (a *Agent) init() {
+	a.inbox = make(chan func(), 64)
+	a.done = make(chan struct{})
+	a.state = state{
+		origin:   time.Now(),
+		tasks:    make(map[units.Task]*task),
+		services: make(map[units.ServiceName]units.Resources),
+		lessees:  make(map[units.WorkerID]*lessee),
+		entries:  make(map[string]*entry),
+	}
+	if a.Process == "" {
+		a.Process = "agent/" + string(a.WorkerID)
+	}
+	a.handler = a.routes()
+}
+
+// loop runs the control loop until ctx ends or the agent is fenced.
+func (a *Agent) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for a.failure == nil {
+		select {
+		case fn := <-a.inbox:
+			fn()
+		case <-ticker.C:
+			a.tick(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drain keeps the loop running while the sessions finish their requests, so
+// that leases are renewed meanwhile.
+func (a *Agent) drain(stopListener func(context.Context)) {
+	a.leaving = true
+	a.event("agentLeaving", string(a.WorkerID), "waiting for requests in flight")
+	deadline, cancel := context.WithTimeout(a.ctx, drainTimeout)
+	defer cancel()
+	finished, finish := context.WithCancel(a.ctx)
+	sessions := a.openSessions()
+	fenced := a.failure != nil
+	a.spawn(func() {
+		defer finish()
+		if !fenced {
+			a.sleep(deadline, leaveNotice)
+		}
+		var wait sync.WaitGroup
+		for _, s := range sessions {
+			wait.Go(func() { s.Shutdown(deadline) })
+		}
+		wait.Go(func() { stopListener(deadline) })
+		wait.Wait()
+	})
+	a.failure = nil
+	if fenced {
+		a.discard(finished)
+		return
+	}
+	a.loop(finished)
+	a.failure = nil
+}
+
+// discard empties the inbox without acting: a fenced agent decides nothing.
+func (a *Agent) discard(ctx context.Context) {
+	for {
+		select {
+		case <-a.inbox:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick brings every part up to now. Parts read the clock they are given, so
+// that one tick decides on one instant.
+func (a *Agent) tick(now time.Time) {
+	a.pollEndpoints(now)
+	a.tickLease(now)
+	a.tickLessees(now)
+	a.tickWorker(now)
+	a.evacuate(now)
+	a.tickStandbys(now)
+	a.tickGuard(now)
+	a.driveAll(now)
+	a.dropEntries(now)
+}
+
+// post hands fn to the control loop. It reports false when the loop has ended.
+func (a *Agent) post(fn func()) bool {
+	select {
+	case a.inbox <- fn:
+		return true
+	case <-a.done:
+		return false
+	}
+}
+
+// spawn runs fn in a goroutine that Run waits for.
+func (a *Agent) spawn(fn func()) { a.group.Go(fn) }
+
+// sleep waits for d or the end of ctx, and reports whether d passed.
+func (a *Agent) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fence stops the agent: a newer epoch holds the worker.
+func (a *Agent) fence(cause error) {
+	if a.failure == nil {
+		a.failure = fault.Wrap("run", Fenced, cause)
+		a.event("agentFenced", string(a.WorkerID), cause.Error())
+	}
+}
+
+func (a *Agent) event(kind, subject, text string) {
+	if a.Events != nil {
+		a.Events(kind, subject, text)
+	}
+}
+
+func (a *Agent) clock() int64 {
+	if a.Clock != nil {
+		return a.Clock()
+	}
+	return time.Now().UnixMilli() << 16
+}
+
+func (a *Agent) observeClock(clock int64) {
+	if a.ObserveClock != nil && clock != 0 {
+		a.ObserveClock(clock)
+	}
+}
+
+func (a *Agent) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /link/launch", link.Handle(a.serveLaunch))
+	mux.Handle("POST /link/stop", link.Handle(a.serveStop))
+	mux.Handle("POST /link/lease", link.Handle(a.serveLease))
+	if a.RequestHandler != nil {
+		mux.Handle("/services/", a.RequestHandler)
+	}
+	return mux
+}
+
+// ask runs fn on the control loop and waits for it.
+func (a *Agent) ask(ctx context.Context, fn func()) error {
+	answered := make(chan struct{})
+	if a.post(func() { defer close(answered); fn() }) {
+		select {
+		case <-answered:
+			return nil
+		case <-ctx.Done():
+		case <-a.done:
+		}
+	}
+	return fault.New("ask", NotReady, "the agent is stopping")
+}
--- /dev/null
+++ b/internal/agent/task.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"encoding/base64"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// phase is where a task stands between its launch and the acknowledgement of
+// its end.
+type phase int
+
+const (
+	waiting    phase = iota // launch accepted for decision: waits for room, lease or evidence
+	starting                // a start call is out
+	unresolved              // the start call has no answer; the task table decides
+	standby                 // held by the worker, not running
+	running
+	ended // no longer on the processors; waits to be reported and forgotten
+)
+
+// occupies says in which phases a task counts as committed. An unanswered
+// start counts, because the worker may run it.
+var occupies = map[phase]bool{starting: true, unresolved: true, standby: true, running: true}
+
+// intent is what the agent wants to become of a task.
+type intent int
+
+const (
+	keep intent = iota
+	stop        // cancelled or released
+	evict       // checkpoint, then stop
+)
+
+// task is the agent's row of one task. Its phase only moves forward.
+type task struct {
+	name    units.Task
+	attempt units.Attempt
+	spec    *wire.TaskSpec // never nil
+	size    units.Resources
+	phase   phase
+	since   time.Time // of the last change of phase
+	intent  intent
+	reason  string // of the intent, later of the end
+
+	busy    bool      // a call to the worker is out
+	retryAt time.Time // no call before
+	tries   int       // failed calls for the current intent
+
+	mayEvict bool
+	giveUp   time.Time       // when a waiting launch is refused
+	startEnd workerapi.Clock // the start has no effect after this instant
+	results  []chan<- *wire.LaunchResult
+
+	activateAs units.Attempt  // standby: attempt to run it as; 0 while it only stands by
+	holder     units.WorkerID // standby: worker that runs the task
+	holderEnd  units.Epoch    // standby: epoch of that worker
+	mentioned  time.Time      // standby: last time an entry listed it
+
+	outcome      wire.Outcome
+	checkpoint   string
+	ran          time.Duration
+	peak         units.Resources
+	usage        units.Resources
+	usageAt      time.Time
+	share        float64
+	silent       bool // its end is not reported
+	acknowledged bool // the report of its current outcome was acknowledged
+	reportSince  time.Time
+}
+
+func (t *task) ref() *wire.TaskRef {
+	return &wire.TaskRef{Job: string(t.name.Job), Index: t.name.Index, Attempt: uint32(t.attempt)}
+}
+
+func (t *task) isBatch() bool { return t.spec.GetKind() != wire.TaskKind_TASK_KIND_WATCHER }
+
+func (t *task) priority() units.Priority { return units.Priority(t.spec.GetPriority()) }
+
+func (t *task) move(p phase, now time.Time) {
+	t.phase, t.since, t.tries, t.retryAt = p, now, 0, time.Time{}
+}
+
+// outcomeNow sets the outcome to report and starts its repetition anew.
+func (t *task) outcomeNow(o wire.Outcome, now time.Time) {
+	if t.outcome != o {
+		t.outcome, t.acknowledged, t.reportSince = o, false, now
+	}
+}
+
+// answer sends the result of the launch to everyone who asked.
+func (t *task) answer(outcome wire.Outcome, reason string) {
+	for _, c := range t.results {
+		c <- &wire.LaunchResult{Task: t.ref(), Outcome: outcome, Reason: reason}
+	}
+	t.results = nil
+}
+
+// label encodes the spec for the worker's table, from which a restarted agent
+// adopts the task.
+func label(spec *wire.TaskSpec) string {
+	data, err := proto.Marshal(spec)
+	if err != nil {
+		return ""
+	}
+	return base64.RawStdEncoding.EncodeToString(data)
+}
+
+// specOf decodes a label. A row without a readable one keeps its size, so that
+// it is still counted.
+func specOf(row workerapi.Task) *wire.TaskSpec {
+	spec := &wire.TaskSpec{}
+	data, err := base64.RawStdEncoding.DecodeString(row.Label)
+	if err == nil {
+		err = proto.Unmarshal(data, spec)
+	}
+	if err != nil || row.Label == "" {
+		return &wire.TaskSpec{Kind: wire.TaskKind_TASK_KIND_BATCH, Priority: wire.Priority_PRIORITY_LOW, JobKind: row.Kind}
+	}
+	return spec
+}
+
+func nameOf(r *wire.TaskRef) (units.Task, units.Attempt) {
+	return units.Task{Job: units.JobID(r.GetJob()), Index: r.GetIndex()}, units.Attempt(r.GetAttempt())
+}
+
+func sizeOf(r *wire.Resources) units.Resources {
+	return units.Resources{
+		Processors: units.Millicores(r.GetProcessorsMillicores()),
+		Memory:     units.Bytes(r.GetMemoryBytes()), Accelerators: r.GetAccelerators(),
+	}
+}
+
+func wireSize(r units.Resources) *wire.Resources {
+	return &wire.Resources{ProcessorsMillicores: int64(r.Processors), MemoryBytes: int64(r.Memory), Accelerators: r.Accelerators}
+}
+
+// committed sums what the worker is committed to: tasks that may occupy it and
+// the reservations of announced services.
+func (a *Agent) committed() units.Resources {
+	var sum units.Resources
+	for _, t := range a.tasks {
+		if occupies[t.phase] {
+			sum = sum.Add(t.size)
+		}
+	}
+	for _, r := range a.services {
+		sum = sum.Add(r)
+	}
+	return sum
+}
+
+// drivers act on a task according to its phase.
+var drivers = map[phase]func(*Agent, *task, time.Time){
+	waiting: (*Agent).admit,
+	standby: (*Agent).driveStandby,
+	running: (*Agent).driveRunning,
+	ended:   (*Agent).driveEnded,
+}
+
+func (a *Agent) driveAll(now time.Time) {
+	if !a.adopted {
+		return
+	}
+	for _, t := range a.tasks {
+		a.drive(t, now)
+	}
+}
+
+func (a *Agent) drive(t *task, now time.Time) {
+	if driver := drivers[t.phase]; driver != nil && !t.busy && !now.Before(t.retryAt) {
+		driver(a, t, now)
+	}
+}
+
+func (a *Agent) driveStandby(t *task, now time.Time) {
+	switch {
+	case t.intent != keep:
+		a.callStop(t)
+	case t.activateAs != 0:
+		a.callActivate(t, now)
+	}
+}
+
+func (a *Agent) driveRunning(t *task, _ time.Time) {
+	switch {
+	case t.intent == evict && t.tries < 3:
+		a.callCheckpoint(t)
+	case t.intent != keep:
+		a.callStop(t)
+	}
+}
+
+func (a *Agent) driveEnded(t *task, _ time.Time) {
+	if !t.silent && !t.acknowledged {
+		return
+	}
+	epoch := a.epoch
+	a.call(t, func(ctx callContext) error { return a.Worker.Forget(ctx, epoch, t.name, t.attempt) }, func(err error) {
+		if err != nil && !fault.Is(err, workerapi.NotFound) {
+			a.retry(t)
+			return
+		}
+		if a.tasks[t.name] == t {
+			delete(a.tasks, t.name)
+		}
+	})
+}
