--- /dev/null
+++ b/internal/operator/check.go
@@ -0,0 +1,77 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/environment"
+)
+
+func newCheck() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a document and list every error in it",
+		ArgsUsage: "FILE",
+		Category:  categoryDocuments,
+		Description: `Checks FILE ("-" is standard input). With a server the text is also checked
+against the document in force and what runs, and the changes are listed.
+
+Examples:
+  wasabihill check production.json
+  wasabihill --server 10.0.1.7:7002 check production.json`,
+		Action: check,
+	}
+}
+
+func check(ctx context.Context, cmd *cli.Command) error {
+	args, err := arguments(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	text, err := readInput(cmd, args[0])
+	if err != nil {
+		return err
+	}
+	document, err := environment.Parse(args[0], text)
+	if err != nil {
+		return invalidDocument(environment.Problems(err))
+	}
+	if len(cmd.StringSlice("server")) == 0 {
+		s := &session{ctx: ctx, cmd: cmd}
+		if err := s.checkOutput(); err != nil {
+			return err
+		}
+		return s.printChecked(args[0], administration.Checked{Problems: []environment.Problem{}, Changes: []environment.Change{}})
+	}
+	s, err := connect(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	checked, err := s.Check(ctx, document.Environment, args[0], text)
+	if err != nil {
+		return err
+	}
+	if len(checked.Problems) > 0 {
+		return invalidDocument(checked.Problems)
+	}
+	return s.printChecked(args[0], checked)
+}
+
+func invalidDocument(problems []environment.Problem) error {
+	return &administration.Error{Op: "check", Kind: administration.KindInvalid,
+		Message: count(len(problems), "error"), Details: administration.Details{Problems: problems}}
+}
+
+func (s *session) printChecked(file string, checked administration.Checked) error {
+	return s.print(checked, func(w io.Writer) {
+		fmt.Fprintf(w, "%s is valid\n", file)
+		if checked.Base != 0 {
+			fmt.Fprintf(w, "%s against version %d\n", count(len(checked.Changes), "change"), checked.Base)
+		}
+		writeChanges(w, checked.Changes)
+	})
+}
--- /dev/null
+++ b/internal/operator/compare.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func newCompare() *cli.Command {
+	return &cli.Command{
+		Name:      "compare",
+		Usage:     "list the fields that differ between two documents",
+		ArgsUsage: "[FILE FILE]",
+		Category:  categoryDocuments,
+		Description: `Compares two files, or two published versions of an environment.
+
+Examples:
+  wasabihill compare trial.json production.json
+  wasabihill compare -e production --from 1042
+  wasabihill compare -e production --from 1042 --to 1050`,
+		Flags: []cli.Flag{
+			environmentFlag(),
+			&cli.Uint64Flag{Name: "from", Usage: "`VERSION` before; the one in force when omitted"},
+			&cli.Uint64Flag{Name: "to", Usage: "`VERSION` after; the one in force when omitted"},
+		},
+		Action: compare,
+	}
+}
+
+func compare(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return compareFiles(ctx, cmd)
+	}
+	if !cmd.IsSet("from") && !cmd.IsSet("to") {
+		return usageErrorf("run wasabihill compare --help", "give two files, or --from or --to")
+	}
+	env, err := environmentOf(cmd)
+	if err != nil {
+		return err
+	}
+	s, err := connect(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	changes, err := s.Compare(ctx, env, units.Offset(cmd.Uint64("from")), units.Offset(cmd.Uint64("to")))
+	if err != nil {
+		return err
+	}
+	return s.printChanges(changes)
+}
+
+func compareFiles(ctx context.Context, cmd *cli.Command) error {
+	args, err := arguments(cmd, "FILE", "FILE")
+	if err != nil {
+		return err
+	}
+	s := &session{ctx: ctx, cmd: cmd}
+	if err := s.checkOutput(); err != nil {
+		return err
+	}
+	var documents [2]*environment.Document
+	var problems []environment.Problem
+	for i, path := range args {
+		text, err := readInput(cmd, path)
+		if err != nil {
+			return err
+		}
+		documents[i], err = environment.Parse(path, text)
+		problems = append(problems, environment.Problems(err)...)
+	}
+	if len(problems) > 0 {
+		return invalidDocument(problems)
+	}
+	return s.printChanges(environment.Compare(documents[0], documents[1]))
+}
+
+func (s *session) printChanges(changes []environment.Change) error {
+	if changes == nil {
+		changes = []environment.Change{}
+	}
+	return s.print(changes, func(w io.Writer) {
+		if len(changes) == 0 {
+			fmt.Fprintln(w, "no differences")
+		}
+		for _, c := range changes {
+			fmt.Fprintln(w, c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/drain.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func newDrain() *cli.Command {
+	return &cli.Command{
+		Name:      "drain",
+		Usage:     "give a worker no new work",
+		ArgsUsage: "WORKER",
+		Category:  categoryDocuments,
+		Description: `The worker's batch tasks and watchers move elsewhere; requests in flight are
+finished.
+
+Examples:
+  wasabihill drain worker-7 -e production`,
+		Flags:  []cli.Flag{environmentFlag(), authorFlag(), keyFlag()},
+		Action: action(func(s *session) error { return setDrained(s, true) }),
+	}
+}
+
+func setDrained(s *session, drained bool) error {
+	args, err := arguments(s.cmd, "WORKER")
+	if err != nil {
+		return err
+	}
+	env, err := environmentOf(s.cmd)
+	if err != nil {
+		return err
+	}
+	return mutate(s.cmd, func(key string) error {
+		published, err := s.SetDrained(s.ctx, env, units.WorkerID(args[0]), drained, author(s.cmd), key)
+		if err != nil {
+			return err
+		}
+		return s.printPublished(published)
+	})
+}
--- /dev/null
+++ b/internal/operator/promote.go
@@ -0,0 +1,45 @@
+package operator
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func newPromote() *cli.Command {
+	return &cli.Command{
+		Name:     "promote",
+		Usage:    "publish the document of one environment in another",
+		Category: categoryDocuments,
+		Description: `Everything is taken over but the states of failure domains and the drained
+workers, which stay those of the target.
+
+Examples:
+  wasabihill promote --from trial --to production --base 1042`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "from", Value: "trial", Usage: "`NAME` of the environment to copy"},
+			&cli.StringFlag{Name: "to", Value: "production", Usage: "`NAME` of the environment to change"},
+			&cli.Uint64Flag{Name: "from-version", Usage: "`VERSION` to copy; the one in force when omitted"},
+			&cli.Uint64Flag{Name: "base", Usage: "`VERSION` of the target that is replaced; 0 when there is none yet"},
+			authorFlag(), keyFlag(),
+		},
+		Action: action(promote),
+	}
+}
+
+func promote(s *session) error {
+	if _, err := arguments(s.cmd); err != nil {
+		return err
+	}
+	if !s.cmd.IsSet("base") {
+		return usageErrorf("the verb show prints the version in force", "--base is missing")
+	}
+	from, to := units.EnvironmentName(s.cmd.String("from")), units.EnvironmentName(s.cmd.String("to"))
+	return mutate(s.cmd, func(key string) error {
+		published, err := s.Promote(s.ctx, from, to, units.Offset(s.cmd.Uint64("from-version")), units.Offset(s.cmd.Uint64("base")), author(s.cmd), key)
+		if err != nil {
+			return err
+		}
+		return s.printPublished(published)
+	})
+}
--- /dev/null
+++ b/internal/operator/session.go
@@ -0,0 +1,229 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/internal/strictjson"
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// defaultTimeout is longer than the server's own time limit for one request, so
+// that its answer about the outcome arrives.
+const defaultTimeout = 15 * time.Second
+
+// session is one run of a verb.
+type session struct {
+	*administration.Client
+	ctx context.Context
+	cmd *cli.Command
+}
+
+// action adapts the step of a verb that needs a server.
+func action(step func(*session) error) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		s, err := connect(ctx, cmd)
+		if err != nil {
+			return err
+		}
+		return step(s)
+	}
+}
+
+func connect(ctx context.Context, cmd *cli.Command) (*session, error) {
+	s := &session{ctx: ctx, cmd: cmd}
+	if err := s.checkOutput(); err != nil {
+		return nil, err
+	}
+	servers := cmd.StringSlice("server")
+	if len(servers) == 0 {
+		return nil, usageErrorf("give --server IP:PORT or set WASABIHILL_SERVER", "no server is given")
+	}
+	token, err := readToken(cmd)
+	if err != nil {
+		return nil, err
+	}
+	s.Client = &administration.Client{Servers: servers, Token: token, Timeout: cmd.Duration("timeout")}
+	return s, nil
+}
+
+func (s *session) checkOutput() error {
+	if o := s.cmd.String("output"); o != "text" && o != "json" {
+		return usageErrorf("give --output text or --output json", "unknown output %q", o)
+	}
+	return nil
+}
+
+// maxToken is larger than any token that an entry process accepts.
+const maxToken = 4096
+
+func readToken(cmd *cli.Command) (string, error) {
+	path := cmd.String("token-file")
+	if path == "" {
+		if token := os.Getenv("WASABIHILL_TOKEN"); token != "" {
+			return strings.TrimSpace(token), nil
+		}
+		return "", usageErrorf("give --token-file FILE or set WASABIHILL_TOKEN", "no token is given")
+	}
+	data, err := readFile(path, maxToken)
+	if err != nil {
+		return "", err
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// readFile reads a file of at most limit bytes.
+func readFile(path string, limit int) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	return readLimited(path, f, limit)
+}
+
+func readLimited(name string, r io.Reader, limit int) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > limit {
+		return nil, fmt.Errorf("%s is larger than %d bytes", name, limit)
+	}
+	return data, nil
+}
+
+// readInput reads the file that an argument names; "-" is standard input.
+func readInput(cmd *cli.Command, path string) ([]byte, error) {
+	if path == "-" {
+		return readLimited("standard input", cmd.Root().Reader, strictjson.MaxSize)
+	}
+	return readFile(path, strictjson.MaxSize)
+}
+
+// arguments returns the arguments of a verb that takes exactly those named.
+func arguments(cmd *cli.Command, names ...string) ([]string, error) {
+	if got := cmd.Args().Len(); got != len(names) {
+		return nil, usageErrorf("run "+cmd.FullName()+" --help", "got %d arguments; want %s", got, wanted(names))
+	}
+	return cmd.Args().Slice(), nil
+}
+
+func wanted(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, " ")
+}
+
+// environmentFlag names the environment of a verb.
+func environmentFlag() cli.Flag {
+	return &cli.StringFlag{Name: "environment", Aliases: []string{"e"}, Usage: "`NAME` of the environment", Sources: cli.EnvVars("WASABIHILL_ENVIRONMENT")}
+}
+
+func environmentOf(cmd *cli.Command) (units.EnvironmentName, error) {
+	name := cmd.String("environment")
+	if name == "" {
+		return "", usageErrorf("give --environment NAME or set WASABIHILL_ENVIRONMENT", "no environment is given")
+	}
+	return units.EnvironmentName(name), nil
+}
+
+// authorFlag names who edits a document.
+func authorFlag() cli.Flag {
+	return &cli.StringFlag{Name: "author", Usage: "`NAME` recorded with the version; the login name when omitted"}
+}
+
+func author(cmd *cli.Command) string {
+	if name := cmd.String("author"); name != "" {
+		return name
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// keyFlag lets an operator repeat a mutation whose outcome is unknown.
+func keyFlag() cli.Flag {
+	return &cli.StringFlag{Name: "key", Usage: "idempotency `KEY` of an earlier run whose outcome is unknown"}
+}
+
+// mutate runs a mutation under a key and tells the operator how to repeat it
+// when the outcome is unknown.
+func mutate(cmd *cli.Command, run func(key string) error) error {
+	key := cmd.String("key")
+	if key == "" {
+		key = administration.NewKey()
+	}
+	err := run(key)
+	if administration.OutcomeOf(err) == administration.OutcomeUnknown {
+		return oops.Hint("it may have taken effect; repeat it safely with --key " + key).Wrap(err)
+	}
+	var e *administration.Error
+	if errors.As(err, &e) && e.Kind == administration.KindLostRace {
+		return oops.Hint(fmt.Sprintf("read version %d with the verb show, repeat the edit on it and publish with --base %d", e.Details.Winner, e.Details.Winner)).Wrap(err)
+	}
+	return err
+}
+
+// print writes v as JSON or calls text.
+func (s *session) print(v any, text func(w io.Writer)) error {
+	out := s.cmd.Root().Writer
+	if s.cmd.String("output") == "json" {
+		encoder := json.NewEncoder(out)
+		encoder.SetEscapeHTML(false)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	text(table)
+	return table.Flush()
+}
+
+func (s *session) printPublished(p administration.Published) error {
+	return s.print(p, func(w io.Writer) {
+		if len(p.Changes) == 0 {
+			fmt.Fprintf(w, "%s is unchanged at version %d\n", p.Environment, p.Version)
+			return
+		}
+		fmt.Fprintf(w, "%s is at version %d\n", p.Environment, p.Version)
+		writeChanges(w, p.Changes)
+	})
+}
+
+func writeChanges(w io.Writer, changes []environment.Change) {
+	for _, c := range changes {
+		fmt.Fprintf(w, "  %s\n", c)
+	}
+}
+
+// size formats resources for a table.
+func size(s administration.Size) string {
+	text := fmt.Sprintf("%s cores, %s", s.Processors, s.Memory)
+	if s.Accelerators != 0 {
+		text += fmt.Sprintf(", %d accelerators", s.Accelerators)
+	}
+	return text
+}
+
+// count formats a number of things, such as "1 error" or "3 errors".
+func count(n int, thing string) string {
+	if n == 1 {
+		return "1 " + thing
+	}
+	return fmt.Sprintf("%d %ss", n, thing)
+}
--- /dev/null
+++ b/internal/operator/show.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func newShow() *cli.Command {
+	return &cli.Command{
+		Name:     "show",
+		Usage:    "print the document of an environment, or its history",
+		Category: categoryDocuments,
+		Description: `The first line is a comment with the version, so the output can be edited and
+published as it is.
+
+Examples:
+  wasabihill show -e production > production.json
+  wasabihill show -e production --version-number 1042
+  wasabihill show -e production --history`,
+		Flags: []cli.Flag{
+			environmentFlag(),
+			&cli.Uint64Flag{Name: "version-number", Usage: "`VERSION` to print; the one in force when omitted"},
+			&cli.BoolFlag{Name: "history", Usage: "list the versions instead"},
+			&cli.IntFlag{Name: "limit", Value: 20, Usage: "list the newest `NUMBER` of versions"},
+		},
+		Action: action(show),
+	}
+}
+
+func show(s *session) error {
+	if _, err := arguments(s.cmd); err != nil {
+		return err
+	}
+	env, err := environmentOf(s.cmd)
+	if err != nil {
+		return err
+	}
+	if s.cmd.Bool("history") {
+		return s.showHistory(env)
+	}
+	d, err := s.Document(s.ctx, env, units.Offset(s.cmd.Uint64("version-number")))
+	if err != nil {
+		return err
+	}
+	if s.cmd.String("output") == "json" {
+		return s.print(d, nil)
+	}
+	text := d.Text
+	if strings.HasPrefix(text, versionComment) { // from an earlier show
+		_, text, _ = strings.Cut(text, "\n")
+	}
+	_, err = fmt.Fprintf(s.cmd.Root().Writer, "%s%d of %s, published by %s\n%s\n", versionComment, d.Version, d.Environment, d.Author, strings.TrimRight(text, "\n"))
+	return err
+}
+
+// versionComment starts the first line of the output.
+const versionComment = "// wasabihill version "
+
+func (s *session) showHistory(env units.EnvironmentName) error {
+	list, err := s.History(s.ctx, env, s.cmd.Int("limit"))
+	if err != nil {
+		return err
+	}
+	return s.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "VERSION\tAUTHOR")
+		for _, d := range list {
+			fmt.Fprintf(w, "%d\t%s\n", d.Version, d.Author)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/teams.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+func newTeams() *cli.Command {
+	return &cli.Command{
+		Name:     "teams",
+		Usage:    "list the teams with the use of their quotas",
+		Category: categoryViews,
+		Description: `With a team's token only that team is listed.
+
+Examples:
+  wasabihill teams`,
+		Action: action(teams),
+	}
+}
+
+func teams(s *session) error {
+	if _, err := arguments(s.cmd); err != nil {
+		return err
+	}
+	list, err := s.Teams(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "TEAM\tUSED\tQUOTA\tMAY BORROW\tPENDING")
+		for _, t := range list {
+			borrow := "no"
+			if t.MayBorrow {
+				borrow = "yes"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", t.Name, size(t.Used), size(t.Quota), borrow, t.Pending)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/workers.go
@@ -0,0 +1,50 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/administration"
+)
+
+func newWorkers() *cli.Command {
+	return &cli.Command{
+		Name:     "workers",
+		Usage:    "list the workers with what they are committed to",
+		Category: categoryViews,
+		Description: `Examples:
+  wasabihill workers`,
+		Action: action(workers),
+	}
+}
+
+func workers(s *session) error {
+	if _, err := arguments(s.cmd); err != nil {
+		return err
+	}
+	list, err := s.Workers(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "WORKER\tDOMAIN\tRACK\tSTATE\tEPOCH\tCOMMITTED\tCAPACITY\tTASKS\tENDPOINTS")
+		for _, o := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", o.ID, o.FailureDomain, o.Rack, o.State, o.Epoch,
+				size(o.Committed), size(o.Capacity), o.Running, endpoints(o.Endpoints))
+		}
+	})
+}
+
+func endpoints(list []administration.Endpoint) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	texts := make([]string, len(list))
+	for i, e := range list {
+		texts[i] = fmt.Sprintf("%s %s %d/%d busy, %d queued", e.Service, e.State, e.Busy, e.Slots, e.Queued)
+	}
+	return strings.Join(texts, "; ")
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -15,7 +15,7 @@
 type Event struct {
 	Process  string `json:"process"`         // unique to one run of a process, so that a restart may count from 1
 	Sequence uint64 `json:"sequence"`        // per process, from 1
-	Clock    Clock  `json:"clock"`           // orders events of different processes
+	Clock    Clock  `json:"clock,string"`    // orders events of different processes; a string since it exceeds 2^53
 	Lane     string `json:"lane"`            // row of the picture: worker, entry, log, job, service
 	Kind     string `json:"kind"`            // what happened, such as launch
 	Subject  string `json:"subject"`         // what it happened to, such as worker-7
