--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// BenchmarkTick measures one tick at 150 teams and 10 waiting tasks per
+// worker: full is a cluster without room, where every visit is a miss; busy
+// frees 49 tasks before each tick, the target of 980 starts/s.
+func BenchmarkTick(b *testing.B) {
+	for _, workers := range []int{100, 300, 1000} {
+		for _, freed := range []int{0, 49} {
+			b.Run(fmt.Sprintf("workers=%d/freed=%d", workers, freed), func(b *testing.B) { benchmarkTick(b, workers, freed) })
+		}
+	}
+}
+
+func benchmarkTick(b *testing.B, workers, freed int) {
+	f := newFixture(b, workers)
+	for i := range 150 {
+		f.doc.Teams = append(f.doc.Teams, environment.Team{Name: units.TeamName(fmt.Sprint("t", i)), Quota: cores(1e5)})
+	}
+	for i := range workers * 18 {
+		f.submit(fmt.Sprint("j", i), fmt.Sprint("t", i%150), normal, 1, cores(4))
+	}
+	var running []Proposal
+	for range workers {
+		running = append(running, f.tick()...)
+	}
+	if len(running) < workers*7 {
+		b.Fatalf("got %d running", len(running))
+	}
+	b.ReportAllocs()
+	var rows, jobs, assigned float64
+	next := 0
+	for b.Loop() {
+		b.StopTimer()
+		for range freed {
+			f.finish(running[next:next+1], func(p Proposal) []byte { return ledger.EncodeReleased(p.Task, p.Attempt, ledger.Release{}) })
+			next = (next + 1) % len(running)
+		}
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.in.Now = f.now
+		b.StartTimer()
+		proposals := f.d.Tick(f.in)
+		b.StopTimer()
+		rows, jobs, assigned = rows+float64(f.d.Stats.RowsVisited), jobs+float64(f.d.Stats.JobsVisited), assigned+float64(f.d.Stats.Assigned)
+		for _, p := range proposals {
+			f.apply(p.Encode())
+			f.apply(ledger.EncodeStarted(p.Task, p.Attempt))
+			w := f.worker(p.Holder.Worker)
+			w.Committed = w.Committed.Add(p.Committed)
+			running = append(running, p)
+		}
+		running = running[next:]
+		next = 0
+		b.StartTimer()
+	}
+	n := float64(b.N)
+	b.ReportMetric(rows/n, "rows/op")
+	b.ReportMetric(jobs/n, "jobs/op")
+	b.ReportMetric(assigned/n, "starts/op")
+}
--- /dev/null
+++ b/internal/dispatch/impossible.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+)
+
+// impossible returns why the job's tasks can never run, or "". A size that
+// the document's largest worker could hold waits, because such a worker may
+// return; one that exceeds it and every worker known does not.
+func (d *Dispatcher) impossible(j *ledger.Job) string {
+	if t, ok := d.policy.teams[j.Team]; ok && neverWithin(j.Size, t) {
+		return fmt.Sprintf("a task of %v exceeds the quota of team %q, which may not borrow", j.Size, j.Team)
+	}
+	if len(d.sizes) == 0 || j.Size.Fits(d.in.Document.LargestWorker) {
+		return ""
+	}
+	for _, capacity := range d.sizes {
+		if j.Size.Fits(capacity) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("a task of %v fits no worker", j.Size)
+}
--- /dev/null
+++ b/internal/dispatch/preemption.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	maxPreempts = 32 // of one tick; each costs the victims the work since their checkpoint
+	maxReclaims = 4
+	maxScans    = 256 // of all rows, in one tick
+	// reclaimAfter is how long work within its quota waits for room before
+	// borrowed work is evicted for it.
+	reclaimAfter = 2 * time.Second
+)
+
+// preempt places urgent work on the worker where the least must be evicted.
+// It proposes at once: waiting for the evictions would cost another tick and
+// another append, and urgent work must start within 1.4 s.
+func (d *Dispatcher) preempt(q *request) bool {
+	if d.preempts >= maxPreempts || d.scans >= maxScans {
+		return false
+	}
+	d.scans++
+	var best *row
+	var least float64
+	for _, i := range d.eligible {
+		r := &d.rows[i]
+		d.Stats.RowsVisited++
+		need := missing(q.size, r.free)
+		if r.probe || r.launching >= 2*maxLaunching || !need.Fits(r.evictable) || !q.size.Fits(r.Capacity.Sub(r.reserved)) {
+			continue
+		}
+		if c := dominantShare(need, r.Capacity); best == nil || c < least {
+			best, least = r, c
+		}
+	}
+	if best == nil {
+		return false
+	}
+	victims := d.victims(best, missing(q.size, best.free), func(j *ledger.Job, t *ledger.Task) bool {
+		return t.Borrowed || j.Priority < q.job.Priority
+	})
+	if victims == nil {
+		return false
+	}
+	d.evict(q, best, victims)
+	return true
+}
+
+// reclaim takes back room from borrowed work for a task within its team's
+// quota that has waited.
+func (d *Dispatcher) reclaim(q *request) bool {
+	if d.reclaims >= maxReclaims || d.in.Now.Sub(d.unplaced[q.task()]) < reclaimAfter {
+		return false
+	}
+	d.reclaims++
+	const tries = 32
+	n := len(d.eligible)
+	for range min(n, tries) {
+		r := &d.rows[d.eligible[d.Random.IntN(n)]]
+		d.Stats.RowsVisited++
+		need := missing(q.size, r.free)
+		if r.probe || r.launching >= r.mayLaunch || !need.Fits(r.evictable) || !q.size.Fits(r.Capacity.Sub(r.reserved)) {
+			continue
+		}
+		if v := d.victims(r, need, func(_ *ledger.Job, t *ledger.Task) bool { return t.Borrowed }); v != nil {
+			d.evict(q, r, v)
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) evict(q *request, r *row, victims []Victim) {
+	d.preempts++
+	d.Stats.Preempting++
+	r.evictable = r.evictable.Sub(missing(q.size, r.free))
+	d.assign(q, r, victims)
+	for _, v := range victims {
+		if t := d.in.Ledger.Task(v.Task); t != nil {
+			r.free = r.free.Add(t.Committed)
+		}
+	}
+}
+
+// victims returns the batch tasks on the worker to evict for the need, or nil
+// when they do not suffice: borrowed work first, then the lowest priority, then
+// what started last and has the least to lose.
+func (d *Dispatcher) victims(r *row, need units.Resources, may func(*ledger.Job, *ledger.Task) bool) []Victim {
+	type candidate struct {
+		job  *ledger.Job
+		row  *ledger.Task
+		task units.Task
+	}
+	var all []candidate
+	for _, task := range d.in.Ledger.TasksOn(r.holder) {
+		j, t := d.in.Ledger.Job(task.Job), d.in.Ledger.Task(task)
+		if t.State == ledger.Running && !j.IsWatcher() && may(j, t) {
+			all = append(all, candidate{j, t, task})
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		if a.row.Borrowed != b.row.Borrowed {
+			return map[bool]int{true: -1, false: 1}[a.row.Borrowed]
+		}
+		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(b.row.Since, a.row.Since),
+			cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index))
+	})
+	victims := make([]Victim, 0, 2)
+	for _, c := range all {
+		if need.Fits(units.Resources{}) {
+			break
+		}
+		victims = append(victims, Victim{c.task, c.row.Attempt})
+		need = need.Sub(c.row.Committed)
+	}
+	if len(victims) == 0 || !need.Fits(units.Resources{}) {
+		return nil
+	}
+	return victims
+}
+
+// missing is what the room lacks for the size, in each dimension.
+func missing(size, room units.Resources) units.Resources {
+	n := size.Sub(room)
+	return units.Resources{Processors: max(0, n.Processors), Memory: max(0, n.Memory), Accelerators: max(0, n.Accelerators)}
+}
--- /dev/null
+++ b/internal/dispatch/quota.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// teamRow is a team with work during one tick.
+type teamRow struct {
+	name    units.TeamName
+	quota   units.Resources
+	borrows bool
+	used    units.Resources // open attempts and proposals in flight
+	share   float64         // dominant share of the quota
+	next    [units.PriorityUrgent + 1]cursor
+}
+
+// cursor is the place in a team's queue of one priority.
+type cursor struct {
+	job, task int
+	visits    int
+	done      bool
+}
+
+// buildTeams makes a row for every team that has jobs, sorted by name.
+func (d *Dispatcher) buildTeams() {
+	d.teams = d.teams[:0]
+	for _, name := range d.in.Ledger.Teams() {
+		t := d.policy.teams[name] // unknown: no quota, so its work waits
+		row := teamRow{name: name, quota: t.Quota, borrows: t.MayBorrow, used: d.in.Ledger.Used(name)}
+		d.teams = append(d.teams, row)
+	}
+	for _, f := range d.inFlight {
+		if t := d.teamRow(f.team); t != nil {
+			t.used = t.used.Add(f.size)
+		}
+	}
+	for i := range d.teams {
+		d.teams[i].share = dominantShare(d.teams[i].used, d.teams[i].quota)
+	}
+}
+
+func (d *Dispatcher) teamRow(name units.TeamName) *teamRow {
+	for i := range d.teams {
+		if d.teams[i].name == name {
+			return &d.teams[i]
+		}
+	}
+	return nil
+}
+
+// charge adds a proposed attempt to the team's use.
+func (t *teamRow) charge(size units.Resources) {
+	t.used = t.used.Add(size)
+	t.share = dominantShare(t.used, t.quota)
+}
+
+// within reports whether the team stays within its quota with the size added.
+func (t *teamRow) within(size units.Resources) bool { return t.used.Add(size).Fits(t.quota) }
+
+// dominantShare is the largest used fraction of the quota in any dimension. A
+// dimension that is used without any quota counts as far over.
+func dominantShare(used, quota units.Resources) float64 {
+	share := 0.0
+	for _, d := range [...][2]float64{
+		{float64(used.Processors), float64(quota.Processors)},
+		{float64(used.Memory), float64(quota.Memory)},
+		{float64(used.Accelerators), float64(quota.Accelerators)},
+	} {
+		switch {
+		case d[0] <= 0:
+		case d[1] <= 0:
+			share = max(share, 1e6)
+		default:
+			share = max(share, d[0]/d[1])
+		}
+	}
+	return share
+}
+
+// neverWithin reports whether a single task exceeds the quota of a team that
+// may not borrow, so that it could never run.
+func neverWithin(size units.Resources, t environment.Team) bool {
+	return !t.MayBorrow && !size.Fits(t.Quota)
+}
--- a/internal/ledger/index.go
+++ b/internal/ledger/index.go
@@ -207,6 +207,16 @@
 	return slices.SortedFunc(maps.Values(l.watchers), func(a, b *Job) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// WatcherWaits reports whether a watcher waits to be assigned.
+func (l *Ledger) WatcherWaits() bool {
+	for _, j := range l.watchers {
+		if len(j.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Counts returns how many jobs are retained, and how many tasks wait and hold
 // resources.
 func (l *Ledger) Counts() (jobs, waiting, open int) {
