--- a/cmd/wasabihill-standin/main.go
+++ b/cmd/wasabihill-standin/main.go
@@ -1,4 +1,33 @@
-// Command wasabihill-standin runs small substitutes for the platform.
+// Command wasabihill-standin runs small substitutes for the platform, for tests
+// and `make run`.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/internal/operator"
+	"wasabihill.example/wasabihill/internal/standin/logservice"
+	"wasabihill.example/wasabihill/internal/standin/worker"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:                  "wasabihill-standin",
+		Usage:                 "stand in for the platform: log service, worker, endpoint",
+		Version:               operator.Version,
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{logservice.Command(), worker.Command()},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wasabihill-standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,164 @@
+// Package entry is the entry process: it answers callers, teams and operators,
+// follows the log, and dispatches tasks to agents.
+//
+// Read run.go for what runs, control.go for the state and its tick, then one
+// file for each thing the control loop does: heartbeat.go, registration.go,
+// reports.go, placement.go, launches.go, releases.go, watchers.go. backend.go
+// answers the administration API.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wasabihill.example/wasabihill/internal/configuration"
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/settings"
+	"wasabihill.example/wasabihill/internal/stream"
+	"wasabihill.example/wasabihill/internal/timeline"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/logservice"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Kind tells failures of the entry process apart.
+type Kind string
+
+// The kinds of Error.
+const (
+	Listen Kind = "listen" // an address could not be bound
+	Failed Kind = "failed" // a part of the process ended with an error
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Requests is the path of callers' requests as the entry process needs it.
+type Requests interface {
+	http.Handler
+	// Observe takes over an agent's view of its endpoints.
+	Observe(worker units.WorkerID, session *link.Session, beat Beat)
+	// Update takes over a new document.
+	Update(d *environment.Document)
+	// Drain makes the readiness check fail; requests are still served.
+	Drain()
+}
+
+// Entry is the entry process. Set the exported fields before Run.
+type Entry struct {
+	Settings *settings.Entry
+	Log      logservice.Service
+	Requests func(e *Entry) Requests // builds the request path; nil serves no callers
+	Scope    tally.Scope             // nil for none
+	Metrics  http.Handler            // serves /metrics; nil for none
+	// DrainFor is how long readiness is off before listeners close on a planned
+	// stop, so that the platform's balancer stops choosing this process first.
+	DrainFor time.Duration
+
+	runID     string
+	recorder  *timeline.Recorder
+	collector *timeline.Collector
+	config    *stream.Follower[*configuration.State]
+	members   *stream.Follower[*roster.Roster]
+	jobs      *stream.Follower[*ledger.Ledger]
+	writers   struct{ config, members, jobs *stream.Writer }
+	publisher *configuration.Publisher
+	agents    *link.Listener
+	requests  Requests
+	calls     chan func(*control)
+	document  atomic.Pointer[version]
+	owners    atomic.Pointer[owners]
+	draining  atomic.Bool
+	ready     atomic.Bool
+}
+
+// version is the document in force with the offset that numbers it.
+type version struct {
+	offset   units.Offset
+	raw      []byte
+	document *environment.Document
+}
+
+const (
+	// drainFor covers two heartbeats and a balancer that checks every second.
+	drainFor = 3 * time.Second
+	// stopWithin bounds a planned stop when a request never ends.
+	stopWithin = 30 * time.Second
+	// reachable is the staleness up to which the log counts as reachable; a
+	// read at the tail returns at least every ReadWait.
+	reachable = 3 * time.Second
+)
+
+func (e *Entry) init() {
+	var id [6]byte
+	_, _ = rand.Read(id[:])
+	e.runID = string(e.Settings.ID) + "-" + hex.EncodeToString(id[:])
+	if e.Scope == nil {
+		e.Scope = tally.NoopScope
+	}
+	if e.DrainFor == 0 {
+		e.DrainFor = drainFor
+	}
+	e.recorder = timeline.NewRecorder(e.runID, e.Settings.Limits.TimelineEvents, time.Now)
+	e.collector = timeline.NewCollector(e.Settings.Limits.TimelineEvents)
+	e.calls = make(chan func(*control), 256)
+	e.owners.Store(newOwners(e.Settings.ID, nil))
+
+	env := string(e.Settings.Environment)
+	e.config = &stream.Follower[*configuration.State]{Log: e.Log, Stream: configuration.Stream, State: &configuration.State{}, Decode: configuration.DecodePayload}
+	e.members = &stream.Follower[*roster.Roster]{Log: e.Log, Stream: "members." + env, State: roster.New()}
+	e.jobs = &stream.Follower[*ledger.Ledger]{Log: e.Log, Stream: "jobs." + env, State: ledger.New()}
+	e.writers.config = &stream.Writer{Log: e.Log, Stream: configuration.Stream, ID: e.runID} // snapshots only
+	e.writers.members = &stream.Writer{Log: e.Log, Stream: e.members.Stream, ID: e.runID}
+	e.writers.jobs = &stream.Writer{Log: e.Log, Stream: e.jobs.Stream, ID: e.runID}
+	e.publisher = &configuration.Publisher{Log: e.Log, Follower: e.config, Check: checkDocument}
+	e.agents = &link.Listener{Address: e.Settings.LinkAddress.String(), Handler: e.linkHandler()}
+}
+
+// Document returns the document in force and its offset, or nil and 0.
+func (e *Entry) Document() (*environment.Document, units.Offset) {
+	v := e.document.Load()
+	if v == nil {
+		return nil, 0
+	}
+	return v.document, v.offset
+}
+
+// logReachable reports whether the tail of the config stream was read recently.
+func (e *Entry) logReachable(now time.Time) bool { return e.config.Staleness(now) < reachable }
+
+// do runs fn on the control goroutine and waits for it.
+func (e *Entry) do(ctx context.Context, fn func(*control)) error {
+	done := make(chan struct{})
+	call := func(c *control) { fn(c); close(done) }
+	select {
+	case e.calls <- call:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// LinkAddr returns the bound address of the agents' listener after Run has
+// started; tests use port 0.
+func (e *Entry) LinkAddr() (net.Addr, error) { return e.agents.Listen() }
+
+func checkDocument(raw []byte) error {
+	_, err := environment.Parse("document", raw)
+	return err
+}
--- /dev/null
+++ b/internal/entry/heartbeat.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/timeline"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Beat is a heartbeat with the local time of its arrival.
+type Beat struct {
+	Message *wire.Heartbeat
+	At      time.Time
+}
+
+// heartbeat answers POST /link/heartbeat.
+func (e *Entry) heartbeat(ctx context.Context, m *wire.Heartbeat) (*wire.HeartbeatReply, error) {
+	now := time.Now()
+	e.recorder.Observe(m.GetClock())
+	e.collector.Add(timeline.FromWire(m.GetEvents())...)
+	session := link.FromContext(ctx)
+	if e.requests != nil && session != nil {
+		e.requests.Observe(units.WorkerID(m.GetWorker()), session, Beat{Message: m, At: now})
+	}
+	reply := &wire.HeartbeatReply{Entry: string(e.Settings.ID)}
+	if err := e.do(ctx, func(c *control) { c.observe(m, session, now); c.answer(m, reply) }); err != nil {
+		return nil, err
+	}
+	e.describeConfig(m, reply, time.Now())
+	if len(m.GetEvents()) > 0 {
+		reply.EventsAcknowledged = e.collector.Acknowledged(m.GetProcess())
+	}
+	reply.Clock = e.recorder.Clock()
+	return reply, nil
+}
+
+// describeConfig says which document this process has and how certain it is
+// that there is no newer one.
+func (e *Entry) describeConfig(m *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) {
+	reply.LogReachable = e.logReachable(now)
+	reply.ConfigStalenessMilliseconds = e.config.Staleness(now).Milliseconds()
+	v := e.document.Load()
+	if v == nil {
+		return
+	}
+	reply.ConfigOffset = uint64(v.offset)
+	if m.GetConfigOffset() < uint64(v.offset) {
+		reply.ConfigDocument = v.raw
+	}
+}
+
+// observe takes over what the heartbeat says.
+func (c *control) observe(m *wire.Heartbeat, session *link.Session, now time.Time) {
+	c.counters.heartbeats.Inc(1)
+	id := units.WorkerID(m.GetWorker())
+	w := c.workers[id]
+	if w == nil {
+		w = &workerRow{id: id}
+		c.workers[id] = w
+		c.recorder.Record("worker", "connected", string(id), m.GetFailureDomain(), "")
+	} else if m.GetEpoch() < w.beat.GetEpoch() {
+		return // from an agent that has been replaced
+	}
+	if w.silent {
+		w.silent = false
+		c.recorder.Record("worker", "heardAgain", string(id), "", "")
+	}
+	w.beat, w.session, w.heard = m, session, now
+	if m.GetRunningFull() {
+		w.running = make(map[units.Task]units.Attempt, len(m.GetRunning()))
+		for _, r := range m.GetRunning() {
+			w.running[r.Task()] = units.Attempt(r.GetAttempt())
+		}
+		w.runningEpoch = units.Epoch(m.GetEpoch())
+	}
+	c.planner.observe(w)
+	c.register(w, now)
+	c.acceptReports(w, now)
+	c.acceptExpiries(w, now)
+}
+
+// answer fills in what the agent has to know.
+func (c *control) answer(m *wire.Heartbeat, reply *wire.HeartbeatReply) {
+	id := units.WorkerID(m.GetWorker())
+	for _, l := range c.live {
+		reply.Entries = append(reply.Entries, &wire.EntryAddress{Entry: string(l.ID), Address: l.LinkAddress})
+	}
+	c.Entry.members.View(func(r *roster.Roster) {
+		c.answerRegistration(r, id, units.Epoch(m.GetEpoch()), reply)
+		for _, x := range m.GetExpiries() {
+			if settled(r, x) {
+				reply.ExpiriesAcknowledged = append(reply.ExpiriesAcknowledged, x)
+			}
+		}
+	})
+	c.answerReports(m, reply)
+	w := c.workers[id]
+	reply.WantRunning = w != nil && w.runningEpoch != units.Epoch(m.GetEpoch()) && m.GetEpoch() > 0
+}
+
+// answerRegistration tells the agent its registration, its lessor, its lessees
+// and the watchers that it stands by for.
+func (c *control) answerRegistration(r *roster.Roster, id units.WorkerID, epoch units.Epoch, reply *wire.HeartbeatReply) {
+	w, ok := r.Worker(id)
+	if !ok {
+		return
+	}
+	reply.RegisteredEpoch = uint64(w.Epoch)
+	reply.Expired = epoch > 0 && r.EndedEpoch(id, epoch)
+	if w.Epoch != epoch {
+		return
+	}
+	reply.LeaseTerm = uint64(w.Term)
+	reply.Lessor, reply.LessorEpoch = string(w.Lessor.Worker), uint64(w.Lessor.Epoch)
+	if lessor, ok := r.Worker(w.Lessor.Worker); ok {
+		reply.LessorAddress = lessor.LinkAddress
+	}
+	for _, name := range r.Lessees(w.Holder()) {
+		lessee, _ := r.Worker(name)
+		reply.Lessees = append(reply.Lessees, &wire.Lessee{
+			Worker: string(name), Epoch: uint64(lessee.Epoch), Term: uint64(lessee.Term), Address: lessee.LinkAddress,
+		})
+		reply.Standbys = append(reply.Standbys, c.standbysFor(lessee.Holder())...)
+	}
+}
--- /dev/null
+++ b/internal/entry/launches.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/dispatch"
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// callTimeout bounds one launch or stop call; the worker answers a start
+	// within milliseconds, and an unanswered call is repeated.
+	callTimeout = 2 * time.Second
+	// retryAfter is the pause after a failed call to an agent.
+	retryAfter = 500 * time.Millisecond
+	// maxLaunch bounds the tasks of one call, so that one answer is not delayed
+	// by many starts.
+	maxLaunch = 64
+)
+
+// launch sends the assigned attempts of this process's jobs to their agents
+// and tells agents to stop attempts of cancelled jobs. A call is repeated until
+// it is answered; agents answer a repetition in the same way.
+func (c *control) launch(now time.Time) {
+	if c.catchingUp(now) && !c.logReachable(now) {
+		return
+	}
+	type batch struct {
+		worker *workerRow
+		launch *wire.Launch
+		stop   *wire.Stop
+	}
+	var batches []batch
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		for h := range l.Holders() {
+			w := c.workers[h.Worker]
+			if w == nil || now.Before(w.launching) || !w.reachable(now) || now.Before(w.retryAt) || units.Epoch(w.beat.GetEpoch()) < h.Epoch {
+				continue
+			}
+			launch, stop := c.callsFor(l, h, w)
+			if len(launch.Tasks) > 0 || len(stop.Tasks) > 0 {
+				batches = append(batches, batch{w, launch, stop})
+			}
+		}
+	})
+	for _, b := range batches {
+		if now.Before(b.worker.launching) {
+			continue // an older epoch of the worker came first
+		}
+		b.worker.launching = now.Add(2 * callTimeout)
+		go c.Entry.call(b.worker.id, b.worker.session, b.launch, b.stop)
+	}
+}
+
+func (c *control) callsFor(l *ledger.Ledger, h ledger.Holder, w *workerRow) (*wire.Launch, *wire.Stop) {
+	_, offset := c.Document()
+	launch := &wire.Launch{Entry: string(c.Settings.ID), Worker: string(h.Worker), Epoch: uint64(h.Epoch), ConfigOffset: uint64(offset)}
+	stop := &wire.Stop{Worker: string(h.Worker), Epoch: w.beat.GetEpoch(), Reason: "cancelled"}
+	for _, task := range l.TasksOn(h) {
+		if !c.owners.Load().owns(string(task.Job)) {
+			continue
+		}
+		row := l.Task(task)
+		ref := wire.NewTaskRef(task, row.Attempt)
+		switch {
+		case row.State == ledger.Assigned && units.Epoch(w.beat.GetEpoch()) == h.Epoch && len(launch.Tasks) < maxLaunch:
+			job := l.Job(task.Job)
+			launch.Tasks = append(launch.Tasks, &wire.LaunchTask{
+				Task: ref, Spec: job.Launch(task.Index), MayEvict: c.planner.mayEvict[dispatch.Victim{Task: task, Attempt: row.Attempt}],
+			})
+		case row.State == ledger.Stopping:
+			stop.Tasks = append(stop.Tasks, ref)
+		}
+	}
+	return launch, stop
+}
+
+// call runs on its own goroutine and hands the results to the control loop.
+func (e *Entry) call(id units.WorkerID, session *link.Session, launch *wire.Launch, stop *wire.Stop) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var reply wire.LaunchReply
+	var failed error
+	if len(launch.Tasks) > 0 {
+		launch.Clock = e.recorder.Clock()
+		failed = session.Call(ctx, "/link/launch", launch, &reply)
+		e.recorder.Observe(reply.GetClock())
+	}
+	if len(stop.Tasks) > 0 {
+		var stopped wire.StopReply
+		stop.Clock = e.recorder.Clock()
+		if err := session.Call(ctx, "/link/stop", stop, &stopped); err != nil {
+			failed = err
+		}
+	}
+	done, cancelDone := context.WithTimeout(context.Background(), callTimeout)
+	defer cancelDone()
+	_ = e.do(done, func(c *control) { c.launched(id, &reply, failed, time.Now()) })
+}
+
+// launched takes over the results of a call.
+func (c *control) launched(id units.WorkerID, reply *wire.LaunchReply, failed error, now time.Time) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	w.launching = time.Time{}
+	if failed != nil {
+		w.retryAt = now.Add(retryAfter)
+	}
+	c.counters.launches.Inc(int64(len(reply.GetResults())))
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		for _, result := range reply.GetResults() {
+			report := &wire.TaskReport{Task: result.GetTask(), Outcome: result.GetOutcome(), Reason: result.GetReason()}
+			if result.GetOutcome() == wire.Outcome_OUTCOME_REFUSED {
+				c.counters.rejections.Inc(1)
+			}
+			if !recorded(l, id, report) {
+				c.record(l, w, report, now)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/outbox.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/stream"
+)
+
+// outbox gathers the entries that one tick proposes for a stream and remembers
+// for a while what was proposed, so that a tick does not propose again what is
+// about to appear in the fold. A repeated proposal does no harm; it costs an
+// entry.
+type outbox struct {
+	writer   *stream.Writer
+	entries  [][]byte
+	proposed map[string]time.Time // key to the time from which it may be proposed again
+	inFlight chan struct{}
+	failures chan []string
+	keys     []string
+}
+
+const (
+	// maxAppends bounds the appends that wait for a slow log; further proposals
+	// wait in the tables that they come from.
+	maxAppends = 8
+	// maxTickEntries bounds one append to well below the log's record size.
+	maxTickEntries = 1000
+	// sweepAbove is the number of remembered keys above which old ones are
+	// dropped.
+	sweepAbove = 4096
+)
+
+func newOutbox(w *stream.Writer) outbox {
+	return outbox{
+		writer: w, proposed: make(map[string]time.Time),
+		inFlight: make(chan struct{}, maxAppends), failures: make(chan []string, maxAppends),
+	}
+}
+
+// add queues entries that belong together under a key. It reports false when
+// the key was proposed recently or the log is too slow to take more.
+func (o *outbox) add(key string, now time.Time, entries ...[]byte) bool {
+	if until, ok := o.proposed[key]; ok && now.Before(until) {
+		return false
+	}
+	if len(o.entries) >= maxTickEntries || len(o.inFlight) == cap(o.inFlight) {
+		return false
+	}
+	if len(o.proposed) > sweepAbove {
+		for k, until := range o.proposed {
+			if !now.Before(until) {
+				delete(o.proposed, k)
+			}
+		}
+	}
+	o.proposed[key] = now.Add(proposalWait)
+	o.keys = append(o.keys, key)
+	o.entries = append(o.entries, entries...)
+	return true
+}
+
+// flush appends what was gathered, without waiting for the log.
+func (o *outbox) flush(ctx context.Context) {
+	for {
+		select {
+		case keys := <-o.failures:
+			for _, k := range keys {
+				delete(o.proposed, k)
+			}
+			continue
+		default:
+		}
+		break
+	}
+	if len(o.entries) == 0 {
+		return
+	}
+	select {
+	case o.inFlight <- struct{}{}:
+	default:
+		return // keep them for the next tick
+	}
+	entries, keys := o.entries, o.keys
+	o.entries, o.keys = nil, nil
+	go func() {
+		defer func() { <-o.inFlight }()
+		_, err := o.writer.Append(ctx, entries...)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("append failed", "stream", o.writer.Stream, "entries", len(entries), "err", err)
+		if !stream.NotWritten(err) {
+			return // it may still take effect; proposalWait decides when to repeat
+		}
+		select {
+		case o.failures <- keys:
+		default:
+		}
+	}()
+}
--- /dev/null
+++ b/internal/entry/owners.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// owners answers whether this process is the owner of a key among a fixed set
+// of live entry processes. Ownership divides the work; it grants nothing.
+type owners struct {
+	self units.EntryID
+	live []units.EntryID // sorted; holds self
+
+	mu    sync.Mutex
+	cache map[string]bool
+}
+
+// maxOwnersCache bounds the cache at about twice the jobs of a day.
+const maxOwnersCache = 32_768
+
+func newOwners(self units.EntryID, live []units.EntryID) *owners {
+	if !slices.Contains(live, self) {
+		live = append(slices.Clone(live), self)
+		slices.Sort(live)
+	}
+	return &owners{self: self, live: live, cache: make(map[string]bool)}
+}
+
+func (o *owners) owns(key string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if mine, ok := o.cache[key]; ok {
+		return mine
+	}
+	if len(o.cache) >= maxOwnersCache {
+		clear(o.cache)
+	}
+	mine := roster.Owner(key, o.live) == o.self
+	o.cache[key] = mine
+	return mine
+}
--- /dev/null
+++ b/internal/entry/registration.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// leaseFor and leaseMargin are the lease L and the margin for clock drift
+	// and pauses that a lessor adds before it attests an expiry.
+	leaseFor    = 8 * time.Second
+	leaseMargin = time.Second
+	// foreignAfter is how long this process leaves a worker or a report to its
+	// owner before it acts itself; a repeated record is ignored by the fold.
+	foreignAfter = 3 * time.Second
+)
+
+// register proposes the registration of a new epoch and a lessor for an agent
+// that asks for one.
+func (c *control) register(w *workerRow, now time.Time) {
+	epoch := units.Epoch(w.beat.GetEpoch())
+	if epoch == 0 {
+		return
+	}
+	var known roster.Worker
+	var found bool
+	c.Entry.members.View(func(r *roster.Roster) { known, found = r.Worker(w.id) })
+	h := roster.Holder{Worker: w.id, Epoch: epoch}
+	switch {
+	case !found || known.Epoch < epoch:
+		if c.mine("worker/"+string(w.id), h, now) {
+			c.proposeRegistration(w, h, now)
+		}
+	case known.Epoch == epoch && known.Holds() && w.beat.GetWantsLessor() && units.Term(w.beat.GetLeaseTerm()) == known.Term:
+		if c.mine("worker/"+string(w.id), h, now) {
+			c.proposeLessor(w, known, now)
+		}
+	default:
+		delete(c.orphans, h)
+	}
+}
+
+// mine reports whether this process acts on the key: as its owner, or because
+// the owner has not acted for foreignAfter.
+func (c *control) mine(key string, h roster.Holder, now time.Time) bool {
+	if c.owners.Load().owns(key) {
+		return true
+	}
+	since, ok := c.orphans[h]
+	if !ok {
+		c.orphans[h] = now
+		return false
+	}
+	return now.Sub(since) > foreignAfter
+}
+
+func (c *control) proposeRegistration(w *workerRow, h roster.Holder, now time.Time) {
+	m := w.beat
+	place := roster.Place{Domain: units.DomainName(m.GetFailureDomain()), Rack: units.RackName(m.GetRack()), Region: units.RegionName(m.GetRegion())}
+	row := roster.Worker{
+		ID: w.id, Epoch: h.Epoch, Domain: place.Domain, Rack: place.Rack, Region: place.Region,
+		LinkAddress: m.GetLinkAddress(), Capacity: m.GetCapacity().Units(),
+	}
+	row.Lessor, _ = c.chooseLessor(w.id, place, roster.Holder{}, now)
+	if c.members.add(fmt.Sprintf("register/%s@%d", w.id, h.Epoch), now, roster.EncodeRegistered(row)) {
+		c.recorder.Record("worker", "registering", string(w.id), fmt.Sprintf("epoch %d, lessor %q", h.Epoch, row.Lessor.Worker), "")
+	}
+}
+
+func (c *control) proposeLessor(w *workerRow, known roster.Worker, now time.Time) {
+	place := roster.Place{Domain: known.Domain, Rack: known.Rack, Region: known.Region}
+	lessor, ok := c.chooseLessor(w.id, place, known.Lessor, now)
+	if !ok || lessor == known.Lessor {
+		return
+	}
+	key := fmt.Sprintf("lessor/%s@%d/%d", w.id, known.Epoch, known.Term)
+	if c.members.add(key, now, roster.EncodeLessorChanged(known.Holder(), known.Term+1, lessor)) {
+		c.recorder.Record("worker", "lessorChanging", string(w.id), fmt.Sprintf("to %s, term %d", lessor.Worker, known.Term+1), "")
+	}
+}
+
+// chooseLessor picks a lessor that has been heard recently and is not the
+// current one, which did not answer.
+func (c *control) chooseLessor(id units.WorkerID, at roster.Place, current roster.Holder, now time.Time) (chosen roster.Holder, ok bool) {
+	c.Entry.members.View(func(r *roster.Roster) {
+		chosen, ok = r.ChooseLessor(id, at, func(h roster.Holder) bool {
+			w := c.workers[h.Worker]
+			return h != current && w != nil && w.reachable(now) && units.Epoch(w.beat.GetEpoch()) == h.Epoch && !w.beat.GetDraining()
+		})
+	})
+	return chosen, ok
+}
+
+// settled reports whether the expiry is recorded or can no longer take effect.
+func settled(r *roster.Roster, x *wire.LeaseExpiry) bool {
+	w, ok := r.Worker(units.WorkerID(x.GetWorker()))
+	return !ok || w.Epoch != units.Epoch(x.GetEpoch()) || w.Term != units.Term(x.GetTerm()) || !w.Holds()
+}
+
+// acceptExpiries records the expiries that the agent attests as lessor. A
+// watcher that the lessor has activated meanwhile is recorded in the jobs
+// stream first: once the expiry is visible, any process may assign the task
+// anew.
+func (c *control) acceptExpiries(lessor *workerRow, now time.Time) {
+	for _, x := range lessor.beat.GetExpiries() {
+		id := units.WorkerID(x.GetWorker())
+		var done bool
+		var known roster.Worker
+		c.Entry.members.View(func(r *roster.Roster) {
+			done = settled(r, x)
+			known, _ = r.Worker(id)
+		})
+		if done || known.Lessor != (roster.Holder{Worker: lessor.id, Epoch: units.Epoch(lessor.beat.GetEpoch())}) {
+			continue
+		}
+		if c.unrecordedActivations(lessor) {
+			continue
+		}
+		key := fmt.Sprintf("expire/%s@%d/%d", id, known.Epoch, known.Term)
+		if c.members.add(key, now, roster.EncodeLeaseExpired(known.Holder(), known.Term)) {
+			c.counters.expiries.Inc(1)
+			c.recorder.Record("worker", "leaseExpired", string(id), "attested by "+string(lessor.id), "")
+		}
+	}
+}
+
+// expireChains records the expiry of workers whose lessor has ended and who
+// have not changed lessor: the lessor granted nothing after its own lease, so
+// L plus the margin after both facts are known the lease has run out.
+func (c *control) expireChains(now time.Time) {
+	var due []roster.Worker
+	c.Entry.members.View(func(r *roster.Roster) {
+		for _, w := range r.Workers() {
+			if !w.Holds() {
+				continue
+			}
+			if _, ok := r.ChainExpirable(w.ID); ok {
+				due = append(due, w)
+			}
+		}
+	})
+	seen := make(map[roster.Holder]bool, len(due))
+	for _, d := range due {
+		h := d.Holder()
+		seen[h] = true
+		since, ok := c.chain[h]
+		if !ok {
+			c.chain[h] = now
+			continue
+		}
+		if now.Sub(since) < leaseFor+leaseMargin || !c.owners.Load().owns("worker/"+string(h.Worker)) {
+			continue
+		}
+		if !c.catchingUp(now) {
+			key := fmt.Sprintf("expire/%s@%d/%d", h.Worker, h.Epoch, d.Term)
+			c.members.add(key, now, roster.EncodeLeaseExpired(h, d.Term))
+		}
+	}
+	for h := range c.chain {
+		if !seen[h] {
+			delete(c.chain, h)
+		}
+	}
+}
+
+// catchingUp reports whether the members stream may hold records that this
+// process has not applied.
+func (c *control) catchingUp(now time.Time) bool {
+	return c.Entry.members.Staleness(now) > reachable
+}
--- /dev/null
+++ b/internal/entry/releases.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// releaseEndedEpochs releases attempts of an epoch that a newer one in force has
+// replaced. The newer agent has adopted what the worker still runs, so only
+// attempts that its full list does not hold are over. When the newest epoch has
+// itself ended, nothing of the worker runs, and the dispatcher releases all.
+func (c *control) releaseEndedEpochs(now time.Time) {
+	if c.catchingUp(now) {
+		return
+	}
+	type ended struct {
+		holder ledger.Holder
+		newest roster.Worker
+	}
+	var holders []ended
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		for h := range l.Holders() {
+			holders = append(holders, ended{holder: h})
+		}
+	})
+	over := holders[:0]
+	c.Entry.members.View(func(r *roster.Roster) {
+		for _, h := range holders {
+			newest, ok := r.Worker(h.holder.Worker)
+			if ok && newest.Holds() && newest.Epoch > h.holder.Epoch {
+				over = append(over, ended{h.holder, newest})
+			}
+		}
+	})
+	for _, h := range over {
+		c.releaseOn(h.holder, h.newest, now)
+	}
+}
+
+func (c *control) releaseOn(h ledger.Holder, newest roster.Worker, now time.Time) {
+	adopted := c.adopted(h, newest)
+	if adopted == nil {
+		return
+	}
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		for _, task := range l.TasksOn(h) {
+			row := l.Task(task)
+			if adopted(task, row.Attempt) || !c.owners.Load().owns(string(task.Job)) {
+				continue
+			}
+			entry := ledger.EncodeReleased(task, row.Attempt, ledger.Release{Reason: "worker epoch ended"})
+			if row.State == ledger.Stopping {
+				entry = ledger.EncodeEnded(task, row.Attempt, wire.Outcome_OUTCOME_STOPPED, 0, units.Resources{})
+			}
+			if c.jobs.add(fmt.Sprintf("release/%s#%d", task, row.Attempt), now, entry) {
+				c.counters.releases.Inc(1)
+				c.recorder.Record("job", "released", task.String(), fmt.Sprintf("attempt %d: epoch %d of %s ended", row.Attempt, h.Epoch, h.Worker), "")
+			}
+		}
+	})
+}
+
+// adopted returns which attempts of an ended epoch may still run, or nil while
+// that is not known.
+func (c *control) adopted(h ledger.Holder, newest roster.Worker) func(units.Task, units.Attempt) bool {
+	w := c.workers[h.Worker]
+	if w == nil || w.runningEpoch != newest.Epoch || units.Epoch(w.beat.GetEpoch()) != newest.Epoch {
+		return nil
+	}
+	unreported := make(map[units.Task]bool, len(w.beat.GetReports()))
+	for _, r := range w.beat.GetReports() {
+		unreported[r.GetTask().Task()] = true
+	}
+	return func(t units.Task, a units.Attempt) bool { return w.running[t] == a || unreported[t] }
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/administration"
+	"wasabihill.example/wasabihill/internal/configuration"
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/stream"
+)
+
+// snapshotEvery is the number of entries of a stream between two snapshots.
+const snapshotEvery = 20_000
+
+// Run serves until ctx ends, then stops gracefully: readiness goes off, the
+// process leaves the members, listeners close after DrainFor, requests in
+// flight are answered, and sessions end last.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	if e.Requests != nil {
+		e.requests = e.Requests(e)
+	}
+	callers, err := listen(e.Settings.CallerAddress.String())
+	if err != nil {
+		return err
+	}
+	admins, err := listen(e.Settings.AdminAddress.String())
+	if err != nil {
+		callers.Close()
+		return err
+	}
+	if _, err := e.agents.Listen(); err != nil {
+		callers.Close()
+		admins.Close()
+		return fault.Wrap("listen for agents", Listen, err)
+	}
+	// serving outlives ctx, so that requests in flight and their records end
+	// before the parts that they need.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	e.follow(serving, group)
+	group.Go(func() error { return newControl(e).run(serving) })
+	group.Go(func() error { return e.agents.Run(serving) })
+	callerServer := e.callerServer()
+	adminServer := administration.NewServer(e.administrationConfig()).HTTPServer()
+	serve(group, callerServer, callers)
+	serve(group, adminServer, admins)
+	klog.InfoS("entry process started", "id", e.Settings.ID, "environment", e.Settings.Environment,
+		"callers", callers.Addr(), "administration", admins.Addr())
+	e.recorder.Record("entry", "started", string(e.Settings.ID), "", "")
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+	}
+	e.shutdown(serving, callerServer, adminServer)
+	stop()
+	err = group.Wait()
+	klog.InfoS("entry process stopped", "id", e.Settings.ID)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fault.Wrap("run", Failed, err)
+	}
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap("listen", Listen, err)
+	}
+	return l, nil
+}
+
+// follow runs the followers, the writers and the snapshotters.
+func (e *Entry) follow(ctx context.Context, group *errgroup.Group) {
+	for _, run := range []func(context.Context) error{
+		e.config.Run, e.members.Run, e.jobs.Run, e.writers.config.Run, e.writers.members.Run, e.writers.jobs.Run,
+		(&stream.Snapshotter[*roster.Roster]{Follower: e.members, Writer: e.writers.members, Every: snapshotEvery, Owner: e.ownsStream(e.members.Stream)}).Run,
+		(&stream.Snapshotter[*ledger.Ledger]{Follower: e.jobs, Writer: e.writers.jobs, Every: snapshotEvery, Owner: e.ownsStream(e.jobs.Stream)}).Run,
+		(&stream.Snapshotter[*configuration.State]{Follower: e.config, Writer: e.writers.config, Every: snapshotEvery, Owner: e.ownsStream(e.config.Stream)}).Run,
+	} {
+		group.Go(func() error { return run(ctx) })
+	}
+}
+
+func (e *Entry) ownsStream(name string) func() bool {
+	return func() bool { return e.owners.Load().owns("stream/" + name) }
+}
+
+func serve(group *errgroup.Group, server *http.Server, l net.Listener) {
+	group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
+func (e *Entry) callerServer() *http.Server {
+	handler := http.Handler(http.NotFoundHandler())
+	if e.requests != nil {
+		handler = e.requests
+	}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+		MaxHeaderBytes: int(e.Settings.Limits.HeaderBytes),
+	}
+}
+
+// shutdown ends the process gracefully in the order that Run describes.
+func (e *Entry) shutdown(ctx context.Context, callers, admins *http.Server) {
+	e.draining.Store(true)
+	e.recorder.Record("entry", "draining", string(e.Settings.ID), "", "")
+	if e.requests != nil {
+		e.requests.Drain()
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopWithin)
+	defer cancel()
+	leave, cancelLeave := context.WithTimeout(ctx, e.DrainFor)
+	if _, err := e.writers.members.Append(leave, roster.EncodeEntryLeft(e.Settings.ID)); err != nil {
+		klog.InfoS("the planned stop was not recorded", "err", err)
+	}
+	<-leave.Done()
+	cancelLeave()
+	for _, s := range []*http.Server{callers, admins} {
+		if err := s.Shutdown(ctx); err != nil {
+			klog.InfoS("requests were still in flight at the end of the planned stop", "err", err)
+		}
+	}
+	e.agents.Shutdown(ctx)
+}
+
+// linkHandler serves the calls of agents.
+func (e *Entry) linkHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /link/heartbeat", link.Handle(e.heartbeat))
+	return mux
+}
--- /dev/null
+++ b/internal/entry/watchers.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const watchersEvery = time.Second
+
+// reconcileWatchers submits the watchers of the document that the ledger does
+// not hold and cancels those that the document no longer names.
+func (c *control) reconcileWatchers(now time.Time) {
+	v := c.Entry.document.Load()
+	if v == nil || now.Before(c.watchers) || !c.logReachable(now) {
+		return
+	}
+	c.watchers = now.Add(watchersEvery)
+	wanted := make(map[string]environment.Watcher, len(v.document.Watchers))
+	for _, w := range v.document.Watchers {
+		wanted[w.Name] = w
+	}
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		present := make(map[string]bool)
+		for _, j := range l.Watchers() {
+			w, ok := wanted[j.Name]
+			if ok && !j.Cancelled && sameWatcher(j, w) {
+				present[j.Name] = true
+				continue
+			}
+			if j.Cancelled {
+				present[j.Name] = present[j.Name] || ok // its last attempt has not stopped yet
+				continue
+			}
+			if c.owners.Load().owns(string(j.ID)) {
+				c.jobs.add("cancel/"+string(j.ID), now, ledger.EncodeCancelled(j.ID, "not in the document"))
+			}
+			present[j.Name] = ok
+		}
+		for name, w := range wanted {
+			if !present[name] && c.owners.Load().owns(ledger.WatcherPrefix+name) {
+				c.submitWatcher(l, w, v.offset, now)
+			}
+		}
+	})
+}
+
+func sameWatcher(j *ledger.Job, w environment.Watcher) bool {
+	return j.Team == w.Team && j.Priority == w.Priority && j.Size == w.Size
+}
+
+// submitWatcher submits a watcher under the id "watcher/<name>", with the
+// document's offset added when that id has been used before.
+func (c *control) submitWatcher(l *ledger.Ledger, w environment.Watcher, offset units.Offset, now time.Time) {
+	id := units.JobID(ledger.WatcherPrefix + w.Name)
+	if l.Job(id) != nil {
+		id = units.JobID(fmt.Sprintf("%s%s@%d", ledger.WatcherPrefix, w.Name, offset))
+	}
+	entry := ledger.EncodeSubmitted(&wire.JobSubmitted{
+		Job: string(id), Team: string(w.Team), Name: w.Name, Tasks: 1, SubmittedUnixMilliseconds: now.UnixMilli(),
+		Spec: &wire.TaskSpec{
+			Kind: wire.TaskKind_TASK_KIND_WATCHER, Priority: wire.FromPriority(w.Priority), Team: string(w.Team),
+			JobKind: w.Name, Size: wire.FromResources(w.Size),
+		},
+	})
+	if c.jobs.add("submit/"+string(id), now, entry) {
+		c.recorder.Record("job", "submitted", string(id), "from the document", "")
+	}
+}
+
+// standbysFor returns the watchers that run on a holder.
+func (c *control) standbysFor(h roster.Holder) []*wire.Standby {
+	var list []*wire.Standby
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		for _, task := range l.TasksOn(ledger.Holder(h)) {
+			job, row := l.Job(task.Job), l.Task(task)
+			if job.IsWatcher() && row.State == ledger.Running {
+				list = append(list, &wire.Standby{
+					Task: wire.NewTaskRef(task, row.Attempt), Spec: job.Launch(task.Index),
+					Holder: string(h.Worker), HolderEpoch: uint64(h.Epoch),
+				})
+			}
+		}
+	})
+	return list
+}
