--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,7 +79,6 @@
 	document  atomic.Pointer[version]
 	owners    atomic.Pointer[owners]
 	draining  atomic.Bool
-	ready     atomic.Bool
 }
 
 // version is the document in force with the offset that numbers it.
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -18,7 +18,6 @@
 	interference dispatch.Interference
 	mayEvict     map[dispatch.Victim]bool // assignments that may evict, until they are launched
 	rows         []dispatch.Worker
-	waiting      bool
 }
 
 // maxMayEvict bounds the remembered permissions; an assignment whose
