--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/fault"
@@ -39,7 +40,12 @@
 	tickInterval = 100 * time.Millisecond
 	// tableInterval is how often the worker's task table is read when nothing
 	// asks for it sooner.
-	tableInterval = time.Second
+	tableInterval = 500 * time.Millisecond
+	// confirmWindow is how old the last proof may be that the worker still
+	// obeys this epoch when the agent grants a lease. It is below leaseMargin:
+	// the lessees of a replaced epoch count as expired leaseDuration plus
+	// leaseMargin after the replacement, and no grant may outlast that.
+	confirmWindow = 900 * time.Millisecond
 	// retryInterval spaces repeated calls for one task.
 	retryInterval = 300 * time.Millisecond
 	// drainTimeout bounds the wait for requests in flight on a planned stop.
@@ -80,13 +86,13 @@
 	Process     string // name of this process; empty means "agent/" + WorkerID
 
 	Worker          workerapi.Worker
-	Entries         []string                       // seed addresses of entry processes
-	RequestHandler  http.Handler                   // serves /services/ on every session; may be nil
-	EndpointReports func() []*wire.EndpointReport  // may be nil
-	ParseDocument   func([]byte) (*environment.Document, error)
-	Guard           *guard.Controller              // nil switches the control loop off
-	OverQuota       func(units.TeamName) bool      // may be nil
-	Document        func(*environment.Document)    // called with each newer document; may be nil
+	Entries         []string                                    // seed addresses of entry processes
+	RequestHandler  http.Handler                                // serves /services/ on every session; may be nil
+	EndpointReports func() []*wire.EndpointReport               // may be nil
+	ParseDocument   func([]byte) (*environment.Document, error) // nil means environment.Parse
+	Guard           *guard.Controller                           // nil switches the control loop off
+	OverQuota       func(units.TeamName) bool                   // may be nil
+	Document        func(*environment.Document)                 // called with each newer document; may be nil
 
 	// Events records a change of state; may be nil. It must not block.
 	Events func(kind, subject, text string)
@@ -108,6 +114,8 @@
 	ctx     context.Context
 	group   sync.WaitGroup // goroutines started by spawn
 	handler http.Handler
+
+	draining atomic.Bool // sessions are ended by drain, not by their owners
 	state
 }
 
@@ -150,12 +158,11 @@
 	}
 	a.acquire(true)
 	a.loop(ctx)
-	failure := a.failure
 	a.drain(stop)
 	cancel()
 	close(a.done)
 	a.group.Wait()
-	return failure
+	return a.failure
 }
 
 func (a *Agent) init() {
@@ -190,21 +197,23 @@
 	}
 }
 
-// drain keeps the loop running while the sessions finish their requests, so
-// that leases are renewed meanwhile.
+// drain tells the entries that the agent leaves, then lets the sessions finish
+// their requests. The loop runs on meanwhile, so that leases are renewed.
 func (a *Agent) drain(stopListener func(context.Context)) {
 	a.leaving = true
 	a.event("agentLeaving", string(a.WorkerID), "waiting for requests in flight")
+	if a.failure == nil {
+		notice, cancel := context.WithTimeout(a.ctx, leaveNotice)
+		a.loop(notice)
+		cancel()
+	}
 	deadline, cancel := context.WithTimeout(a.ctx, drainTimeout)
 	defer cancel()
 	finished, finish := context.WithCancel(a.ctx)
 	sessions := a.openSessions()
-	fenced := a.failure != nil
+	a.draining.Store(true)
 	a.spawn(func() {
 		defer finish()
-		if !fenced {
-			a.sleep(deadline, leaveNotice)
-		}
 		var wait sync.WaitGroup
 		for _, s := range sessions {
 			wait.Go(func() { s.Shutdown(deadline) })
@@ -212,16 +221,12 @@
 		wait.Go(func() { stopListener(deadline) })
 		wait.Wait()
 	})
-	a.failure = nil
-	if fenced {
-		a.discard(finished)
-		return
-	}
 	a.loop(finished)
-	a.failure = nil
+	a.discard(finished) // a fenced agent decides nothing
+	a.lease.end()
 }
 
-// discard empties the inbox without acting: a fenced agent decides nothing.
+// discard empties the inbox without acting.
 func (a *Agent) discard(ctx context.Context) {
 	for {
 		select {
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,245 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// process is anything that acts as the agent of a worker.
+type process interface{ Run(context.Context) error }
+
+// world is three workers, one per failure domain, their agents and the platform.
+type world struct {
+	t        *testing.T
+	ctx      context.Context
+	network  *network
+	platform *platform
+	cores    map[string]*worker.Core
+	gates    map[string]*gate
+	agents   map[string]process
+	errors   map[string]chan error
+	variant  func(*world, string, workerapi.Worker, *gate) process
+	events   []string
+}
+
+var domains = map[string]units.DomainName{"w1": "a", "w2": "b", "w3": "c"}
+
+func newWorld(t *testing.T, ctx context.Context, seed uint64, noise float64) *world {
+	n := &network{random: rand.New(rand.NewPCG(seed, 2)), noise: noise, cut: map[[2]string]bool{}, served: map[string]http.Handler{}, ctx: ctx}
+	w := &world{t: t, ctx: ctx, network: n, cores: map[string]*worker.Core{}, gates: map[string]*gate{}, agents: map[string]process{},
+		errors: map[string]chan error{}, variant: realAgent}
+	w.platform = newPlatform(seed, n)
+	for name := range domains {
+		w.cores[name] = &worker.Core{Name: units.WorkerID(name), Capacity: units.Resources{Processors: 8000, Memory: 16 * units.GiB}, UsageLag: 2 * time.Second}
+	}
+	return w
+}
+
+func (w *world) start(names ...string) {
+	for _, name := range names {
+		g := newGate()
+		w.gates[name] = g
+		process := w.variant(w, name, &gatedWorker{Worker: w.cores[name], gate: g}, g)
+		w.agents[name] = process
+		failed := make(chan error, 1)
+		w.errors[name] = failed
+		go func() { failed <- process.Run(w.ctx) }()
+	}
+}
+
+// dial connects a process to an entry or to another agent.
+func (w *world) dial(name string, g *gate, address string, handler http.Handler) (Session, error) {
+	if err := g.pass(); err != nil {
+		return nil, err
+	}
+	s := &memorySession{network: w.network, from: name, to: address, done: make(chan struct{})}
+	gated := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if g.pass() == nil {
+			handler.ServeHTTP(rw, r)
+		}
+	})
+	if address == "entry" {
+		s.handler = w.platform.accept(gated)
+		return gatedSession{s, g}, nil
+	}
+	w.network.mu.Lock()
+	defer w.network.mu.Unlock()
+	if s.handler = w.network.served[address]; s.handler == nil {
+		return nil, errLost
+	}
+	s.to = address[len("link/"):]
+	return gatedSession{s, g}, nil
+}
+
+type gatedSession struct {
+	*memorySession
+	*gate
+}
+
+func (s gatedSession) Call(ctx context.Context, path string, message, reply Message) error {
+	if err := s.pass(); err != nil {
+		return err
+	}
+	if err := s.memorySession.Call(ctx, path, message, reply); err != nil {
+		return err
+	}
+	return s.pass()
+}
+
+func realAgent(w *world, name string, access workerapi.Worker, g *gate) process {
+	a := &Agent{
+		WorkerID: units.WorkerID(name), Domain: domains[name], Rack: "rack", Region: "r", LinkAddress: "link/" + name,
+		Worker: access, Entries: []string{"entry"},
+		EndpointReports: func() []*wire.EndpointReport {
+			return []*wire.EndpointReport{{Service: "desk", State: wire.EndpointState_ENDPOINT_STATE_READY, Slots: 8}}
+		},
+		Dial: func(_ context.Context, address string, handler http.Handler) (Session, error) {
+			return w.dial(name, g, address, handler)
+		},
+		Listen: func(_ context.Context, address string, handler http.Handler) (func(context.Context), error) {
+			w.network.mu.Lock()
+			defer w.network.mu.Unlock()
+			w.network.served[address] = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				if g.pass() == nil {
+					handler.ServeHTTP(rw, r)
+				}
+			})
+			return func(context.Context) {}, nil
+		},
+	}
+	a.Events = func(kind, subject, text string) {
+		w.network.mu.Lock()
+		defer w.network.mu.Unlock()
+		w.events = append(w.events, fmt.Sprintf("%s %s %s %s %s", time.Now().Format("05.000"), name, kind, subject, text))
+	}
+	return a
+}
+
+func batch(run time.Duration, cores units.Millicores) *wire.TaskSpec {
+	return &wire.TaskSpec{Kind: wire.TaskKind_TASK_KIND_BATCH, Priority: wire.Priority_PRIORITY_NORMAL, JobKind: "cut", Team: "moulds",
+		RunMilliseconds: run.Milliseconds(), Size: wire.FromResources(units.Resources{Processors: cores, Memory: units.GiB})}
+}
+
+// pauseLoop stops everything the process does for d, like SIGSTOP.
+func (w *world) pauseLoop(name string, d time.Duration) {
+	if a, ok := w.agents[name].(*Agent); ok {
+		go a.post(func() { time.Sleep(d) })
+	}
+	w.gates[name].pause(d)
+}
+
+// restart kills the process at once and starts its successor.
+func (w *world) restart(name string) {
+	w.gates[name].kill()
+	w.start(name)
+}
+
+// check returns every violated guarantee.
+func (w *world) check() []string {
+	var runs []worker.Run
+	for _, c := range w.cores {
+		runs = append(runs, c.Runs()...)
+	}
+	problems := worker.Overlaps(runs)
+	w.platform.mu.Lock()
+	defer w.platform.mu.Unlock()
+	for _, r := range runs {
+		name, _ := units.ParseTask(r.Task)
+		if w.platform.refused[attempt{name, r.Attempt}] {
+			problems = append(problems, fmt.Sprintf("task %s: attempt %d was refused but ran on %s", r.Task, r.Attempt, r.Worker))
+		}
+		domain := string(domains[string(r.Worker)])
+		if out, ok := w.platform.outSince[domain]; ok && r.Start.After(out.Add(3*time.Second)) {
+			problems = append(problems, fmt.Sprintf("task %s started in domain %s %s after it was taken out", r.Task, domain, r.Start.Sub(out)))
+		}
+	}
+	return append(problems, w.platform.problems...)
+}
+
+// settle waits, at most for limit, until every batch task has ended.
+func (w *world) settle(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		if w.platform.done() {
+			return true
+		}
+	}
+	return false
+}
+
+// simulate runs a scenario in fake time and returns the violations.
+func simulate(t *testing.T, seed uint64, noise float64, scenario func(*world)) (problems []string) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, ctx, seed, noise)
+		go w.platform.dispatch(ctx)
+		scenario(w)
+		problems = w.check()
+		if t.Failed() {
+			for _, e := range w.events {
+				t.Log(e)
+			}
+		}
+		cancel()
+		time.Sleep(time.Minute) // lets every process end
+	})
+	return problems
+}
+
+func wantNone(t *testing.T, problems []string) {
+	t.Helper()
+	for _, p := range problems {
+		t.Error(p)
+	}
+}
+
+// Guards against an agent that does not get tasks from launch to end.
+func TestTasksComplete(t *testing.T) {
+	wantNone(t, simulate(t, 1, 0, func(w *world) {
+		w.start("w1", "w2", "w3")
+		for i := range uint32(12) {
+			w.platform.submit(i, batch(5*time.Second, 2000))
+		}
+		if !w.settle(time.Minute) {
+			w.t.Error("tasks are unfinished after a minute")
+		}
+		for name, core := range w.cores {
+			time.Sleep(2 * time.Second)
+			if table, _ := core.Tasks(w.ctx); len(table.Tasks) != 0 {
+				w.t.Errorf("worker %s: got %d rows left, want every ended task forgotten", name, len(table.Tasks))
+			}
+		}
+	}))
+}
+
+// Guards against an agent that goes on after a newer epoch holds its worker.
+func TestSecondAgentFencesTheFirst(t *testing.T) {
+	wantNone(t, simulate(t, 2, 0, func(w *world) {
+		w.start("w1", "w2", "w3")
+		w.platform.submit(0, batch(30*time.Second, 2000))
+		time.Sleep(5 * time.Second)
+		first := w.errors["w1"]
+		w.start("w1")
+		select {
+		case err := <-first:
+			if !fault.Is(err, Fenced) {
+				w.t.Errorf("first agent: got %v, want kind %s", err, Fenced)
+			}
+		case <-time.After(5 * time.Second):
+			w.t.Error("first agent still acts 5 s after the second took over")
+		}
+		if !w.settle(time.Minute) {
+			w.t.Error("the task is unfinished after a minute")
+		}
+	}))
+}
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -94,8 +94,8 @@
 
 // callActivate runs a standby. An unanswered call is repeated; the task table
 // shows whether it took effect.
-func (a *Agent) callActivate(t *task, _ time.Time) {
-	epoch, from, as, until := a.epoch, t.attempt, t.activateAs, a.lease.deadline
+func (a *Agent) callActivate(t *task, now time.Time) {
+	epoch, from, as, until := a.epoch, t.attempt, t.activateAs, a.lease.deadlineAt(now)
 	a.call(t, func(ctx callContext) error {
 		if !time.Now().Before(until) {
 			return fault.New("activate", workerapi.Unknown, "lease ended before the call")
--- /dev/null
+++ b/internal/agent/configuration.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// config is the newest document and the evidence of its freshness.
+type config struct {
+	document   *environment.Document
+	offset     units.Offset // of document; never falls
+	freshUntil time.Time    // tasks may start before this instant
+	rejected   units.Offset // offset of a document that could not be parsed
+}
+
+func (a *Agent) parse(data []byte) (*environment.Document, error) {
+	if a.ParseDocument != nil {
+		return a.ParseDocument(data)
+	}
+	return environment.Parse("configuration", data)
+}
+
+// applyConfiguration takes in a newer document and the age of the entry's last
+// read at the tail. The entry read at the tail no earlier than staleness before
+// it handled the heartbeat, which was after the heartbeat was sent.
+func (a *Agent) applyConfiguration(reply *wire.HeartbeatReply, document *environment.Document, err error, sent time.Time) {
+	offset := units.Offset(reply.ConfigOffset)
+	if offset > a.config.offset && err != nil && a.config.rejected != offset {
+		a.config.rejected = offset
+		a.event("configurationUnreadable", string(a.WorkerID), err.Error())
+	}
+	if offset > a.config.offset && document != nil {
+		a.config.document, a.config.offset = document, offset
+		a.event("configurationApplied", string(document.Environment), "")
+		if a.Document != nil {
+			a.Document(document)
+		}
+		a.evacuate(time.Now())
+	}
+	if offset > a.config.offset || a.config.document == nil || reply.ConfigStalenessMilliseconds < 0 {
+		return
+	}
+	staleness := time.Duration(min(reply.ConfigStalenessMilliseconds, 1<<30)) * time.Millisecond
+	if until := sent.Add(freshness - staleness); until.After(a.config.freshUntil) {
+		a.config.freshUntil = until
+	}
+}
--- /dev/null
+++ b/internal/agent/entries.go
@@ -0,0 +1,200 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	// fewEntries is up to how many entries each gets a heartbeat every
+	// heartbeatInterval. With more, all get them less often: twelve entries at
+	// full rate cost twice the traffic that a node may use, and endpoints stay
+	// eligible as long as each entry hears from the agent within 2 s.
+	fewEntries = 6
+	// heartbeatTimeout is when a silent session is given up and redialled.
+	heartbeatTimeout = 1500 * time.Millisecond
+	firstBackoff     = 100 * time.Millisecond
+	// longestBackoff lets an agent find a returned entry within its lease.
+	longestBackoff = 3 * time.Second
+	// forgetEntry is how long an entry that is neither a seed nor listed nor
+	// answering is kept; entries count as dead after 15 s themselves.
+	forgetEntry = 20 * time.Second
+	maxEntries  = 64
+)
+
+// entry is one entry process that the agent keeps a session with.
+type entry struct {
+	address string
+	seed    bool
+	rank    int // by hash of worker and address, 0 first to get what must be acted on
+	cancel  context.CancelFunc
+
+	session      Session
+	listedAt     time.Time
+	answeredAt   time.Time // send time of the last heartbeat that was answered
+	logReachable bool
+	wantRunning  bool   // the next heartbeat lists all running tasks
+	sentRunning  bool   // the heartbeat that is out lists them
+	interference uint64 // version that the entry has
+	composed     uint64 // version in the heartbeat that is out
+}
+
+// addEntry starts the goroutine that keeps a session with the address.
+func (a *Agent) addEntry(address string, seed bool) {
+	if a.entries[address] != nil || address == "" || len(a.entries) >= maxEntries {
+		return
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	e := &entry{address: address, seed: seed, cancel: cancel, listedAt: time.Now()}
+	a.entries[address] = e
+	a.rankEntries(time.Now())
+	a.spawn(func() { a.keepSession(ctx, e) })
+}
+
+// rankEntries orders the entries by rendezvous hashing, those that answer first.
+func (a *Agent) rankEntries(now time.Time) {
+	ordered := make([]*entry, 0, len(a.entries))
+	for _, e := range a.entries {
+		ordered = append(ordered, e)
+	}
+	silent := func(e *entry) int {
+		if now.Sub(e.answeredAt) < recent {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(ordered, func(x, y *entry) int {
+		return cmp.Or(cmp.Compare(silent(x), silent(y)), cmp.Compare(a.hash(y), a.hash(x)), cmp.Compare(x.address, y.address))
+	})
+	for i, e := range ordered {
+		e.rank = i
+	}
+}
+
+func (a *Agent) hash(e *entry) uint64 {
+	return xxhash.Sum64String(string(a.WorkerID) + "\x00" + e.address)
+}
+
+// learnEntries takes in the live entries that a reply lists.
+func (a *Agent) learnEntries(listed []*wire.EntryAddress, now time.Time) {
+	for _, l := range listed {
+		if e := a.entries[l.Address]; e != nil {
+			e.listedAt = now
+			continue
+		}
+		if !a.leaving {
+			a.addEntry(l.Address, false)
+		}
+	}
+}
+
+// dropEntries ends the sessions of entries that are gone.
+func (a *Agent) dropEntries(now time.Time) {
+	for address, e := range a.entries {
+		if !e.seed && now.Sub(e.listedAt) > forgetEntry && now.Sub(e.answeredAt) > forgetEntry {
+			e.cancel()
+			delete(a.entries, address)
+		}
+	}
+	a.rankEntries(now)
+}
+
+func (a *Agent) openSessions() []Session {
+	var open []Session
+	for _, e := range a.entries {
+		if e.session != nil {
+			open = append(open, e.session)
+		}
+	}
+	return open
+}
+
+// keepSession dials the entry with backoff and jitter and sends heartbeats
+// until ctx ends.
+func (a *Agent) keepSession(ctx context.Context, e *entry) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		dialing, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+		session, err := a.dial(dialing, e.address)
+		cancel()
+		if err == nil {
+			if a.beat(ctx, e, session) {
+				backoff = firstBackoff
+			}
+			if a.draining.Load() {
+				return // drain ends the session when its requests are answered
+			}
+			session.Close()
+		}
+		if !a.sleep(ctx, backoff/2+rand.N(backoff)) {
+			return
+		}
+		backoff = min(2*backoff, longestBackoff)
+	}
+}
+
+// beat sends heartbeats on one session until one is not answered, and reports
+// whether any was.
+func (a *Agent) beat(ctx context.Context, e *entry, session Session) (answered bool) {
+	if !a.post(func() { e.session, e.wantRunning, e.interference = session, true, 0 }) {
+		return false
+	}
+	defer a.post(func() {
+		if e.session == session {
+			e.session = nil
+		}
+	})
+	for ctx.Err() == nil && !closed(session.Done()) {
+		interval, err := a.beatOnce(ctx, e, session)
+		if err != nil && !fault.Is(err, link.Rejected) {
+			return answered
+		}
+		answered = answered || err == nil
+		timer := time.NewTimer(interval - interval/10 + rand.N(interval/5))
+		select {
+		case <-timer.C:
+		case <-session.Done():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return answered
+}
+
+func (a *Agent) beatOnce(ctx context.Context, e *entry, session Session) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var heartbeat *wire.Heartbeat
+	var reports []sentReport
+	var interval time.Duration
+	var sent time.Time
+	err := a.ask(ctx, func() {
+		sent = time.Now()
+		heartbeat, reports = a.compose(e, sent)
+		interval = heartbeatInterval * time.Duration(max(len(a.entries), fewEntries)) / fewEntries
+	})
+	if err != nil {
+		return heartbeatInterval, err
+	}
+	reply := &wire.HeartbeatReply{}
+	if err := session.Call(ctx, "/link/heartbeat", heartbeat, reply); err != nil {
+		return interval, err
+	}
+	var document *environment.Document
+	var parseErr error
+	if len(reply.ConfigDocument) > 0 {
+		document, parseErr = a.parse(reply.ConfigDocument)
+	}
+	return interval, a.ask(ctx, func() { a.applyReply(e, reply, document, parseErr, sent, reports) })
+}
--- /dev/null
+++ b/internal/agent/heartbeat.go
@@ -0,0 +1,154 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// spread is how long one entry has to act on a report before the next one gets
+// it too. All entries acting at once would write the same record many times
+// into a log that takes a few hundred appends a second.
+const spread = 2 * time.Second
+
+// maxReports bounds a heartbeat; the rest follows in the next one.
+const maxReports = 256
+
+// due reports whether an entry of the given rank gets something to act on that
+// has waited since the given instant.
+func due(rank int, since, now time.Time) bool { return now.Sub(since) >= time.Duration(rank)*spread }
+
+// sentReport identifies what a heartbeat carried: an acknowledgement counts
+// only for the outcome that was in the heartbeat it answers.
+type sentReport struct {
+	attempt attempt
+	outcome wire.Outcome
+}
+
+// compose builds the heartbeat for one entry.
+func (a *Agent) compose(e *entry, now time.Time) (*wire.Heartbeat, []sentReport) {
+	full := e.wantRunning && a.adopted
+	e.sentRunning = full
+	h := &wire.Heartbeat{
+		Worker: string(a.WorkerID), Epoch: uint64(a.epoch), Process: a.Process,
+		FailureDomain: string(a.Domain), Rack: string(a.Rack), Region: string(a.Region), LinkAddress: a.LinkAddress,
+		Clock: a.clock(), ConfigOffset: uint64(a.config.offset), RunningFull: full,
+		Draining: a.leaving || a.evacuation() != "", Endpoints: a.reports(),
+	}
+	if !a.adopted {
+		h.Epoch = 0
+		return h, nil
+	}
+	h.Capacity, h.Committed, h.Evictable = wire.FromResources(a.capacity), wire.FromResources(a.committed()), wire.FromResources(a.evictable())
+	h.LeaseTerm, h.LeaseValid, h.Registered = uint64(a.lease.term), a.lease.valid(now), a.lease.registered
+	h.WantsLessor = a.lease.wants && due(e.rank, a.lease.wantsFrom, now)
+	h.Expiries = a.expiries(e.rank, now)
+	h.Interference, e.composed = a.interference(e.interference)
+	if e.rank == 0 && a.PendingEvents != nil {
+		h.Events = a.PendingEvents()
+	}
+	if full {
+		h.Running = a.runningRefs()
+	}
+	sent := a.addReports(h, e, full, now)
+	return h, sent
+}
+
+func (a *Agent) runningRefs() []*wire.TaskRef {
+	var refs []*wire.TaskRef
+	for _, t := range a.tasks {
+		if t.phase != ended && (t.holder == "" || t.activateAs != 0) {
+			refs = append(refs, t.ref())
+		}
+	}
+	return refs
+}
+
+// addReports adds the reports that are not yet acknowledged, oldest first.
+func (a *Agent) addReports(h *wire.Heartbeat, e *entry, full bool, now time.Time) []sentReport {
+	var pending []*task
+	for _, t := range a.tasks {
+		if t.phase != running && t.phase != ended || t.silent || t.acknowledged {
+			continue
+		}
+		if full || due(e.rank, t.reportSince, now) {
+			pending = append(pending, t)
+		}
+	}
+	slices.SortFunc(pending, func(x, y *task) int {
+		return cmp.Or(x.reportSince.Compare(y.reportSince), cmp.Compare(x.name.Job, y.name.Job), cmp.Compare(x.name.Index, y.name.Index))
+	})
+	pending = pending[:min(len(pending), maxReports)]
+	sent := make([]sentReport, len(pending))
+	for i, t := range pending {
+		sent[i] = sentReport{attempt{t.name, t.attempt}, t.outcome}
+		h.Reports = append(h.Reports, t.report())
+	}
+	return sent
+}
+
+func (t *task) report() *wire.TaskReport {
+	r := &wire.TaskReport{Task: t.ref(), Outcome: t.outcome}
+	if t.phase == ended {
+		r.Checkpoint, r.Reason, r.RunMilliseconds = t.checkpoint, t.reason, t.ran.Milliseconds()
+		if !t.peak.IsZero() {
+			r.Used = wire.FromResources(t.peak)
+		}
+	}
+	return r
+}
+
+// applyReply takes in the answer to a heartbeat sent at the given instant.
+func (a *Agent) applyReply(e *entry, reply *wire.HeartbeatReply, document *environment.Document, parseErr error, sent time.Time, reports []sentReport) {
+	now := time.Now()
+	e.answeredAt, e.logReachable = sent, reply.LogReachable
+	e.interference = e.composed
+	e.wantRunning = reply.WantRunning || e.wantRunning && !e.sentRunning
+	a.observeClock(reply.Clock)
+	a.acknowledgeReports(reply.ReportsAcknowledged, reports, now)
+	a.acknowledgeExpiries(reply.ExpiriesAcknowledged)
+	if a.AcknowledgeEvents != nil && e.rank == 0 && reply.EventsAcknowledged > 0 {
+		a.AcknowledgeEvents(reply.EventsAcknowledged)
+	}
+	a.applyConfiguration(reply, document, parseErr, sent)
+	a.applyRegistration(reply, now)
+	a.applyLessees(reply.Lessees, now)
+	a.applyStandbys(reply.Standbys, now)
+	a.learnEntries(reply.Entries, now)
+}
+
+func (a *Agent) acknowledgeReports(acknowledged []*wire.TaskRef, reports []sentReport, now time.Time) {
+	for _, ref := range acknowledged {
+		key := attempt{ref.Task(), units.Attempt(ref.GetAttempt())}
+		t := a.tasks[key.task]
+		if t == nil || t.attempt != key.number || !slices.Contains(reports, sentReport{key, t.outcome}) {
+			continue
+		}
+		t.acknowledged = true
+		a.drive(t, now)
+	}
+}
+
+// recent is how old an answer of an entry may be to say something about the
+// log now.
+const recent = 2 * time.Second
+
+// logReachable reports whether an entry has recently said that it reaches the log.
+func (a *Agent) logReachable(now time.Time) bool { return a.anyEntry(now, true) }
+
+// logDown reports whether entries answer and none of them reaches the log. It
+// is false without answers: then nothing is known.
+func (a *Agent) logDown(now time.Time) bool { return a.anyEntry(now, false) && !a.anyEntry(now, true) }
+
+func (a *Agent) anyEntry(now time.Time, reachable bool) bool {
+	for _, e := range a.entries {
+		if !e.answeredAt.IsZero() && now.Sub(e.answeredAt) < recent && e.logReachable == reachable {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/agent/launch.go
@@ -0,0 +1,236 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// launchWait bounds how long a launch request is held open; tasks that are
+	// undecided by then are left out of the reply and the entry repeats them.
+	launchWait = 1500 * time.Millisecond
+	// patience is how long a launch waits for room, a lease or fresh evidence
+	// before it is refused, so that an entry can place the task elsewhere.
+	patience = 3 * time.Second
+	// leaseReserve is the least time left on the agent's lease for a start: a
+	// shorter one would likely end before the next renewal.
+	leaseReserve = time.Second
+	// maxTasks bounds a request and the rows that wait for a decision.
+	maxTasks = 4096
+)
+
+// serveLaunch answers POST /link/launch.
+func (a *Agent) serveLaunch(ctx context.Context, l *wire.Launch) (*wire.LaunchReply, error) {
+	if len(l.Tasks) > maxTasks {
+		return nil, fault.New("launch", NotReady, "%d tasks in one request", len(l.Tasks))
+	}
+	results := make(chan *wire.LaunchResult, len(l.Tasks))
+	var refused error
+	reply := &wire.LaunchReply{}
+	err := a.ask(ctx, func() {
+		a.observeClock(l.Clock)
+		reply.Clock = a.clock()
+		if refused = a.ready(l); refused != nil {
+			return
+		}
+		for _, task := range l.Tasks {
+			a.launch(l, task, results)
+		}
+	})
+	if err != nil || refused != nil {
+		return nil, firstOf(err, refused)
+	}
+	timer := time.NewTimer(launchWait)
+	defer timer.Stop()
+	for len(reply.Results) < len(l.Tasks) {
+		select {
+		case r := <-results:
+			reply.Results = append(reply.Results, r)
+		case <-timer.C:
+			return reply, nil
+		case <-ctx.Done():
+			return reply, nil
+		}
+	}
+	return reply, nil
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ready reports why no launch can be decided now. It is not a refusal: nothing
+// is remembered and the entry repeats the launch.
+func (a *Agent) ready(l *wire.Launch) error {
+	switch {
+	case l.Worker != string(a.WorkerID):
+		return fault.New("launch", NotReady, "this is worker %s, not %s", a.WorkerID, l.Worker)
+	case !a.adopted || a.failure != nil:
+		return fault.New("launch", NotReady, "worker %s is not held", a.WorkerID)
+	case units.Epoch(l.Epoch) > a.epoch:
+		return fault.New("launch", NotReady, "epoch %d is newer than %d", l.Epoch, a.epoch)
+	}
+	return nil
+}
+
+// launch decides on one attempt or queues it. A known attempt gets the answer
+// it got before.
+func (a *Agent) launch(l *wire.Launch, request *wire.LaunchTask, results chan<- *wire.LaunchResult) {
+	now := time.Now()
+	name, number := request.GetTask().Task(), units.Attempt(request.GetTask().GetAttempt())
+	t := a.tasks[name]
+	if t != nil && t.holder != "" {
+		if a.launchStandby(l, t, number, results, now) {
+			return
+		}
+		t = a.tasks[name]
+	}
+	if t != nil && t.attempt == number {
+		a.repeat(t, results)
+		return
+	}
+	candidate := &task{name: name, attempt: number, spec: request.GetSpec(), size: request.GetSpec().GetSize().Units(),
+		mayEvict: request.MayEvict, giveUp: now.Add(patience), results: []chan<- *wire.LaunchResult{results}}
+	if candidate.spec == nil {
+		candidate.spec = &wire.TaskSpec{}
+	}
+	if s, ok := a.memory.answer(name, number); ok {
+		candidate.answer(s.outcome, s.reason)
+		return
+	}
+	if a.memory.superseded(name, number) || t != nil && t.attempt > number {
+		return // nothing certain is known about an attempt this old
+	}
+	if t != nil && t.phase != ended {
+		// A newer attempt was assigned, so this one has been released.
+		t.intent, t.reason, t.silent = stop, "superseded", true
+		a.drive(t, now)
+		return
+	}
+	if reason := a.never(l, candidate); reason != "" {
+		a.refuse(candidate, reason)
+		return
+	}
+	candidate.move(waiting, now)
+	a.tasks[name] = candidate
+	a.drive(candidate, now)
+}
+
+// repeat answers a launch of an attempt that the agent has a row of.
+func (a *Agent) repeat(t *task, results chan<- *wire.LaunchResult) {
+	switch t.phase {
+	case running, ended:
+		results <- &wire.LaunchResult{Task: t.ref(), Outcome: wire.Outcome_OUTCOME_STARTED}
+	default:
+		t.results = append(t.results, results)
+		if len(t.results) > maxRepeats {
+			t.results = t.results[1:]
+		}
+	}
+}
+
+// maxRepeats bounds the callers that wait for one undecided launch.
+const maxRepeats = 16
+
+// never returns why the attempt will never start here, or "".
+func (a *Agent) never(l *wire.Launch, t *task) string {
+	if units.Epoch(l.Epoch) != a.epoch {
+		return fmt.Sprintf("assigned to epoch %d, the worker is held under %d", l.Epoch, a.epoch)
+	}
+	if t.attempt == 0 || t.size.Processors < 0 || t.size.Memory < 0 || t.size.Accelerators < 0 || t.spec.GetRunMilliseconds() < 0 {
+		return "malformed task"
+	}
+	if len(a.tasks) >= maxTasks {
+		return "too many tasks"
+	}
+	return a.closed(t)
+}
+
+// closed returns why the worker takes no work like t at present, or "".
+func (a *Agent) closed(t *task) string {
+	now := time.Now()
+	switch {
+	case a.leaving:
+		return "the agent is stopping"
+	case a.config.document != nil && a.config.document.DomainIsOut(a.Domain):
+		return fmt.Sprintf("failure domain %s is out of service", a.Domain)
+	case a.config.document != nil && a.config.document.IsDrained(a.WorkerID):
+		return fmt.Sprintf("worker %s is drained", a.WorkerID)
+	case !t.size.Fits(a.capacity.Sub(a.reserved())):
+		return fmt.Sprintf("larger than worker %s", a.WorkerID)
+	case a.failures.suspected(now):
+		return fmt.Sprintf("%d tasks in a row of different jobs failed here", failuresInRow)
+	}
+	return ""
+}
+
+// admit starts a waiting task once it has a lease, fresh evidence and room.
+func (a *Agent) admit(t *task, now time.Time) {
+	if reason := a.closed(t); reason != "" {
+		a.refuse(t, reason)
+		return
+	}
+	reason := a.unready(now)
+	if reason == "" {
+		if !t.size.Fits(a.capacity.Sub(a.committed())) {
+			reason = "no room"
+			if !t.mayEvict || !a.evictFor(t, now) {
+				a.refuse(t, reason)
+				return
+			}
+		} else {
+			a.callStart(t, now)
+			return
+		}
+	}
+	if !now.Before(t.giveUp) {
+		a.refuse(t, reason)
+	}
+}
+
+// unready returns what is missing for any start at present, or "".
+func (a *Agent) unready(now time.Time) string {
+	switch {
+	case !a.adopted:
+		return "the worker is not held"
+	case !a.lease.registered:
+		return "the epoch is not registered"
+	case a.lease.deadlineAt(now).Sub(now) < leaseReserve:
+		return "no valid lease"
+	case !a.config.freshUntil.After(now):
+		return "no fresh evidence of the configuration"
+	}
+	return ""
+}
+
+// startDeadline is when a start that is sent now must have taken effect.
+func (a *Agent) startDeadline() time.Time {
+	until := a.config.freshUntil.Add(startGrace)
+	if lease := a.lease.deadlineAt(time.Now()); lease.Before(until) {
+		return lease
+	}
+	return until
+}
+
+// refuse answers that the attempt was not started and never will be under this
+// epoch, and remembers it.
+func (a *Agent) refuse(t *task, reason string) {
+	if t.holder == "" { // an attempt admitted as a standby runs elsewhere
+		a.memory.remember(t.name, t.attempt, wire.Outcome_OUTCOME_REFUSED, reason)
+	}
+	if a.tasks[t.name] == t {
+		delete(a.tasks, t.name)
+	}
+	t.answer(wire.Outcome_OUTCOME_REFUSED, reason)
+	a.event("taskRefused", t.name.String(), reason)
+}
--- /dev/null
+++ b/internal/agent/platform_test.go
@@ -0,0 +1,321 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// platform is a fake of the entries and the log: one folded state that every
+// fake entry shows. It records what the agents under test do wrong.
+type platform struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	workers  map[string]*registration
+	tasks    map[units.Task]*record
+	order    []units.Task
+	document []byte
+	offset   uint64
+	logDown  bool
+	readAt   time.Time // last read at the tail
+	handlers map[string]http.Handler
+	network  *network
+	problems []string
+	refused  map[attempt]bool
+	outSince map[string]time.Time // domain
+}
+
+type registration struct {
+	epoch, term, lessorEpoch uint64
+	lessor, address          string
+	expired, told            bool
+}
+
+type record struct {
+	spec           *wire.TaskSpec
+	attempt        uint32
+	worker         string // "" while pending
+	epoch          uint64
+	started, ended bool
+}
+
+func newPlatform(seed uint64, n *network) *platform {
+	p := &platform{
+		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*registration{}, tasks: map[units.Task]*record{},
+		handlers: map[string]http.Handler{}, network: n, refused: map[attempt]bool{}, outSince: map[string]time.Time{}, readAt: time.Now(),
+	}
+	p.publish(nil, nil)
+	return p
+}
+
+// publish replaces the document: domains a, b and c, those in out out of service.
+func (p *platform) publish(out []string, drained []units.WorkerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	document := &environment.Document{
+		Environment: "trial", DrainedWorkers: drained, Guards: environment.Guards{LatencyRatio: 1.2},
+		Teams:         []environment.Team{{Name: "moulds", Quota: units.Resources{Processors: 64000, Memory: 64 * units.GiB}}},
+		LargestWorker: units.Resources{Processors: 64000, Memory: 64 * units.GiB},
+		Services: []environment.Service{{Name: "desk", Team: "moulds", Priority: units.PriorityUrgent, LatencyTarget: 50 * time.Millisecond,
+			PerEndpoint: units.Resources{Processors: 1000, Memory: units.GiB}, Slots: 8, Connections: 64}},
+	}
+	outNow := map[string]bool{}
+	for _, name := range out {
+		outNow[name] = true
+	}
+	p.outSince = map[string]time.Time{}
+	for _, name := range []string{"a", "b", "c"} {
+		state := environment.DomainIn
+		if outNow[name] {
+			state = environment.DomainOut
+			p.outSince[name] = time.Now()
+		}
+		document.FailureDomains = append(document.FailureDomains, environment.FailureDomain{Name: units.DomainName(name), Region: "r", State: state})
+	}
+	p.document, p.offset = environment.Encode(document), p.offset+1
+}
+
+func (p *platform) submit(index uint32, spec *wire.TaskSpec) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := units.Task{Job: "job", Index: index}
+	p.tasks[name] = &record{spec: spec}
+	p.order = append(p.order, name)
+}
+
+func (p *platform) problem(format string, args ...any) {
+	if len(p.problems) < 20 {
+		p.problems = append(p.problems, fmt.Sprintf(format, args...))
+	}
+}
+
+// accept serves one session dialled by an agent.
+func (p *platform) accept(back http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /link/heartbeat", link.Handle(func(_ context.Context, h *wire.Heartbeat) (*wire.HeartbeatReply, error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.handlers[h.Worker] = back
+		return p.heartbeat(h), nil
+	}))
+	return mux
+}
+
+func (p *platform) heartbeat(h *wire.Heartbeat) *wire.HeartbeatReply {
+	if !p.logDown {
+		p.readAt = time.Now()
+	}
+	reply := &wire.HeartbeatReply{Entry: "entry", ConfigOffset: p.offset, LogReachable: !p.logDown,
+		ConfigStalenessMilliseconds: time.Since(p.readAt).Milliseconds()}
+	if h.ConfigOffset < p.offset {
+		reply.ConfigDocument = p.document
+	}
+	if !h.Committed.Units().Fits(h.Capacity.Units()) {
+		p.problem("worker %s committed %s of %s", h.Worker, h.Committed.Units(), h.Capacity.Units())
+	}
+	if h.Epoch != 0 && !p.logDown {
+		p.fold(h, reply)
+	}
+	if w := p.workers[h.Worker]; w != nil {
+		reply.RegisteredEpoch, reply.LeaseTerm, reply.Expired = w.epoch, w.term, w.expired
+		reply.Lessor, reply.LessorEpoch = w.lessor, w.lessorEpoch
+		reply.LessorAddress = "link/" + w.lessor
+	}
+	for name, w := range p.workers {
+		if w.lessor == h.Worker && w.lessorEpoch == h.Epoch && !w.expired {
+			reply.Lessees = append(reply.Lessees, &wire.Lessee{Worker: name, Epoch: w.epoch, Term: w.term})
+			reply.Standbys = append(reply.Standbys, p.standbysOf(name, w)...)
+		}
+	}
+	return reply
+}
+
+func (p *platform) standbysOf(holder string, w *registration) []*wire.Standby {
+	var out []*wire.Standby
+	for _, name := range p.order {
+		r := p.tasks[name]
+		if r.spec.Kind == wire.TaskKind_TASK_KIND_WATCHER && r.worker == holder && r.started {
+			out = append(out, &wire.Standby{Task: wire.NewTaskRef(name, units.Attempt(r.attempt)), Spec: r.spec, Holder: holder, HolderEpoch: w.epoch})
+		}
+	}
+	return out
+}
+
+// fold applies what a heartbeat asks to be recorded, by the rules of the log.
+func (p *platform) fold(h *wire.Heartbeat, reply *wire.HeartbeatReply) {
+	w := p.workers[h.Worker]
+	if w == nil || h.Epoch > w.epoch {
+		w = &registration{epoch: h.Epoch, term: 1}
+		p.workers[h.Worker] = w
+		p.chooseLessor(h.Worker, w, "")
+	}
+	if h.Epoch != w.epoch || w.expired {
+		return
+	}
+	if h.RunningFull {
+		p.reconcile(h, w)
+	}
+	if h.WantsLessor && h.LeaseTerm == w.term {
+		w.term++
+		p.chooseLessor(h.Worker, w, w.lessor)
+	}
+	for _, e := range h.Expiries {
+		l := p.workers[e.Worker]
+		if l.epoch == e.Epoch && l.term == e.Term && l.lessor == h.Worker && l.lessorEpoch == h.Epoch && !l.expired {
+			l.expired = true
+			p.release(e.Worker, func(name units.Task, r *record) bool { return r.epoch <= e.Epoch })
+		}
+		reply.ExpiriesAcknowledged = append(reply.ExpiriesAcknowledged, e)
+	}
+	for _, r := range h.Reports {
+		p.report(h.Worker, r)
+		reply.ReportsAcknowledged = append(reply.ReportsAcknowledged, r.Task)
+	}
+}
+
+func (p *platform) chooseLessor(name string, w *registration, not string) {
+	best := ""
+	for other, o := range p.workers {
+		if other == name || o.expired {
+			continue
+		}
+		if best == "" || best == not || other != not && other < best {
+			best = other
+		}
+	}
+	w.lessor = best
+	if best != "" {
+		w.lessorEpoch = p.workers[best].epoch
+	}
+}
+
+// reconcile releases what a new epoch neither runs nor reports.
+func (p *platform) reconcile(h *wire.Heartbeat, w *registration) {
+	kept := map[attempt]bool{}
+	for _, ref := range h.Running {
+		kept[attempt{ref.Task(), units.Attempt(ref.Attempt)}] = true
+	}
+	for _, r := range h.Reports {
+		kept[attempt{r.Task.Task(), units.Attempt(r.Task.Attempt)}] = true
+	}
+	p.release(h.Worker, func(name units.Task, r *record) bool {
+		if r.epoch == w.epoch {
+			return false
+		}
+		if kept[attempt{name, units.Attempt(r.attempt)}] {
+			r.epoch = w.epoch
+			return false
+		}
+		return true
+	})
+}
+
+func (p *platform) release(worker string, which func(units.Task, *record) bool) {
+	for _, name := range p.order {
+		if r := p.tasks[name]; r.worker == worker && !r.ended && which(name, r) {
+			r.worker, r.started = "", false
+		}
+	}
+}
+
+func (p *platform) report(worker string, report *wire.TaskReport) {
+	r := p.tasks[report.Task.Task()]
+	if report.Outcome == wire.Outcome_OUTCOME_STARTED && report.Task.Attempt == r.attempt+1 && r.worker == worker || r.attempt != report.Task.Attempt || r.ended {
+		return
+	}
+	switch report.Outcome {
+	case wire.Outcome_OUTCOME_STARTED:
+		r.started = true
+	case wire.Outcome_OUTCOME_COMPLETED:
+		r.ended = true
+	default:
+		if report.Checkpoint != "" {
+			r.spec.Checkpoint = report.Checkpoint
+		}
+		r.worker, r.started = "", false
+	}
+}
+
+// dispatch assigns pending tasks to random workers and launches them until
+// every task has ended or ctx ends.
+func (p *platform) dispatch(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		var names []string
+		for _, name := range []string{"w1", "w2", "w3"} {
+			if w := p.workers[name]; w != nil && !w.expired {
+				names = append(names, name)
+			}
+		}
+		launches := map[string]*wire.Launch{}
+		for _, name := range p.order {
+			r := p.tasks[name]
+			if r.worker == "" && !r.ended && len(names) > 0 && !p.logDown {
+				r.worker = names[p.random.IntN(len(names))]
+				r.epoch, r.attempt = p.workers[r.worker].epoch, r.attempt+1
+			}
+			if r.worker != "" && !r.started && !r.ended {
+				l := launches[r.worker]
+				if l == nil {
+					l = &wire.Launch{Worker: r.worker, Epoch: r.epoch}
+					launches[r.worker] = l
+				}
+				if l.Epoch == r.epoch {
+					l.Tasks = append(l.Tasks, &wire.LaunchTask{Task: wire.NewTaskRef(name, units.Attempt(r.attempt)), Spec: r.spec})
+				}
+			}
+		}
+		handlers := map[string]http.Handler{}
+		for name := range launches {
+			handlers[name] = p.handlers[name]
+		}
+		p.mu.Unlock()
+		for name, l := range launches {
+			go p.launch(ctx, name, handlers[name], l)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (p *platform) launch(ctx context.Context, worker string, handler http.Handler, l *wire.Launch) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	reply := &wire.LaunchReply{}
+	if err := p.network.call(ctx, "entry", worker, handler, "/link/launch", l, reply); err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, result := range reply.Results {
+		r := p.tasks[result.Task.Task()]
+		if result.Outcome == wire.Outcome_OUTCOME_REFUSED {
+			p.refused[attempt{result.Task.Task(), units.Attempt(result.Task.Attempt)}] = true
+		}
+		if r.attempt != result.Task.Attempt || r.worker != worker || r.ended || p.logDown {
+			continue
+		}
+		if result.Outcome == wire.Outcome_OUTCOME_REFUSED {
+			r.worker = ""
+		}
+	}
+}
+
+// done reports whether every batch task has ended.
+func (p *platform) done() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.tasks {
+		if !r.ended && r.spec.Kind != wire.TaskKind_TASK_KIND_WATCHER {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/agent/reservation.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// pollEndpoints reads the endpoints beside the agent and keeps their
+// reservations. An endpoint without a reservation is left out of heartbeats,
+// so that the worker is never committed beyond its capacity: batch makes room
+// for it first.
+func (a *Agent) pollEndpoints(now time.Time) {
+	if a.EndpointReports == nil {
+		return
+	}
+	var offered []*wire.EndpointReport
+	present := make(map[units.ServiceName]bool)
+	for _, report := range a.EndpointReports() {
+		name := units.ServiceName(report.GetService())
+		if report.GetState() != wire.EndpointState_ENDPOINT_STATE_GONE {
+			present[name] = true
+			if !a.reserve(name, now) {
+				continue
+			}
+		}
+		offered = append(offered, report)
+	}
+	a.endpoints = offered
+	for name := range a.services {
+		if !present[name] {
+			delete(a.services, name)
+		}
+	}
+}
+
+// reserve commits the resources of the service's endpoint, or changes them
+// after the document has changed, once they fit.
+func (a *Agent) reserve(name units.ServiceName, now time.Time) bool {
+	held, ok := a.services[name]
+	if !a.adopted || a.config.document == nil {
+		return ok
+	}
+	service := a.config.document.Service(name)
+	if service == nil {
+		delete(a.services, name)
+		return false
+	}
+	if ok && held == service.PerEndpoint {
+		return true
+	}
+	more := service.PerEndpoint.Sub(held)
+	if more.Fits(a.capacity.Sub(a.committed())) {
+		a.services[name] = service.PerEndpoint
+		return true
+	}
+	a.makeRoom(more, service.Priority, "evicted for service "+string(name), now)
+	return ok
+}
+
+// reserved sums the reservations of services.
+func (a *Agent) reserved() units.Resources {
+	var sum units.Resources
+	for _, r := range a.services {
+		sum = sum.Add(r)
+	}
+	return sum
+}
+
+// reports returns the endpoints to offer; all are leaving during a planned stop.
+func (a *Agent) reports() []*wire.EndpointReport {
+	if !a.leaving {
+		return a.endpoints
+	}
+	leaving := slices.Clone(a.endpoints)
+	for i, report := range leaving {
+		leaving[i] = &wire.EndpointReport{
+			Service: report.Service, State: wire.EndpointState_ENDPOINT_STATE_LEAVING, Slots: report.Slots,
+			Connections: report.Connections, Busy: report.Busy, Queued: report.Queued, LatencyMicroseconds: report.LatencyMicroseconds,
+		}
+	}
+	return leaving
+}
--- /dev/null
+++ b/internal/agent/standby.go
@@ -0,0 +1,87 @@
+package agent
+
+import (
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// forgetStandby is how long a standby is kept that no entry lists. It spans
+// the lag between two entries, so that they do not undo each other's list.
+const forgetStandby = 10 * time.Second
+
+// applyStandbys admits the standbys that an entry lists. They are committed
+// beforehand, so that activating one needs neither the log nor room.
+func (a *Agent) applyStandbys(listed []*wire.Standby, now time.Time) {
+	for _, s := range listed {
+		name, number := s.GetTask().Task(), units.Attempt(s.GetTask().GetAttempt())
+		t := a.tasks[name]
+		if t != nil && t.phase == standby && t.activateAs == 0 && number >= t.attempt {
+			t.holder, t.holderEnd, t.mentioned = units.WorkerID(s.Holder), units.Epoch(s.HolderEpoch), now
+			t.runAfter(number)
+			continue
+		}
+		if t != nil || a.evacuation() != "" || a.leaving || a.memory.superseded(name, number) || a.memory.knows(name, number) {
+			continue
+		}
+		t = &task{name: name, attempt: number, spec: s.GetSpec(), size: s.GetSpec().GetSize().Units(), mentioned: now,
+			holder: units.WorkerID(s.Holder), holderEnd: units.Epoch(s.HolderEpoch), giveUp: now.Add(patience)}
+		if t.spec == nil || t.holder == "" {
+			continue
+		}
+		if a.unready(now) != "" || !t.size.Fits(a.capacity.Sub(a.committed())) {
+			continue // listed again in the next reply
+		}
+		a.tasks[name] = t
+		a.callStart(t, now)
+	}
+}
+
+// runAfter notes that the holder runs a later attempt than the standby was
+// admitted under. The worker keeps the attempt it knows until activation.
+func (t *task) runAfter(number units.Attempt) { t.holderAttempt = max(t.holderAttempt, number) }
+
+// next is the attempt that follows the one the holder runs.
+func (t *task) next() units.Attempt { return max(t.attempt, t.holderAttempt) + 1 }
+
+// launchStandby handles the launch of an attempt whose standby is here. It
+// reports false when the launch must be handled like any other.
+func (a *Agent) launchStandby(l *wire.Launch, t *task, number units.Attempt, results chan<- *wire.LaunchResult, now time.Time) bool {
+	switch {
+	case t.phase == ended:
+		return false
+	case number <= t.attempt && t.activateAs == 0 && t.phase == standby:
+		return true // the holder's attempt; nothing is known about it here
+	case t.phase != standby || t.intent != keep:
+		return true // undecided; the entry repeats the launch
+	case units.Epoch(l.Epoch) != a.epoch || t.activateAs != 0 && t.activateAs != number:
+		return true
+	case a.unready(now) != "":
+		return true
+	}
+	t.activateAs = number
+	t.results = append(t.results, results)
+	a.drive(t, now)
+	return true
+}
+
+// tickStandbys activates the standbys of a holder whose lease has expired while
+// the log is unreachable: nobody else can record the expiry, so nobody else
+// runs the next attempt. It drops standbys that are no longer listed.
+func (a *Agent) tickStandbys(now time.Time) {
+	for _, t := range a.tasks {
+		if t.phase != standby || t.intent != keep || t.activateAs != 0 {
+			continue
+		}
+		l := a.lessees[t.holder]
+		if l != nil && l.epoch == t.holderEnd && l.attested && !l.recorded && a.logDown(now) && a.inForce(now) {
+			t.activateAs = t.next()
+			a.event("standbyActivated", t.name.String(), "the holder's lease expired while the log is unreachable")
+			continue
+		}
+		if now.Sub(t.mentioned) > forgetStandby && a.logReachable(now) {
+			t.intent, t.reason = stop, "no longer a standby"
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/stop.go
@@ -0,0 +1,138 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// serveStop answers POST /link/stop. An attempt named in it is final in the
+// fold, so it is obeyed under any epoch, and an attempt not yet seen is
+// remembered: its launch may still be on the way.
+func (a *Agent) serveStop(ctx context.Context, s *wire.Stop) (*wire.StopReply, error) {
+	reply := &wire.StopReply{}
+	var refused error
+	err := a.ask(ctx, func() {
+		a.observeClock(s.Clock)
+		reply.Clock = a.clock()
+		if s.Worker != string(a.WorkerID) || !a.adopted || len(s.Tasks) > maxTasks {
+			refused = fault.New("stop", NotReady, "worker %s is not held here", s.Worker)
+			return
+		}
+		for _, ref := range s.Tasks {
+			a.stop(ref, s.Reason)
+		}
+	})
+	return reply, firstOf(err, refused)
+}
+
+func (a *Agent) stop(ref *wire.TaskRef, reason string) {
+	now := time.Now()
+	name, number := ref.Task(), units.Attempt(ref.GetAttempt())
+	t := a.tasks[name]
+	switch {
+	case t == nil || t.attempt != number && t.activateAs != number:
+		a.memory.remember(name, number, wire.Outcome_OUTCOME_REFUSED, "stopped before it was launched: "+reason)
+	case t.phase == waiting:
+		a.refuse(t, "stopped before it was started: "+reason)
+	case t.phase != ended:
+		t.intent, t.reason, t.tries = stop, reason, 0
+		a.drive(t, now)
+	}
+}
+
+// evictFor makes room for t: it evicts the batch tasks of lower priority that
+// free enough, lowest priority first, then those that lose the least work. It
+// reports whether there will be room.
+func (a *Agent) evictFor(t *task, now time.Time) bool {
+	return a.makeRoom(t.size, t.priority(), "evicted for "+t.name.String(), now)
+}
+
+// makeRoom evicts batch tasks below the given priority until size fits, and
+// reports whether it will. Nothing is evicted when it cannot fit.
+func (a *Agent) makeRoom(size units.Resources, below units.Priority, reason string, now time.Time) bool {
+	room := a.capacity.Sub(a.committed())
+	var victims []*task
+	for _, t := range a.tasks {
+		switch {
+		case t.phase == running && t.intent != keep:
+			room = room.Add(t.size) // on its way out
+		case t.phase == running && t.isBatch() && t.priority() < below:
+			victims = append(victims, t)
+		}
+	}
+	slices.SortFunc(victims, func(x, y *task) int {
+		return cmp.Or(cmp.Compare(x.priority(), y.priority()), y.since.Compare(x.since),
+			cmp.Compare(x.name.Job, y.name.Job), cmp.Compare(x.name.Index, y.name.Index))
+	})
+	needed := 0
+	for ; needed < len(victims) && !size.Fits(room); needed++ {
+		room = room.Add(victims[needed].size)
+	}
+	if !size.Fits(room) {
+		return false
+	}
+	for _, v := range victims[:needed] {
+		a.evict(v, reason, now)
+	}
+	return true
+}
+
+func (a *Agent) evict(t *task, reason string, now time.Time) {
+	if t.intent != keep {
+		return
+	}
+	t.intent, t.reason, t.tries = evict, reason, 0
+	a.event("taskEvicted", t.name.String(), reason)
+	a.drive(t, now)
+}
+
+// evacuate empties the worker while its domain is out or operators drain it.
+func (a *Agent) evacuate(now time.Time) {
+	reason := a.evacuation()
+	if reason == "" || !a.adopted {
+		return
+	}
+	for _, t := range a.tasks {
+		switch t.phase {
+		case waiting:
+			a.refuse(t, reason)
+		case standby:
+			if t.intent == keep {
+				t.intent, t.reason = stop, reason
+			}
+		case running:
+			a.evict(t, reason, now)
+		}
+	}
+}
+
+// evacuation returns why the worker must be empty, or "".
+func (a *Agent) evacuation() string {
+	document := a.config.document
+	switch {
+	case document == nil:
+		return ""
+	case document.DomainIsOut(a.Domain):
+		return "failure domain " + string(a.Domain) + " is out of service"
+	case document.IsDrained(a.WorkerID):
+		return "worker " + string(a.WorkerID) + " is drained"
+	}
+	return ""
+}
+
+// evictable sums what batch below urgent is committed to.
+func (a *Agent) evictable() units.Resources {
+	var sum units.Resources
+	for _, t := range a.tasks {
+		if t.phase == running && t.isBatch() && t.priority() < units.PriorityUrgent {
+			sum = sum.Add(t.size)
+		}
+	}
+	return sum
+}
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -1,7 +1,10 @@
 package agent
 
 import (
+	"cmp"
 	"encoding/base64"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,9 +36,9 @@
 type intent int
 
 const (
-	keep intent = iota
-	stop        // cancelled or released
-	evict       // checkpoint, then stop
+	keep  intent = iota
+	stop         // cancelled or released
+	evict        // checkpoint, then stop
 )
 
 // task is the agent's row of one task. Its phase only moves forward.
@@ -58,10 +61,11 @@
 	startEnd workerapi.Clock // the start has no effect after this instant
 	results  []chan<- *wire.LaunchResult
 
-	activateAs units.Attempt  // standby: attempt to run it as; 0 while it only stands by
-	holder     units.WorkerID // standby: worker that runs the task
-	holderEnd  units.Epoch    // standby: epoch of that worker
-	mentioned  time.Time      // standby: last time an entry listed it
+	activateAs    units.Attempt  // standby: attempt to run it as; 0 while it only stands by
+	holder        units.WorkerID // standby: worker that runs the task
+	holderEnd     units.Epoch    // standby: epoch of that worker
+	holderAttempt units.Attempt  // standby: attempt that the holder runs
+	mentioned     time.Time      // standby: last time an entry listed it
 
 	outcome      wire.Outcome
 	checkpoint   string
@@ -76,12 +80,12 @@
 }
 
 func (t *task) ref() *wire.TaskRef {
-	return &wire.TaskRef{Job: string(t.name.Job), Index: t.name.Index, Attempt: uint32(t.attempt)}
+	return wire.NewTaskRef(t.name, t.attempt)
 }
 
 func (t *task) isBatch() bool { return t.spec.GetKind() != wire.TaskKind_TASK_KIND_WATCHER }
 
-func (t *task) priority() units.Priority { return units.Priority(t.spec.GetPriority()) }
+func (t *task) priority() units.Priority { return t.spec.GetPriority().Units() }
 
 func (t *task) move(p phase, now time.Time) {
 	t.phase, t.since, t.tries, t.retryAt = p, now, 0, time.Time{}
@@ -126,21 +130,6 @@
 	return spec
 }
 
-func nameOf(r *wire.TaskRef) (units.Task, units.Attempt) {
-	return units.Task{Job: units.JobID(r.GetJob()), Index: r.GetIndex()}, units.Attempt(r.GetAttempt())
-}
-
-func sizeOf(r *wire.Resources) units.Resources {
-	return units.Resources{
-		Processors: units.Millicores(r.GetProcessorsMillicores()),
-		Memory:     units.Bytes(r.GetMemoryBytes()), Accelerators: r.GetAccelerators(),
-	}
-}
-
-func wireSize(r units.Resources) *wire.Resources {
-	return &wire.Resources{ProcessorsMillicores: int64(r.Processors), MemoryBytes: int64(r.Memory), Accelerators: r.Accelerators}
-}
-
 // committed sums what the worker is committed to: tasks that may occupy it and
 // the reservations of announced services.
 func (a *Agent) committed() units.Resources {
@@ -157,18 +146,30 @@
 }
 
 // drivers act on a task according to its phase.
-var drivers = map[phase]func(*Agent, *task, time.Time){
-	waiting: (*Agent).admit,
-	standby: (*Agent).driveStandby,
-	running: (*Agent).driveRunning,
-	ended:   (*Agent).driveEnded,
+var drivers map[phase]func(*Agent, *task, time.Time)
+
+// The table refers to functions that drive other tasks, which Go does not allow
+// in its initializer.
+func init() {
+	drivers = map[phase]func(*Agent, *task, time.Time){
+		waiting: (*Agent).admit,
+		standby: (*Agent).driveStandby,
+		running: (*Agent).driveRunning,
+		ended:   (*Agent).driveEnded,
+	}
 }
 
+// driveAll drives every task, those of higher priority first, then the longest
+// waiting.
 func (a *Agent) driveAll(now time.Time) {
 	if !a.adopted {
 		return
 	}
-	for _, t := range a.tasks {
+	ordered := slices.SortedFunc(maps.Values(a.tasks), func(x, y *task) int {
+		return cmp.Or(cmp.Compare(y.priority(), x.priority()), x.since.Compare(y.since),
+			cmp.Compare(x.name.Job, y.name.Job), cmp.Compare(x.name.Index, y.name.Index))
+	})
+	for _, t := range ordered {
 		a.drive(t, now)
 	}
 }
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -59,7 +59,9 @@
 	}
 	a.tasks = make(map[units.Task]*task)
 	a.worker = workerState{origin: a.origin}
+	a.lease.end()
 	a.lease = lease{}
+	a.lessees = make(map[units.WorkerID]*lessee)
 	a.spawn(func() {
 		for {
 			holder, table, received, err := a.hold()
@@ -101,6 +103,9 @@
 		}
 	}
 	a.adopted = true
+	for _, e := range a.entries {
+		e.wantRunning = true
+	}
 	a.worker.pollSoon = true
 	a.event("workerHeld", string(a.WorkerID), fmt.Sprintf("epoch %d, %d tasks adopted", a.epoch, len(a.tasks)))
 }
@@ -135,8 +140,10 @@
 	if t.phase == starting || t.phase == unresolved {
 		t.answer(wire.Outcome_OUTCOME_STARTED, "")
 	}
-	// A standby never ran: its attempt is the holder's to report.
-	t.silent = t.silent || t.holder != ""
+	if t.holder != "" {
+		a.finishStandby(t, now)
+		return
+	}
 	t.move(ended, now)
 	outcome := outcomes[row.State]
 	if outcome == wire.Outcome_OUTCOME_STOPPED && t.intent == evict {
@@ -152,6 +159,21 @@
 	a.event("taskEnded", t.name.String(), outcome.String())
 }
 
+// finishStandby records the end of a standby that never ran. Its attempt is the
+// holder's to report; an activation that was asked for can no longer happen.
+func (a *Agent) finishStandby(t *task, now time.Time) {
+	if t.activateAs != 0 {
+		reason := "the standby ended before it was activated"
+		a.memory.remember(t.name, t.activateAs, wire.Outcome_OUTCOME_REFUSED, reason)
+		for _, c := range t.results {
+			c <- &wire.LaunchResult{Task: wire.NewTaskRef(t.name, t.activateAs), Outcome: wire.Outcome_OUTCOME_REFUSED, Reason: reason}
+		}
+		t.results, t.activateAs = nil, 0
+	}
+	t.silent = true
+	t.move(ended, now)
+}
+
 func larger(a, b units.Resources) units.Resources {
 	return units.Resources{Processors: max(a.Processors, b.Processors), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators)}
 }
@@ -242,8 +264,10 @@
 	a.worker.confirmed = sent
 	seen := make(map[units.Task]bool, len(table.Tasks))
 	for _, row := range table.Tasks {
-		seen[row.Task] = true
 		a.applyRow(row, sent, received)
+		if t := a.tasks[row.Task]; t != nil && t.attempt == row.Attempt {
+			seen[row.Task] = true
+		}
 	}
 	for _, t := range a.tasks {
 		if !seen[t.name] {
