Visit fewer jobs and teams in a tick

cause: a tick at 1,000 workers took 2 ms of 50 ms; most of it compared all teams again for each task that found no worker. change: the walk stays with a team until a share changes, visits at most 1,024 jobs and a quarter of that after a tick without a start. measured: go test -bench Tick -benchtime 400x: 0.29 ms (full cluster) and 0.90 ms (980 starts/s) a tick at 1,000 workers, 7,000 running and 11,000 pending; 0.23 and 0.59 ms at 300, 0.22 and 0.44 ms at 100; 12 allocations. conclusion: kept; about 0.6% and 1.8% of a core for one dispatcher, before the work is shared.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	spreadJob *ledger.Job
 	spread    *placed // of spreadJob
 	scans     int
+	visits    int                // of jobs, that the tick may make
+	started   bool               // the last tick assigned something
 	windows   [2]units.Resources // smallest batch assigned, this window and the last
 	windowAt  time.Time
 	missed    units.Priority // highest that found no worker in the tick
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -10,10 +10,15 @@
 const (
 	// maxVisits bounds the jobs read in one tick; queues are read from the
 	// oldest, so what is left out is younger.
-	maxVisits = 2048
-	// maxTeamVisits leaves visits to other teams when one has a long queue of
-	// tasks that find no worker.
-	maxTeamVisits = 256
+	maxVisits = 1024
+	// After a tick without a start a quarter is read, but the whole every
+	// fourth tick: a full cluster costs little while it stays full.
+	idleShare = 4
+	// maxTeamMisses leaves visits to other teams when one has a long queue of
+	// tasks that find no worker. deeperProbes more jobs are drawn from the rest
+	// of its queue, so that small tasks behind many large ones get their turn.
+	maxTeamMisses = 12
+	deeperProbes  = 2
 	// maxMisses bounds the scans of one pass that find no worker. A size that
 	// is no smaller than one missed before needs no scan.
 	maxMisses = 96
@@ -48,6 +53,11 @@
 // not wait, then each priority within quota by the teams' shares, then, over
 // quota, what others leave unused.
 func (d *Dispatcher) order() {
+	d.visits = maxVisits
+	if !d.started && d.tickCount%idleShare != 0 {
+		d.visits = maxVisits / idleShare
+	}
+	defer func() { d.started = d.Stats.Assigned > 0 }()
 	d.watchers()
 	if d.Random.IntN(lowFirstChance) == 0 {
 		for p := units.PriorityLow; p < units.PriorityUrgent; p++ {
@@ -90,12 +100,16 @@
 	for i := range d.teams {
 		d.teams[i].next[p] = cursor{}
 	}
-	for pass.starts > 0 && d.budget > 0 && pass.misses > 0 && d.Stats.JobsVisited < maxVisits {
+	for pass.starts > 0 && d.budget > 0 && pass.misses > 0 && d.Stats.JobsVisited < d.visits {
 		t := d.leastShare(p, pass)
 		if t == nil {
 			return
 		}
-		d.serve(t, p, pass)
+		// Without a start no share has changed, so the team is still first.
+		starts := pass.starts
+		for starts == pass.starts && !d.atEnd(t, p) && pass.misses > 0 && d.Stats.JobsVisited < d.visits {
+			d.serve(t, p, pass)
+		}
 	}
 }
 
@@ -107,7 +121,7 @@
 		if t.next[p].done || (best != nil && t.share >= best.share) {
 			continue
 		}
-		if pass.borrowing && !t.borrows || t.next[p].visits > maxTeamVisits || t.next[p].job >= len(d.in.Ledger.WaitingJobs(t.name, p)) {
+		if pass.borrowing && !t.borrows || d.atEnd(t, p) {
 			t.next[p].done = true
 			continue
 		}
@@ -116,6 +130,12 @@
 	return best
 }
 
+// atEnd reports whether the walk is through with the team's queue.
+func (d *Dispatcher) atEnd(t *teamRow, p units.Priority) bool {
+	c := &t.next[p]
+	return c.misses >= maxTeamMisses+deeperProbes || c.job >= len(d.in.Ledger.WaitingJobs(t.name, p))
+}
+
 // skip moves to the next job of the queue.
 func (c *cursor) skip() { c.job, c.task = c.job+1, 0 }
 
@@ -125,7 +145,6 @@
 	j := d.in.Ledger.WaitingJobs(t.name, p)[c.job]
 	if c.task == 0 {
 		d.Stats.JobsVisited++
-		c.visits++
 	}
 	if j.IsWatcher() || c.task >= len(j.Waiting()) || (c.task == 0 && !d.mine(j.ID)) {
 		c.skip()
@@ -151,6 +170,11 @@
 	pass.misses -= d.scans - scans
 	d.Stats.Unplaced++
 	c.skip()
+	if c.misses++; c.misses >= maxTeamMisses {
+		if left := len(d.in.Ledger.WaitingJobs(t.name, p)) - c.job; left > 0 {
+			c.job += d.Random.IntN(left)
+		}
+	}
 }
 
 // ready reports whether a waiting task may be proposed now: it is not already
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -18,7 +18,7 @@
 // cursor is the place in a team's queue of one priority.
 type cursor struct {
 	job, task int
-	visits    int
+	misses    int
 	done      bool
 }
 
