--- /dev/null
+++ b/internal/trial/guard.go
@@ -0,0 +1,119 @@
+package trial
+
+import (
+	"slices"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/dispatch"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// interference learns, from lagging latency, how much each kind slows an
+// endpoint: normalized least mean squares over the kinds that ran.
+type interference struct {
+	table    dispatch.Interference
+	estimate map[units.JobKind]float64
+}
+
+const learningRate = 0.25
+
+func (i *interference) learn(factor float64, running []*attempt) {
+	if i.estimate == nil {
+		i.estimate, i.table = map[units.JobKind]float64{}, dispatch.Interference{}
+	}
+	shares := map[units.JobKind]float64{}
+	for _, a := range running {
+		if a.spec.kind != nil {
+			shares[units.JobKind(a.spec.kind.name)] += a.throttle
+		}
+	}
+	names := make([]units.JobKind, 0, len(shares))
+	for name := range shares {
+		names = append(names, name)
+	}
+	slices.Sort(names) // sums of floats depend on their order
+	wrong, norm := factor-1, 0.0
+	for _, name := range names {
+		wrong -= i.estimate[name] * shares[name]
+		norm += shares[name] * shares[name]
+	}
+	for _, name := range names {
+		e := max(0, i.estimate[name]+learningRate*wrong*shares[name]/max(1, norm))
+		i.estimate[name] = e
+		i.table[name] = map[units.ServiceName]float64{"desk": 1 + e}
+	}
+}
+
+// guard is a fake of the agent's control loop. It runs every second on latency
+// that is two seconds old.
+func (m *machine) guard(x *fixture) {
+	if !m.alive {
+		return
+	}
+	seen := m.lagged[0]
+	m.lagged = [3]float64{m.lagged[1], m.lagged[2], m.factor}
+	if seen == 0 {
+		return
+	}
+	ratio := x.doc.Guards.LatencyRatio
+	if x.version == Naive {
+		// Acts on every measurement, also on those from before its last action.
+		if a := m.newest(); seen > ratio && a != nil {
+			m.evict(x, a.task, "latency", false)
+		}
+		return
+	}
+	x.learned.learn(m.factor, m.running)
+	if m.memory > 0.95 {
+		if a := m.worstMemory(); a != nil {
+			m.evict(x, a.task, "memory", true)
+		}
+	}
+	if x.elapsed-m.actedAt < 3*time.Second {
+		return // the measurement is from before the last action
+	}
+	switch {
+	case seen > ratio:
+		m.actedAt = x.elapsed
+		m.relieve(x)
+	case seen < 1+(ratio-1)/2:
+		for _, a := range m.running {
+			if a.throttle < 1 {
+				a.throttle = min(1, a.throttle*1.25)
+				m.actedAt = x.elapsed
+				return
+			}
+		}
+	}
+}
+
+// relieve throttles the attempt that slows the endpoint most by what is known,
+// or evicts it when it is throttled already.
+func (m *machine) relieve(x *fixture) {
+	var worst *attempt
+	most := -1.0
+	for _, a := range m.running {
+		if a.spec.kind == nil || a.priority >= units.PriorityUrgent {
+			continue
+		}
+		if e := x.learned.estimate[units.JobKind(a.spec.kind.name)] * a.throttle; e >= most {
+			worst, most = a, e
+		}
+	}
+	switch {
+	case worst == nil:
+	case worst.throttle > 0.2:
+		worst.throttle /= 2
+	default:
+		m.evict(x, worst.task, "latency", true)
+	}
+}
+
+func (m *machine) newest() *attempt {
+	for i := len(m.running) - 1; i >= 0; i-- {
+		if m.running[i].spec.kind != nil {
+			return m.running[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/trial/machine.go
@@ -0,0 +1,254 @@
+package trial
+
+import (
+	"math"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/dispatch"
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// machine is a worker with its agent and endpoint.
+type machine struct {
+	id      units.WorkerID
+	epoch   units.Epoch
+	domain  units.DomainName
+	rack    units.RackName
+	alive   bool
+	leaving bool // the domain is out of service
+	bad     bool
+	running []*attempt
+	reports [][]byte // for the next heartbeat
+	seen    dispatch.Worker
+	seenAt  time.Duration
+	factor  float64 // latency with batch over without, now
+	lagged  [3]float64
+	actedAt time.Duration
+	memory  float64 // share in use
+}
+
+// attempt is a running attempt of a task.
+type attempt struct {
+	task      units.Task
+	attempt   units.Attempt
+	spec      *spec
+	committed units.Resources
+	priority  units.Priority
+	done      float64 // seconds of work
+	age       float64 // seconds since the start
+	throttle  float64
+}
+
+// Fixed properties of the fakes.
+const (
+	checkpointEvery = 30.0 // seconds of work
+	memoryRampUp    = 10.0 // seconds until a task uses all its memory
+	failsAfter      = 1.0  // seconds, on a worker that fails everything
+	// The interference model: an endpoint's latency is its base latency times
+	// 1 + the noise of the tasks beside it + contention * (use of processors
+	// above calm).
+	calm       = 0.85
+	contention = 2.0
+)
+
+func (m *machine) holder() ledger.Holder { return ledger.Holder{Worker: m.id, Epoch: m.epoch} }
+
+// committed is what the agent has admitted.
+func (m *machine) committed(f Firm) units.Resources {
+	sum := f.Endpoint
+	for _, a := range m.running {
+		sum = sum.Add(a.committed)
+	}
+	return sum
+}
+
+// launch admits the attempt or rejects it.
+func (m *machine) launch(x *fixture, p dispatch.Proposal) {
+	if !m.alive || m.epoch != p.Holder.Epoch {
+		return // unanswered; the end of the epoch releases it
+	}
+	j := x.l.Job(p.Task.Job)
+	if j == nil || j.Ended != 0 {
+		return
+	}
+	if p.MayEvict {
+		for _, v := range p.Victims {
+			if !p.Committed.Fits(x.firm.Capacity.Sub(m.committed(x.firm))) {
+				m.evict(x, v.Task, "urgent", true)
+			}
+		}
+	}
+	if m.leaving || !p.Committed.Fits(x.firm.Capacity.Sub(m.committed(x.firm))) {
+		x.m.refused++
+		x.record(ledger.EncodeReleased(p.Task, p.Attempt, ledger.Release{Reason: "no room"}))
+		return
+	}
+	s := x.jobs[p.Task.Job]
+	m.running = append(m.running, &attempt{task: p.Task, attempt: p.Attempt, spec: s, committed: p.Committed,
+		priority: j.Launch(p.Task.Index).GetPriority().Units(), done: x.saved[p.Task], throttle: 1})
+	m.reports = append(m.reports, ledger.EncodeStarted(p.Task, p.Attempt))
+	if s.urgent {
+		x.m.urgent = max(x.m.urgent, x.elapsed-s.at)
+		s.urgent = false // later attempts are restarts
+	}
+}
+
+// run advances the attempts by one step.
+func (m *machine) run(x *fixture) {
+	if !m.alive {
+		return
+	}
+	cores, memory, noise := x.requests(m)*float64(x.firm.Endpoint.Processors)/1000, float64(x.firm.Endpoint.Memory), 0.0
+	endpoint := cores
+	for _, a := range m.running {
+		cores += a.spec.cores * a.throttle
+		memory += a.spec.memory * min(1, a.age/memoryRampUp)
+		if a.spec.kind != nil {
+			noise += a.spec.kind.noise * a.throttle
+		}
+	}
+	capacity := float64(x.firm.Capacity.Processors) / 1000
+	m.memory = memory / float64(x.firm.Capacity.Memory)
+	m.factor = 1 + noise + contention*max(0, min(1, cores/capacity)-calm)
+	speed := 1.0
+	if x.version == Ideal {
+		m.factor = 1
+	} else if cores > capacity {
+		speed = (capacity - endpoint) / (cores - endpoint)
+	}
+	if m.memory > 1 && x.version != Ideal {
+		m.kill(x)
+	}
+	kept := m.running[:0]
+	for _, a := range m.running {
+		if !m.advance(x, a, speed) {
+			kept = append(kept, a)
+		}
+	}
+	m.running = kept
+}
+
+// advance runs one attempt for a step and reports whether it ended.
+func (m *machine) advance(x *fixture, a *attempt, speed float64) bool {
+	a.age += step.Seconds()
+	if m.bad && a.spec.kind != nil && a.age > failsAfter {
+		m.fail(x, a, "exit 1")
+		return true
+	}
+	if a.spec.kind == nil {
+		return false
+	}
+	before := a.done
+	a.done += step.Seconds() * speed * a.throttle
+	x.m.work += (a.done - before) * a.spec.cores
+	if math.Floor(a.done/checkpointEvery) > math.Floor(before/checkpointEvery) {
+		x.saved[a.task] = a.done
+	}
+	if a.done < a.spec.work {
+		return false
+	}
+	delete(x.saved, a.task)
+	m.reports = append(m.reports, ledger.EncodeEnded(a.task, a.attempt, wire.Outcome_OUTCOME_COMPLETED,
+		time.Duration(a.age*float64(time.Second)), units.Resources{Processors: units.Millicores(a.spec.cores * 1000), Memory: units.Bytes(a.spec.memory)}))
+	return true
+}
+
+func (m *machine) fail(x *fixture, a *attempt, reason string) {
+	x.m.failures++
+	m.reports = append(m.reports, ledger.EncodeReleased(a.task, a.attempt, ledger.Release{Reason: reason, IsFailure: true}))
+}
+
+// kill ends the attempt that exceeds its committed memory most.
+func (m *machine) kill(x *fixture) {
+	if a := m.worstMemory(); a != nil {
+		m.fail(x, a, "out of memory")
+		m.remove(a)
+	}
+}
+
+func (m *machine) worstMemory() *attempt {
+	var worst *attempt
+	most := 0.0
+	for _, a := range m.running {
+		if over := a.spec.memory*min(1, a.age/memoryRampUp) - float64(a.committed.Memory); a.spec.kind != nil && (worst == nil || over > most) {
+			worst, most = a, over
+		}
+	}
+	return worst
+}
+
+func (m *machine) remove(a *attempt) {
+	for i := range m.running {
+		if m.running[i] == a {
+			m.running = append(m.running[:i], m.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// evict stops the attempt of a task, with a fresh checkpoint or without.
+func (m *machine) evict(x *fixture, task units.Task, reason string, checkpoint bool) {
+	for _, a := range m.running {
+		if a.task != task {
+			continue
+		}
+		if checkpoint {
+			x.saved[task] = a.done
+		}
+		if reason != "domain out" {
+			x.m.evictions++
+		}
+		m.remove(a)
+		m.reports = append(m.reports, ledger.EncodeEvicted(task, a.attempt, "saved", reason))
+		return
+	}
+}
+
+// heartbeat publishes the worker's row and hands the reports over.
+func (m *machine) heartbeat(x *fixture) {
+	if !m.alive {
+		return
+	}
+	for _, e := range m.reports {
+		x.record(e)
+	}
+	m.reports = nil
+	committed := m.committed(x.firm)
+	evictable := units.Resources{}
+	for _, a := range m.running {
+		if a.spec.kind != nil && a.priority < units.PriorityUrgent {
+			evictable = evictable.Add(a.committed)
+		}
+	}
+	m.seen = dispatch.Worker{ID: m.id, Epoch: m.epoch, Domain: m.domain, Rack: m.rack, Region: "region", Capacity: x.firm.Capacity,
+		Committed: committed, Evictable: evictable, Services: []units.ServiceName{"desk"}, Session: true, Draining: m.leaving}
+	m.seenAt = x.elapsed
+}
+
+// leave obeys a domain that operators took out of service. The product moves
+// its work with checkpoints; the naive agent runs on until the instance goes.
+func (m *machine) leave(x *fixture) {
+	m.leaving = true
+	if x.version == Naive {
+		return
+	}
+	for _, a := range append([]*attempt(nil), m.running...) {
+		m.evict(x, a.task, "domain out", true)
+	}
+}
+
+// crash loses the instance with what ran; its lessor records the expiry.
+func (m *machine) crash(x *fixture) {
+	h := m.holder()
+	m.alive, m.running, m.reports = false, nil, nil
+	sinceGrant := time.Duration(x.noise.Int64N(int64(lease/4/step))) * step
+	at := x.elapsed + lease + leaseMargin - sinceGrant
+	x.due[at] = append(x.due[at], func() { x.ended[h] = true })
+}
+
+func (m *machine) join() {
+	m.epoch++
+	m.alive, m.leaving = true, false
+}
--- /dev/null
+++ b/internal/trial/naive.go
@@ -0,0 +1,84 @@
+package trial
+
+import (
+	"cmp"
+	"slices"
+
+	"wasabihill.example/wasabihill/internal/dispatch"
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// naive assigns in order of submission, first fit on declared sizes from a
+// round-robin position, learns nothing and repeats at once.
+type naive struct {
+	next int
+}
+
+// naiveVisits bounds the tasks read in one tick.
+const naiveVisits = 300
+
+func (n *naive) Tick(in dispatch.Input) []dispatch.Proposal {
+	if !in.LogReachable {
+		return nil
+	}
+	out := n.release(in)
+	rooms := make([]units.Resources, len(in.Workers))
+	for i, w := range in.Workers {
+		h := ledger.Holder{Worker: w.ID, Epoch: w.Epoch}
+		rooms[i] = w.Capacity.Sub(w.Committed).Sub(in.Ledger.LaunchingOn(h).Committed)
+	}
+	visits := 0
+	for _, j := range waiting(in.Ledger) {
+		for _, index := range j.Waiting() {
+			if visits++; visits > naiveVisits {
+				return out
+			}
+			if p, ok := n.place(in, rooms, j, index); ok {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
+func waiting(l *ledger.Ledger) []*ledger.Job {
+	var jobs []*ledger.Job
+	for _, name := range l.Teams() {
+		for p := units.PriorityLow; p <= units.PriorityUrgent; p++ {
+			jobs = append(jobs, l.WaitingJobs(name, p)...)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *ledger.Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	return jobs
+}
+
+func (n *naive) place(in dispatch.Input, rooms []units.Resources, j *ledger.Job, index uint32) (dispatch.Proposal, bool) {
+	for range rooms {
+		n.next = (n.next + 1) % len(rooms)
+		w := in.Workers[n.next]
+		if !j.Size.Fits(rooms[n.next]) || in.Document.DomainIsOut(w.Domain) || !w.Session {
+			continue
+		}
+		rooms[n.next] = rooms[n.next].Sub(j.Size)
+		return dispatch.Proposal{Action: dispatch.Assign, Task: units.Task{Job: j.ID, Index: index}, Attempt: j.Tasks[index].Attempt + 1,
+			Holder: ledger.Holder{Worker: w.ID, Epoch: w.Epoch}, Committed: j.Size}, true
+	}
+	return dispatch.Proposal{}, false
+}
+
+func (n *naive) release(in dispatch.Input) []dispatch.Proposal {
+	var out []dispatch.Proposal
+	for h := range in.Ledger.Holders() {
+		if !in.Ended(h) {
+			continue
+		}
+		for _, task := range in.Ledger.TasksOn(h) {
+			out = append(out, dispatch.Proposal{Action: dispatch.Release, Task: task, Attempt: in.Ledger.Task(task).Attempt, Reason: "lease expired"})
+		}
+	}
+	slices.SortFunc(out, func(a, b dispatch.Proposal) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/trial/table.go
@@ -0,0 +1,79 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Targets of the trial. They are fixed; a result that misses one is printed as
+// missed.
+const (
+	targetOfIdeal   = 0.90
+	targetOfNaive   = 1.3
+	targetEvictions = 0.2
+	targetAbsence   = 0.95
+	targetReturn    = 30 * time.Second
+	targetLatency   = 1.2
+	targetUrgent    = 1400 * time.Millisecond
+	// One lease and one start, taken as the 1.4 s in which urgent work starts.
+	targetUnwatched = lease + targetUrgent
+)
+
+// line is one row of the table.
+type line struct {
+	name           string
+	product, naive float64
+	ratio          float64
+	target         string
+	met            bool
+}
+
+// lines lists the measures of a case.
+func (c Comparison) lines() []line {
+	p, n, i := c.Results[Product], c.Results[Naive], c.Results[Ideal]
+	evictions := float64(p.Evictions) / max(1, float64(n.Evictions))
+	out := []line{
+		{"batch of ideal", p.Finished / i.Finished, n.Finished / i.Finished, p.Finished / n.Finished, ">= 0.90", p.Finished >= targetOfIdeal*i.Finished},
+		{"batch of naive, core hours", p.Finished / 3600, n.Finished / 3600, p.Finished / n.Finished, ">= 1.3x", p.Finished >= targetOfNaive*n.Finished},
+		{"evictions", float64(p.Evictions), float64(n.Evictions), evictions, "<= 0.2x", evictions <= targetEvictions},
+		{"unwatched, longest s", p.Unwatched.Seconds(), n.Unwatched.Seconds(), quotient(p.Unwatched.Seconds(), n.Unwatched.Seconds()), "<= 9.4", p.Unwatched <= targetUnwatched},
+		{"service p99 over quiet", p.P99 / p.QuietP99, n.P99 / n.QuietP99, quotient(p.P99/p.QuietP99, n.P99/n.QuietP99), "<= 1.2", p.P99 <= targetLatency*p.QuietP99},
+		{"urgent start, longest s", p.UrgentStart.Seconds(), n.UrgentStart.Seconds(), quotient(p.UrgentStart.Seconds(), n.UrgentStart.Seconds()), "<= 1.4", p.UrgentStart <= targetUrgent},
+	}
+	if c.Case.DomainOut {
+		out = append(out,
+			line{"work in absence, of share", p.AbsentShare, n.AbsentShare, p.AbsentShare / n.AbsentShare, ">= 0.95", p.AbsentShare >= targetAbsence},
+			line{"back to full, s", p.BackToFull.Seconds(), n.BackToFull.Seconds(), quotient(p.BackToFull.Seconds(), n.BackToFull.Seconds()), "<= 30",
+				p.BackToFull >= 0 && p.BackToFull <= targetReturn})
+	}
+	return out
+}
+
+func quotient(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// Print writes the table of a firm and returns how many targets were met.
+func Print(w io.Writer, f Firm, all []Comparison) (met, total int) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s\tmeasure\tproduct\tnaive\tratio\ttarget\t\n", f.Name)
+	for _, c := range all {
+		for _, l := range c.lines() {
+			verdict := "missed"
+			if total++; l.met {
+				verdict = "met"
+				met++
+			}
+			fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.2f\t%s\t%s\n", c.Case.Name, l.name, l.product, l.naive, l.ratio, l.target, verdict)
+		}
+		p, n := c.Results[Product], c.Results[Naive]
+		fmt.Fprintf(t, "%s\tfailed attempts, refused\t%d, %d\t%d, %d\t\t\t\n", c.Case.Name, p.Failures, p.Refused, n.Failures, n.Refused)
+	}
+	_ = t.Flush() // as with every other write to a report on standard output
+	return met, total
+}
