--- a/internal/administration/administrationtest/fake.go
+++ b/internal/administration/administrationtest/fake.go
@@ -26,7 +26,7 @@
 	Fail        error         // returned by every mutation without an effect
 	FailAfter   error         // returned by every mutation after its effect
 	Delay       time.Duration // of every mutation
-	BeforeWrite func()        // called once by the next Publish, to lose a race
+	BeforeWrite func()        // called once by the next mutation, to lose a race or to hold it
 
 	mu       sync.Mutex
 	versions []administration.Document
@@ -44,6 +44,10 @@
 func (b *Backend) Ready(context.Context) error { return b.Fail }
 
 func (b *Backend) begin(ctx context.Context) error {
+	if f := b.BeforeWrite; f != nil {
+		b.BeforeWrite = nil
+		f()
+	}
 	if b.Delay > 0 {
 		select {
 		case <-time.After(b.Delay):
@@ -85,10 +89,6 @@
 	if err := b.begin(ctx); err != nil {
 		return 0, err
 	}
-	if f := b.BeforeWrite; f != nil {
-		b.BeforeWrite = nil
-		f()
-	}
 	current, err := b.Document(ctx, p.Environment, 0)
 	if administration.KindOf(err) != administration.KindNotFound && err != nil {
 		return 0, err
--- a/internal/administration/jobs.go
+++ b/internal/administration/jobs.go
@@ -1,3 +1,5 @@
+// Jobs belong to teams: a team sees and cancels only its own.
+
 package administration
 
 import (
--- a/internal/administration/metrics.go
+++ b/internal/administration/metrics.go
@@ -1,3 +1,5 @@
+// Metrics of a process, for Prometheus to scrape.
+
 package administration
 
 import (
--- a/internal/administration/routes.go
+++ b/internal/administration/routes.go
@@ -1,3 +1,5 @@
+// One table lists the operations of the API with who may use them.
+
 package administration
 
 import (
@@ -14,6 +16,7 @@
 	pattern       string
 	operatorsOnly bool
 	mutates       bool // requires an idempotency key
+	document      bool // its body is a document
 	status        int  // of success; 200 when zero
 	handle        func(*request) (any, error)
 }
@@ -24,8 +27,8 @@
 	{name: "document", pattern: "GET " + environmentPattern + "/document", operatorsOnly: true, handle: showDocument},
 	{name: "history", pattern: "GET " + environmentPattern + "/history", operatorsOnly: true, handle: showHistory},
 	{name: "changes", pattern: "GET " + environmentPattern + "/changes", operatorsOnly: true, handle: compareVersions},
-	{name: "check", pattern: "POST " + environmentPattern + "/check", operatorsOnly: true, handle: checkDocument},
-	{name: "publish", pattern: "PUT " + environmentPattern + "/document", operatorsOnly: true, mutates: true, handle: publishDocument},
+	{name: "check", pattern: "POST " + environmentPattern + "/check", operatorsOnly: true, document: true, handle: checkDocument},
+	{name: "publish", pattern: "PUT " + environmentPattern + "/document", operatorsOnly: true, mutates: true, document: true, handle: publishDocument},
 	{name: "promote", pattern: "POST " + environmentPattern + "/promote", operatorsOnly: true, mutates: true, handle: promoteDocument},
 	{name: "domain", pattern: "POST " + environmentPattern + "/domains/{domain}/{state}", operatorsOnly: true, mutates: true, handle: setDomainState},
 	{name: "drain", pattern: "POST " + environmentPattern + "/workers/{worker}/{verb}", operatorsOnly: true, mutates: true, handle: setDrained},
--- a/internal/administration/server.go
+++ b/internal/administration/server.go
@@ -1,3 +1,6 @@
+// Authentication, limits and errors are handled here once for every route, so that a
+// handler cannot forget them.
+
 package administration
 
 import (
@@ -6,6 +9,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -55,14 +59,27 @@
 type Server struct {
 	config  Config
 	tokens  tokens
-	inUse   chan struct{} // holds one element for each request in flight
+	inUse   chan struct{}                    // holds one element for each request in flight
+	perTeam map[units.TeamName]chan struct{} // the same for each team; never written after NewServer
 	handler http.Handler
 }
 
+// teamShare limits a team to a quarter of the requests in flight, so that slow
+// requests of one team leave room for operators and other teams.
+const teamShare = 4
+
+// smallBody limits every body but that of a document. A job takes less than
+// 1 KiB, and parsing needs up to a hundred times the size of the text.
+const smallBody = 64 * units.KiB
+
 // NewServer returns a server for the configuration.
 func NewServer(c Config) *Server {
 	c.setDefaults()
 	s := &Server{config: c, tokens: newTokens(c.OperatorToken, c.TeamTokens), inUse: make(chan struct{}, c.Requests)}
+	s.perTeam = make(map[units.TeamName]chan struct{}, len(c.TeamTokens))
+	for team := range c.TeamTokens {
+		s.perTeam[team] = make(chan struct{}, max(1, c.Requests/teamShare))
+	}
 	mux := http.NewServeMux()
 	for _, r := range routes {
 		mux.HandleFunc(r.pattern, func(w http.ResponseWriter, q *http.Request) { s.serve(r, w, q) })
@@ -141,15 +158,12 @@
 	scope.Timer("administration_latency").Record(time.Since(start))
 }
 
-func (s *Server) run(r route, w http.ResponseWriter, q *http.Request) (answer any, err error) {
-	select {
-	case s.inUse <- struct{}{}:
-		defer func() { <-s.inUse }()
-	default:
-		w.Header().Set("Retry-After", "1")
-		return nil, &administration.Error{Kind: administration.KindBusy, Message: "too many requests at a time; repeat it later",
-			Details: administration.Details{Outcome: administration.OutcomeNotRun}}
+func (s *Server) run(r route, w http.ResponseWriter, q *http.Request) (any, error) {
+	leave, err := enter(s.inUse)
+	if err != nil {
+		return nil, err
 	}
+	defer leave()
 	who, err := s.tokens.authenticate(q)
 	if err != nil {
 		w.Header().Set("WWW-Authenticate", "Bearer")
@@ -158,6 +172,13 @@
 	if r.operatorsOnly && !who.operator {
 		return nil, administration.Errorf(administration.KindForbidden, "this needs the operator's token")
 	}
+	if !who.operator {
+		leave, err := enter(s.perTeam[who.team])
+		if err != nil {
+			return nil, err
+		}
+		defer leave()
+	}
 	ctx, cancel := context.WithTimeout(q.Context(), s.config.Timeout)
 	defer cancel()
 	one := &request{Server: s, http: q.WithContext(ctx), who: who}
@@ -166,12 +187,32 @@
 			return nil, administration.Errorf(administration.KindInvalid, "header %s: want 1 to 128 printable ASCII characters", administration.KeyHeader)
 		}
 	}
-	if one.body, err = readBody(w, q, s.config.Body); err != nil {
+	limit := min(s.config.Body, smallBody)
+	if r.document {
+		limit = s.config.Body
+	}
+	if one.body, err = readBody(w, q, limit); err != nil {
 		return nil, err
 	}
-	defer func() { // keeps a fault in one request from other requests
+	return handle(r, one)
+}
+
+// enter takes a place or refuses at once; leave gives it back.
+func enter(places chan struct{}) (leave func(), err error) {
+	select {
+	case places <- struct{}{}:
+		return func() { <-places }, nil
+	default:
+		return nil, &administration.Error{Kind: administration.KindBusy, Message: "too many requests at a time; repeat it later",
+			Details: administration.Details{Outcome: administration.OutcomeNotRun}}
+	}
+}
+
+// handle keeps a panic in one request from ending others.
+func handle(r route, one *request) (answer any, err error) {
+	defer func() {
 		if p := recover(); p != nil {
-			klog.ErrorS(nil, "administration request panicked", "route", r.pattern, "panic", p)
+			klog.ErrorS(nil, "administration request panicked", "route", r.pattern, "panic", p, "stack", string(debug.Stack()))
 			answer, err = nil, administration.Errorf(administration.KindInternal, "internal error")
 		}
 	}()
@@ -221,6 +262,9 @@
 }
 
 func writeError(w http.ResponseWriter, e *administration.Error) {
+	if e.Kind == administration.KindBusy {
+		w.Header().Set("Retry-After", "1")
+	}
 	writeJSON(w, e.Kind.Status(), map[string]*administration.Error{"error": e})
 }
 
--- a/internal/administration/tokens.go
+++ b/internal/administration/tokens.go
@@ -1,3 +1,5 @@
+// Bearer tokens come from the settings; there are no accounts and no sessions.
+
 package administration
 
 import (
--- a/internal/administration/views.go
+++ b/internal/administration/views.go
@@ -1,3 +1,5 @@
+// Read-only views for operators, and for a team of itself.
+
 package administration
 
 import (
--- a/internal/operator/cancel.go
+++ b/internal/operator/cancel.go
@@ -1,3 +1,5 @@
+// The verb cancel stops a job.
+
 package operator
 
 import (
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -1,3 +1,6 @@
+// The verb check works without a server, so that a document can be checked before
+// it is committed anywhere.
+
 package operator
 
 import (
--- a/internal/operator/compare.go
+++ b/internal/operator/compare.go
@@ -1,3 +1,5 @@
+// The verb compare works on files without a server, for reviews before publishing.
+
 package operator
 
 import (
--- a/internal/operator/domain.go
+++ b/internal/operator/domain.go
@@ -1,3 +1,6 @@
+// The verb domain edits one field, because taking a failure domain out of service
+// must not wait for an editor.
+
 package operator
 
 import (
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -1,3 +1,5 @@
+// The verb drain edits one field of the document for maintenance of a worker.
+
 package operator
 
 import (
--- a/internal/operator/entries.go
+++ b/internal/operator/entries.go
@@ -1,3 +1,5 @@
+// The verb entries shows which entry processes are live.
+
 package operator
 
 import (
--- a/internal/operator/job.go
+++ b/internal/operator/job.go
@@ -1,3 +1,5 @@
+// The verb job shows why each task of a job waits, was released or failed.
+
 package operator
 
 import (
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -1,3 +1,5 @@
+// The verb jobs lists jobs.
+
 package operator
 
 import (
--- a/internal/operator/promote.go
+++ b/internal/operator/promote.go
@@ -1,3 +1,5 @@
+// The verb promote takes a tried document to production in one step.
+
 package operator
 
 import (
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -1,3 +1,5 @@
+// The verb publish always needs a base, so that nobody replaces a version unread.
+
 package operator
 
 import (
--- a/internal/operator/reference.go
+++ b/internal/operator/reference.go
@@ -1,3 +1,5 @@
+// The manual is written by the program itself, so that it shows what the program does.
+
 package operator
 
 import (
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -1,3 +1,5 @@
+// What the verbs share: the client, input, output and idempotency keys.
+
 package operator
 
 import (
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -1,3 +1,5 @@
+// The verb show prints the text with its comments, ready to be edited.
+
 package operator
 
 import (
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -1,3 +1,5 @@
+// The verb submit sends a job file under an idempotency key.
+
 package operator
 
 import (
--- a/internal/operator/teams.go
+++ b/internal/operator/teams.go
@@ -1,3 +1,5 @@
+// The verb teams shows the use of quotas.
+
 package operator
 
 import (
--- a/internal/operator/timeline.go
+++ b/internal/operator/timeline.go
@@ -1,3 +1,5 @@
+// The verb timeline shows events with their causes.
+
 package operator
 
 import (
--- a/internal/operator/undrain.go
+++ b/internal/operator/undrain.go
@@ -1,3 +1,5 @@
+// The verb undrain ends what drain began.
+
 package operator
 
 import "github.com/urfave/cli/v3"
--- a/internal/operator/workers.go
+++ b/internal/operator/workers.go
@@ -1,3 +1,5 @@
+// The verb workers shows where work is committed.
+
 package operator
 
 import (
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -1,3 +1,5 @@
+// Settings of an agent: its place, its worker and the entry processes to start from.
+
 package settings
 
 import (
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,3 +1,5 @@
+// Settings of an entry process: its addresses, tokens and limits.
+
 package settings
 
 import (
--- a/internal/strictjson/field.go
+++ b/internal/strictjson/field.go
@@ -1,3 +1,5 @@
+// Tables of fields drive both reading and the manual, so that the two cannot differ.
+
 package strictjson
 
 import (
@@ -56,7 +58,7 @@
 				return
 			}
 		}
-		value.Report("unknown key; allowed here: %s", fieldNames(fields))
+		n.reader.reportAt(value.key, value.path, "unknown key; allowed here: %s", fieldNames(fields))
 	})
 	for _, f := range fields {
 		path := joinPath(n.path, f.Name)
--- a/internal/strictjson/node.go
+++ b/internal/strictjson/node.go
@@ -1,3 +1,6 @@
+// Every type of value is read in one place, so that all files accept the same forms
+// and say the same about a wrong one.
+
 package strictjson
 
 import (
@@ -16,6 +19,7 @@
 	reader *Reader
 	value  *hujson.Value
 	path   string
+	key    int // offset of the key, for the value of a member
 }
 
 // Valid reports whether there is a value to read.
@@ -218,7 +222,9 @@
 			continue
 		}
 		seen[key] = true
-		read(key, n.child(path, &m.Value))
+		value := n.child(path, &m.Value)
+		value.key = m.Name.StartOffset
+		read(key, value)
 	}
 }
 
@@ -227,7 +233,7 @@
 
 func (n Node) child(path string, value *hujson.Value) Node {
 	n.reader.offsets[path] = value.StartOffset
-	return Node{n.reader, value, path}
+	return Node{reader: n.reader, value: value, path: path}
 }
 
 func joinPath(parent, key string) string {
--- a/internal/strictjson/reader.go
+++ b/internal/strictjson/reader.go
@@ -1,8 +1,12 @@
+// Reader keeps the places of fields, because an error without line and column makes
+// operators search large documents.
+
 package strictjson
 
 import (
-	"bytes"
 	"fmt"
+	"slices"
+	"sort"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -22,9 +26,18 @@
 	data     []byte
 	offsets  map[string]int  // field path to its place in data
 	failed   map[string]bool // paths that already have a problem
+	lines    []int           // offsets of the first byte of each line
 	problems Problems
+	dropped  int // problems beyond maxRecorded
 }
 
+// A text of MaxSize can hold some hundred thousand errors. Reading records the
+// first maxRecorded and Err lists the first maxListed in the order of the text.
+const (
+	maxRecorded = 10_000
+	maxListed   = 1_000
+)
+
 // Open parses the text. When the text is no JSON with comments, the node is
 // not valid and Err returns the reason.
 func Open(name string, data []byte) (*Reader, Node) {
@@ -87,6 +100,10 @@
 }
 
 func (r *Reader) reportAt(offset int, field, format string, args ...any) {
+	if len(r.problems) == maxRecorded {
+		r.dropped++
+		return
+	}
 	line, column := r.position(offset)
 	r.problems = append(r.problems, Problem{r.name, line, column, field, fmt.Sprintf(format, args...)})
 }
@@ -103,8 +120,16 @@
 }
 
 func (r *Reader) position(offset int) (line, column int) {
-	before := r.data[:min(offset, len(r.data))]
-	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
+	if r.lines == nil {
+		r.lines = []int{0}
+		for i, c := range r.data {
+			if c == '\n' {
+				r.lines = append(r.lines, i+1)
+			}
+		}
+	}
+	line = sort.SearchInts(r.lines, offset+1)
+	return line, offset - r.lines[line-1] + 1
 }
 
 // Err returns the problems found so far in the order of the text, or nil.
@@ -113,5 +138,9 @@
 		return nil
 	}
 	r.problems.sort()
-	return r.problems
+	listed := r.problems
+	if more := len(listed) + r.dropped - maxListed; more > 0 {
+		listed = append(slices.Clone(listed[:maxListed]), Problem{File: r.name, Message: fmt.Sprintf("%d more errors", more)})
+	}
+	return listed
 }
--- /dev/null
+++ b/internal/strictjson/reader_test.go
@@ -0,0 +1,38 @@
+package strictjson
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+type target struct{ A int64 }
+
+var fields = []Field[target]{{Name: "a", Type: "whole number", Read: func(t *target, n Node) { t.A = n.Int(0, 9) }}}
+
+// Guards against a text full of errors that occupies a process or produces a
+// reply of many megabytes.
+func TestErrorsAreBounded(t *testing.T) {
+	var text strings.Builder
+	text.WriteString("{")
+	for i := range 80_000 {
+		fmt.Fprintf(&text, "\"k%d\":1,\n", i)
+	}
+	text.WriteString("}")
+	r, root := Open("many", []byte(text.String()))
+	Object(root, new(target), fields)
+	var got Problems
+	if !errors.As(r.Err(), &got) || len(got) != maxListed+1 {
+		t.Fatalf("got %d problems, want %d and one that counts the rest", len(got), maxListed)
+	}
+	if last := got[maxListed].Message; last != "79000 more errors" {
+		t.Errorf("got %q, want 79000 more errors", last)
+	}
+	if p := got[999]; p.Line != 1000 || p.Column != 1 {
+		t.Errorf("got place %d:%d of the last listed problem, want 1000:1", p.Line, p.Column)
+	}
+	if _, root := Open("large", make([]byte, MaxSize+1)); root.Valid() {
+		t.Error("a text beyond the limit was read")
+	}
+}
--- a/internal/timeline/collector.go
+++ b/internal/timeline/collector.go
@@ -1,3 +1,6 @@
+// The collector takes events in any order and repetition, because agents send them
+// again until an entry process acknowledges them.
+
 package timeline
 
 import (
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -1,3 +1,6 @@
+// Wall clocks of processes differ by more than the events are apart, so causes come
+// first and clocks second.
+
 package timeline
 
 import (
--- a/internal/timeline/recorder.go
+++ b/internal/timeline/recorder.go
@@ -1,3 +1,6 @@
+// The ring is bounded and counts in sequence, so that an agent that cannot reach any
+// entry process neither grows nor sends an event twice.
+
 package timeline
 
 import (
--- a/internal/timeline/render.go
+++ b/internal/timeline/render.go
@@ -1,3 +1,5 @@
+// Three renderings of the same events: for terminals, programs and browsers.
+
 package timeline
 
 import (
--- a/pkg/administration/client.go
+++ b/pkg/administration/client.go
@@ -1,3 +1,6 @@
+// The client tries each server once. Mutations carry a key, so that a request whose
+// reply was lost can go to the next server.
+
 package administration
 
 import (
@@ -28,9 +31,13 @@
 	Servers []string // base URLs or IP:port, tried in order
 	Token   string
 	Timeout time.Duration // for one server; 10 s when zero
-	HTTP    *http.Client  // http.DefaultClient when nil
+	HTTP    *http.Client  // one that follows no redirects when nil
 }
 
+// defaultHTTP follows no redirects: an entry process sends none, and following
+// one could hand the token to another host.
+var defaultHTTP = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+
 // NewKey returns a fresh idempotency key.
 func NewKey() string { return rand.Text() }
 
@@ -106,7 +113,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultHTTP
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/pkg/administration/error.go
+++ b/pkg/administration/error.go
@@ -1,3 +1,6 @@
+// Errors say whether a request took effect, because callers decide by that whether
+// to repeat it.
+
 package administration
 
 import (
--- a/pkg/administration/submission.go
+++ b/pkg/administration/submission.go
@@ -1,3 +1,5 @@
+// The client and the entry process read jobs by the same table.
+
 package administration
 
 import (
--- a/pkg/environment/check.go
+++ b/pkg/environment/check.go
@@ -1,3 +1,6 @@
+// Rules between fields are checked here, on the typed document, so that they also
+// hold for documents that are built in memory.
+
 package environment
 
 import (
--- a/pkg/environment/compare.go
+++ b/pkg/environment/compare.go
@@ -1,3 +1,6 @@
+// Comparison names entries instead of counting them, because inserting a team must
+// not show as a change of every later one.
+
 package environment
 
 import (
--- a/pkg/environment/edit.go
+++ b/pkg/environment/edit.go
@@ -1,3 +1,5 @@
+// Edits work on the text, because operators explain their decisions in comments.
+
 package environment
 
 import (
@@ -11,9 +13,6 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// The edits below change the text of a document and keep its comments and
-// layout, because operators explain their decisions in comments.
-
 // SetDomainState returns raw with the state of one failure domain changed.
 func SetDomainState(raw []byte, name units.DomainName, state DomainState) ([]byte, error) {
 	const op = "set failure domain state"
--- a/pkg/environment/encode.go
+++ b/pkg/environment/encode.go
@@ -1,3 +1,6 @@
+// The written form has every field, so that comparing two documents needs no rules
+// about defaults.
+
 package environment
 
 import (
--- a/pkg/environment/fields.go
+++ b/pkg/environment/fields.go
@@ -1,3 +1,6 @@
+// The tables in this file are the form of the document. The parser reads by them
+// and the reference manual is generated from them.
+
 package environment
 
 import (
@@ -5,9 +8,6 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// The tables below are the form of the document. The parser reads by them and
-// the reference manual is generated from them.
-
 type field[T any] = strictjson.Field[T]
 
 var documentFields = []field[Document]{
--- a/pkg/environment/parse.go
+++ b/pkg/environment/parse.go
@@ -1,3 +1,6 @@
+// Parsing refuses a document as a whole: a half-accepted one would be in force
+// everywhere within seconds.
+
 package environment
 
 import (
