--- a/internal/administration/documents.go
+++ b/internal/administration/documents.go
@@ -4,6 +4,8 @@
 package administration
 
 import (
+	"errors"
+
 	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -282,7 +284,12 @@
 	if isNotFound(err) {
 		kind = administration.KindNotFound
 	}
-	return &administration.Error{Kind: kind, Message: err.Error(), Details: administration.Details{Problems: environment.Problems(err)}, Err: err}
+	message := err.Error()
+	var cause *environment.Error
+	if errors.As(err, &cause) {
+		message = cause.Err.Error() // without the names of our functions
+	}
+	return &administration.Error{Kind: kind, Message: message, Details: administration.Details{Problems: environment.Problems(err)}, Err: err}
 }
 
 func setDomainState(r *request) (any, error) {
--- a/internal/administration/routes.go
+++ b/internal/administration/routes.go
@@ -15,31 +15,67 @@
 	name          string // label of its metrics
 	pattern       string
 	operatorsOnly bool
-	mutates       bool // requires an idempotency key
-	document      bool // its body is a document
-	status        int  // of success; 200 when zero
+	mutates       bool   // requires an idempotency key
+	document      bool   // its body is a document
+	status        int    // of success; 200 when zero
+	query         string // parameters, for the manual
+	purpose       string // for the manual
 	handle        func(*request) (any, error)
 }
 
 const environmentPattern = "/v1/environments/{environment}"
 
 var routes = []route{
-	{name: "document", pattern: "GET " + environmentPattern + "/document", operatorsOnly: true, handle: showDocument},
-	{name: "history", pattern: "GET " + environmentPattern + "/history", operatorsOnly: true, handle: showHistory},
-	{name: "changes", pattern: "GET " + environmentPattern + "/changes", operatorsOnly: true, handle: compareVersions},
-	{name: "check", pattern: "POST " + environmentPattern + "/check", operatorsOnly: true, document: true, handle: checkDocument},
-	{name: "publish", pattern: "PUT " + environmentPattern + "/document", operatorsOnly: true, mutates: true, document: true, handle: publishDocument},
-	{name: "promote", pattern: "POST " + environmentPattern + "/promote", operatorsOnly: true, mutates: true, handle: promoteDocument},
-	{name: "domain", pattern: "POST " + environmentPattern + "/domains/{domain}/{state}", operatorsOnly: true, mutates: true, handle: setDomainState},
-	{name: "drain", pattern: "POST " + environmentPattern + "/workers/{worker}/{verb}", operatorsOnly: true, mutates: true, handle: setDrained},
-	{name: "submit", pattern: "POST /v1/jobs", mutates: true, status: http.StatusAccepted, handle: submitJob},
-	{name: "jobs", pattern: "GET /v1/jobs", handle: listJobs},
-	{name: "job", pattern: "GET /v1/jobs/{job}", handle: showJob},
-	{name: "cancel", pattern: "POST /v1/jobs/{job}/cancel", mutates: true, handle: cancelJob},
-	{name: "workers", pattern: "GET /v1/workers", operatorsOnly: true, handle: listWorkers},
-	{name: "entries", pattern: "GET /v1/entries", operatorsOnly: true, handle: listEntries},
-	{name: "teams", pattern: "GET /v1/teams", handle: listTeams},
-	{name: "timeline", pattern: "GET /v1/timeline", operatorsOnly: true, handle: showTimeline},
+	{name: "document", pattern: "GET " + environmentPattern + "/document", operatorsOnly: true,
+		query: "version", purpose: "the document in force, or a version", handle: showDocument},
+	{name: "history", pattern: "GET " + environmentPattern + "/history", operatorsOnly: true,
+		query: "limit", purpose: "newest versions without text", handle: showHistory},
+	{name: "changes", pattern: "GET " + environmentPattern + "/changes", operatorsOnly: true,
+		query: "from, to", purpose: "fields that differ between two versions", handle: compareVersions},
+	{name: "check", pattern: "POST " + environmentPattern + "/check", operatorsOnly: true, document: true,
+		query: "file", purpose: "checks the text in the body against the document in force and what runs", handle: checkDocument},
+	{name: "publish", pattern: "PUT " + environmentPattern + "/document", operatorsOnly: true, mutates: true, document: true,
+		query: "base, author, file", purpose: "replaces version `base` with the text in the body", handle: publishDocument},
+	{name: "promote", pattern: "POST " + environmentPattern + "/promote", operatorsOnly: true, mutates: true,
+		query: "from, version, base, author", purpose: "publishes the document of environment `from`", handle: promoteDocument},
+	{name: "domain", pattern: "POST " + environmentPattern + "/domains/{domain}/{state}", operatorsOnly: true, mutates: true,
+		query: "author", purpose: "takes a failure domain `out` of service or back `in`", handle: setDomainState},
+	{name: "drain", pattern: "POST " + environmentPattern + "/workers/{worker}/{verb}", operatorsOnly: true, mutates: true,
+		query: "author", purpose: "`drain` gives a worker no new work; `undrain` ends that", handle: setDrained},
+	{name: "submit", pattern: "POST /v1/jobs", mutates: true, status: http.StatusAccepted,
+		query: "file", purpose: "submits the job in the body; answers 202", handle: submitJob},
+	{name: "jobs", pattern: "GET /v1/jobs",
+		query: "team, state, limit", purpose: "jobs without their tasks, newest first", handle: listJobs},
+	{name: "job", pattern: "GET /v1/jobs/{job}",
+		purpose: "a job with its tasks, attempts and reasons", handle: showJob},
+	{name: "cancel", pattern: "POST /v1/jobs/{job}/cancel", mutates: true,
+		query: "reason", purpose: "cancels a job", handle: cancelJob},
+	{name: "workers", pattern: "GET /v1/workers", operatorsOnly: true,
+		purpose: "workers with what they are committed to", handle: listWorkers},
+	{name: "entries", pattern: "GET /v1/entries", operatorsOnly: true,
+		purpose: "entry processes", handle: listEntries},
+	{name: "teams", pattern: "GET /v1/teams",
+		purpose: "teams with the use of their quotas", handle: listTeams},
+	{name: "timeline", pattern: "GET /v1/timeline", operatorsOnly: true,
+		query: "format, subject, lane, limit", purpose: "events of all processes, as json, text or html", handle: showTimeline},
+}
+
+// RouteRow describes an operation for the manual.
+type RouteRow struct{ Pattern, Who, Query, Purpose string }
+
+// Reference lists the operations of the API for the manual.
+func Reference() []RouteRow {
+	rows := make([]RouteRow, len(routes))
+	for i, r := range routes {
+		rows[i] = RouteRow{r.pattern, "teams, operators", r.query, r.purpose}
+		if r.operatorsOnly {
+			rows[i].Who = "operators"
+		}
+		if r.mutates {
+			rows[i].Purpose += "; needs a key"
+		}
+	}
+	return rows
 }
 
 // environment returns the environment in the path.
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -41,7 +41,7 @@
 	}
 	document, err := environment.Parse(args[0], text)
 	if err != nil {
-		return invalidDocument(environment.Problems(err))
+		return invalidDocument(cmd.Name, environment.Problems(err))
 	}
 	if len(cmd.StringSlice("server")) == 0 {
 		s := &session{ctx: ctx, cmd: cmd}
@@ -59,13 +59,13 @@
 		return err
 	}
 	if len(checked.Problems) > 0 {
-		return invalidDocument(checked.Problems)
+		return invalidDocument(cmd.Name, checked.Problems)
 	}
 	return s.printChecked(args[0], checked)
 }
 
-func invalidDocument(problems []environment.Problem) error {
-	return &administration.Error{Op: "check", Kind: administration.KindInvalid,
+func invalidDocument(verb string, problems []environment.Problem) error {
+	return &administration.Error{Op: verb, Kind: administration.KindInvalid,
 		Message: count(len(problems), "error"), Details: administration.Details{Problems: problems}}
 }
 
--- a/internal/operator/compare.go
+++ b/internal/operator/compare.go
@@ -76,7 +76,7 @@
 		problems = append(problems, environment.Problems(err)...)
 	}
 	if len(problems) > 0 {
-		return invalidDocument(problems)
+		return invalidDocument(cmd.Name, problems)
 	}
 	return s.printChanges(environment.Compare(documents[0], documents[1]))
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -162,6 +162,18 @@
 	}
 }
 
+// Guards against a completion that the shells cannot load.
+func TestCompletion(t *testing.T) {
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		if got := runCase([]string{"completion", shell}); !strings.HasPrefix(got, "exit code 0") || !strings.Contains(got, "wasabihill") {
+			t.Errorf("got %s, want a script for %s", got, shell)
+		}
+	}
+	if got := runCase([]string{"domain", "--generate-shell-completion"}); !strings.Contains(got, "\nout") || !strings.Contains(got, "\nin") {
+		t.Errorf("got %s, want out and in", got)
+	}
+}
+
 // Guards against a manual that differs from the program.
 func TestReference(t *testing.T) {
 	var page bytes.Buffer
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -44,7 +44,7 @@
 	}
 	document, err := environment.Parse(args[0], text)
 	if err != nil {
-		return invalidDocument(environment.Problems(err))
+		return invalidDocument(s.cmd.Name, environment.Problems(err))
 	}
 	return mutate(s.cmd, func(key string) error {
 		published, err := s.Publish(s.ctx, administration.Publication{
--- a/internal/operator/reference.go
+++ b/internal/operator/reference.go
@@ -11,6 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	api "wasabihill.example/wasabihill/internal/administration"
 	"wasabihill.example/wasabihill/internal/settings"
 	"wasabihill.example/wasabihill/internal/strictjson"
 	"wasabihill.example/wasabihill/pkg/administration"
@@ -52,6 +53,7 @@
 			fmt.Fprintf(&page, "| `%s` | %s | %s | %s |\n", r.Field, cell(r.Type), r.Required, cell(r.Purpose))
 		}
 	}
+	writeAPI(&page)
 	page.WriteString("\n## Command line\n")
 	if err := writeHelp(&page, extra); err != nil {
 		return err
@@ -60,6 +62,33 @@
 	return err
 }
 
+const apiIntroduction = `
+## Administration API
+
+HTTP on adminAddress of an entry process, with "Authorization: Bearer TOKEN". A
+mutation needs the header Idempotency-Key, 1 to 128 printable ASCII characters; a
+repeated request with the same key has no second effect. GET /healthz, /readyz
+and /metrics need no token. A body has at most 64 KiB, that of a document at most
+limits.adminBody.
+`
+
+const errorIntroduction = `
+An error is {"error": {"kind", "message", "details"}}. Details may hold problems
+(file, line, column, field, message), winner (the version that won a race) and
+outcome: notRun is certain, after unknown repeat the request with the same key.
+`
+
+func writeAPI(page *bytes.Buffer) {
+	page.WriteString(apiIntroduction + "\n| operation | who | query | meaning |\n|---|---|---|---|\n")
+	for _, r := range api.Reference() {
+		fmt.Fprintf(page, "| `%s` | %s | %s | %s |\n", r.Pattern, r.Who, r.Query, cell(r.Purpose))
+	}
+	page.WriteString(errorIntroduction + "\n| kind | status |\n|---|---|\n")
+	for _, k := range administration.Kinds() {
+		fmt.Fprintf(page, "| `%s` | %d |\n", k, k.Status())
+	}
+}
+
 func cell(s string) string { return strings.ReplaceAll(s, "|", "\\|") }
 
 // writeHelp writes the help of the program and of every verb.
--- a/internal/strictjson/reader.go
+++ b/internal/strictjson/reader.go
@@ -88,12 +88,14 @@
 	return p
 }
 
-// Report adds a problem at a field path. A path that already has a problem is
-// skipped: a check of meaning on a field that could not be read says nothing
-// new.
+// Report adds a problem at a field path. It is skipped when the path or one
+// around it already has a problem: a check of meaning on a field that could not
+// be read says nothing new.
 func (r *Reader) Report(field, format string, args ...any) {
-	if r.failed[field] {
-		return
+	for path := field; path != ""; path = parentPath(path) {
+		if r.failed[path] {
+			return
+		}
 	}
 	r.failed[field] = true
 	r.reportAt(r.place(field), field, format, args...)
@@ -114,11 +116,13 @@
 		if offset, ok := r.offsets[field]; ok {
 			return offset
 		}
-		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+		field = parentPath(field)
 	}
 	return r.offsets[""]
 }
 
+func parentPath(field string) string { return field[:max(0, strings.LastIndexAny(field, ".["))] }
+
 func (r *Reader) position(offset int) (line, column int) {
 	if r.lines == nil {
 		r.lines = []int{0}
--- a/pkg/administration/error.go
+++ b/pkg/administration/error.go
@@ -6,7 +6,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 
 	"wasabihill.example/wasabihill/pkg/environment"
@@ -44,6 +46,9 @@
 	KindInternal:     http.StatusInternalServerError,
 }
 
+// Kinds lists every kind for the manual.
+func Kinds() []Kind { return slices.Sorted(maps.Keys(statuses)) }
+
 // Status returns the HTTP status of the kind.
 func (k Kind) Status() int {
 	if s, ok := statuses[k]; ok {
--- a/pkg/environment/check.go
+++ b/pkg/environment/check.go
@@ -88,6 +88,9 @@
 // checkSize reports a size that is not positive or larger than any worker.
 func (d *Document) checkSize(path string, size units.Resources, report report) {
 	checkPositive(path, size, report)
+	if d.LargestWorker.Processors <= 0 || d.LargestWorker.Memory <= 0 {
+		return // reported at largestWorker
+	}
 	if size.Processors > d.LargestWorker.Processors {
 		report(path+".processors", "got %v; want at most the %v of largestWorker", size.Processors, d.LargestWorker.Processors)
 	}
