--- a/internal/administration/socket_test.go
+++ b/internal/administration/socket_test.go
@@ -98,6 +98,12 @@
 	if list, err := client.Jobs(t.Context(), api.JobFilter{}); err != nil || len(list) != 2 {
 		t.Errorf("got %d jobs, %v, want 2", len(list), err)
 	}
+	client.Servers = []string{lossy.URL, f.server.URL}
+	f.backend.Fail = api.Errorf(api.KindInvalid, "refused now")
+	if _, err := client.Submit(t.Context(), "job", []byte(job), "third"); api.KindOf(err) != api.KindInvalid || api.OutcomeOf(err) != api.OutcomeUnknown {
+		t.Errorf("got %v, want the refusal with an unknown outcome", err)
+	}
+	f.backend.Fail = nil
 	client.Servers = []string{"127.0.0.1:1"}
 	if _, err := client.Submit(t.Context(), "job", []byte(job), "third"); api.OutcomeOf(err) != api.OutcomeNotRun {
 		t.Errorf("got %v, want not run after a refused connection", err)
--- a/pkg/administration/client.go
+++ b/pkg/administration/client.go
@@ -58,42 +58,41 @@
 	if len(c.Servers) == 0 {
 		return &Error{Op: call.op, Kind: KindInvalid, Message: "no server is given"}
 	}
-	var last error
-	outcome := OutcomeNotRun
+	var failures []string
+	var last *Error
+	outcome := unknownIf(call, OutcomeNotRun)
 	for _, server := range c.Servers {
-		err := c.try(ctx, server, call)
-		if err == nil {
+		last = c.try(ctx, server, call)
+		if last == nil {
 			return nil
 		}
-		last = err
-		if !nextServer(err) {
-			return err
+		if !nextServer(last) {
+			if outcome == OutcomeUnknown && last.Kind != KindLostRace { // a base that was replaced can no longer win
+				last.Details.Outcome = OutcomeUnknown
+			}
+			return last
 		}
-		if call.key != "" && OutcomeOf(err) == OutcomeUnknown {
+		failures = append(failures, server+": "+last.Message)
+		if last.Details.Outcome == OutcomeUnknown {
 			outcome = OutcomeUnknown
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	var e *Error
-	if errors.As(last, &e) && len(c.Servers) == 1 && e.Details.Outcome == outcome {
-		return e
-	}
-	return &Error{Op: call.op, Kind: KindUnavailable, Message: fmt.Sprintf("no server succeeded; the last one: %v", last),
-		Details: Details{Outcome: outcome}, Err: last}
+	return &Error{Op: call.op, Kind: last.Kind, Message: strings.Join(failures, "; "), Details: Details{Outcome: outcome}, Err: last}
 }
 
 // nextServer reports whether another server may do better.
-func nextServer(err error) bool {
-	switch KindOf(err) {
+func nextServer(err *Error) bool {
+	switch err.Kind {
 	case KindUnavailable, KindBusy, KindInternal:
 		return true
 	}
 	return false
 }
 
-func (c *Client) try(ctx context.Context, server string, call call) error {
+func (c *Client) try(ctx context.Context, server string, call call) *Error {
 	timeout := c.Timeout
 	if timeout <= 0 {
 		timeout = 10 * time.Second
@@ -117,17 +116,17 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return transportError(call, server, err)
+		return transportError(call, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
 	if err != nil {
-		return transportError(call, server, err)
+		return transportError(call, err)
 	}
 	if len(body) > maxReply {
-		return &Error{Op: call.op, Kind: KindInternal, Message: fmt.Sprintf("%s: reply exceeds %d bytes", server, maxReply), Details: Details{Outcome: unknownIf(call)}}
+		return &Error{Op: call.op, Kind: KindInternal, Message: fmt.Sprintf("the reply exceeds %d bytes", maxReply), Details: Details{Outcome: unknownIf(call, OutcomeUnknown)}}
 	}
-	return decode(call, server, response, body)
+	return decode(call, response, body)
 }
 
 func baseURL(server string) string {
@@ -137,43 +136,49 @@
 	return strings.TrimRight(server, "/")
 }
 
-func unknownIf(call call) Outcome {
-	if call.key != "" {
-		return OutcomeUnknown
+// unknownIf returns outcome for a mutation; a read has none.
+func unknownIf(call call, outcome Outcome) Outcome {
+	if call.key == "" {
+		return ""
 	}
-	return ""
+	return outcome
 }
 
 // transportError says that a request was not run only when no connection was
 // made.
-func transportError(call call, server string, err error) error {
-	outcome := unknownIf(call)
+func transportError(call call, err error) *Error {
+	outcome := unknownIf(call, OutcomeUnknown)
 	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" && outcome != "" {
-		outcome = OutcomeNotRun
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		outcome = unknownIf(call, OutcomeNotRun)
+	}
+	var outer *url.Error
+	if errors.As(err, &outer) {
+		err = outer.Err // without the method and the URL
 	}
-	return &Error{Op: call.op, Kind: KindUnavailable, Message: fmt.Sprintf("%s: %v", server, err), Details: Details{Outcome: outcome}, Err: err}
+	return &Error{Op: call.op, Kind: KindUnavailable, Message: err.Error(), Details: Details{Outcome: outcome}, Err: err}
 }
 
-func decode(call call, server string, response *http.Response, body []byte) error {
+func decode(call call, response *http.Response, body []byte) *Error {
 	if response.StatusCode/100 == 2 {
 		if call.raw != nil {
 			*call.raw = body
 			return nil
 		}
 		if err := json.Unmarshal(body, call.out); err != nil {
-			return &Error{Op: call.op, Kind: KindInternal, Message: fmt.Sprintf("%s: reply: %v", server, err), Details: Details{Outcome: unknownIf(call)}, Err: err}
+			return &Error{Op: call.op, Kind: KindInternal, Message: fmt.Sprintf("the reply cannot be read: %v", err),
+				Details: Details{Outcome: unknownIf(call, OutcomeUnknown)}, Err: err}
 		}
 		return nil
 	}
 	var failed struct{ Error *Error }
 	if err := json.Unmarshal(body, &failed); err != nil || failed.Error == nil {
-		e := &Error{Op: call.op, Kind: KindInternal, Message: fmt.Sprintf("%s answered %s", server, response.Status), Details: Details{Outcome: unknownIf(call)}}
-		return e
+		return &Error{Op: call.op, Kind: KindInternal, Message: "got " + response.Status + " without an error of this API",
+			Details: Details{Outcome: unknownIf(call, OutcomeUnknown)}}
 	}
 	failed.Error.Op = call.op
 	if failed.Error.Kind == KindInternal {
-		failed.Error.Details.Outcome = unknownIf(call)
+		failed.Error.Details.Outcome = unknownIf(call, OutcomeUnknown)
 	}
 	return failed.Error
 }
