--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -1,3 +1,5 @@
+// The verb publish always needs a base, so that nobody replaces a version unread.
+
 package operator
 
 import (
@@ -42,7 +44,7 @@
 	}
 	document, err := environment.Parse(args[0], text)
 	if err != nil {
-		return invalidDocument(environment.Problems(err))
+		return invalidDocument(s.cmd.Name, environment.Problems(err))
 	}
 	return mutate(s.cmd, func(key string) error {
 		published, err := s.Publish(s.ctx, administration.Publication{
--- a/internal/strictjson/reader.go
+++ b/internal/strictjson/reader.go
@@ -1,8 +1,12 @@
+// Reader keeps the places of fields, because an error without line and column makes
+// operators search large documents.
+
 package strictjson
 
 import (
-	"bytes"
 	"fmt"
+	"slices"
+	"sort"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -22,9 +26,18 @@
 	data     []byte
 	offsets  map[string]int  // field path to its place in data
 	failed   map[string]bool // paths that already have a problem
+	lines    []int           // offsets of the first byte of each line
 	problems Problems
+	dropped  int // problems beyond maxRecorded
 }
 
+// A text of MaxSize can hold some hundred thousand errors. Reading records the
+// first maxRecorded and Err lists the first maxListed in the order of the text.
+const (
+	maxRecorded = 10_000
+	maxListed   = 1_000
+)
+
 // Open parses the text. When the text is no JSON with comments, the node is
 // not valid and Err returns the reason.
 func Open(name string, data []byte) (*Reader, Node) {
@@ -75,18 +88,24 @@
 	return p
 }
 
-// Report adds a problem at a field path. A path that already has a problem is
-// skipped: a check of meaning on a field that could not be read says nothing
-// new.
+// Report adds a problem at a field path. It is skipped when the path or one
+// around it already has a problem: a check of meaning on a field that could not
+// be read says nothing new.
 func (r *Reader) Report(field, format string, args ...any) {
-	if r.failed[field] {
-		return
+	for path := field; path != ""; path = parentPath(path) {
+		if r.failed[path] {
+			return
+		}
 	}
 	r.failed[field] = true
 	r.reportAt(r.place(field), field, format, args...)
 }
 
 func (r *Reader) reportAt(offset int, field, format string, args ...any) {
+	if len(r.problems) == maxRecorded {
+		r.dropped++
+		return
+	}
 	line, column := r.position(offset)
 	r.problems = append(r.problems, Problem{r.name, line, column, field, fmt.Sprintf(format, args...)})
 }
@@ -97,14 +116,24 @@
 		if offset, ok := r.offsets[field]; ok {
 			return offset
 		}
-		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+		field = parentPath(field)
 	}
 	return r.offsets[""]
 }
 
+func parentPath(field string) string { return field[:max(0, strings.LastIndexAny(field, ".["))] }
+
 func (r *Reader) position(offset int) (line, column int) {
-	before := r.data[:min(offset, len(r.data))]
-	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
+	if r.lines == nil {
+		r.lines = []int{0}
+		for i, c := range r.data {
+			if c == '\n' {
+				r.lines = append(r.lines, i+1)
+			}
+		}
+	}
+	line = sort.SearchInts(r.lines, offset+1)
+	return line, offset - r.lines[line-1] + 1
 }
 
 // Err returns the problems found so far in the order of the text, or nil.
@@ -113,5 +142,9 @@
 		return nil
 	}
 	r.problems.sort()
-	return r.problems
+	listed := r.problems
+	if more := len(listed) + r.dropped - maxListed; more > 0 {
+		listed = append(slices.Clone(listed[:maxListed]), Problem{File: r.name, Message: fmt.Sprintf("%d more errors", more)})
+	}
+	return listed
 }
--- a/pkg/administration/error.go
+++ b/pkg/administration/error.go
@@ -1,9 +1,14 @@
+// Errors say whether a request took effect, because callers decide by that whether
+// to repeat it.
+
 package administration
 
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 
 	"wasabihill.example/wasabihill/pkg/environment"
@@ -41,6 +46,9 @@
 	KindInternal:     http.StatusInternalServerError,
 }
 
+// Kinds lists every kind for the manual.
+func Kinds() []Kind { return slices.Sorted(maps.Keys(statuses)) }
+
 // Status returns the HTTP status of the kind.
 func (k Kind) Status() int {
 	if s, ok := statuses[k]; ok {
