--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,7 @@
 	// stop, so that the platform's balancer stops choosing this process first.
 	DrainFor time.Duration
 
+	prepared  sync.Once
 	runID     string
 	recorder  *timeline.Recorder
 	collector *timeline.Collector
@@ -98,7 +100,10 @@
 	reachable = 3 * time.Second
 )
 
-func (e *Entry) init() {
+// prepare builds the parts once; Run calls it.
+func (e *Entry) prepare() { e.prepared.Do(e.build) }
+
+func (e *Entry) build() {
 	var id [6]byte
 	_, _ = rand.Read(id[:])
 	e.runID = string(e.Settings.ID) + "-" + hex.EncodeToString(id[:])
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wasabihill.example/wasabihill/internal/agent"
+	"wasabihill.example/wasabihill/internal/settings"
+	"wasabihill.example/wasabihill/internal/standin/logservice"
+	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// cluster is a log, entry processes, and agents with their workers, all in this
+// process and connected over loopback.
+type cluster struct {
+	t       *testing.T
+	log     *logservice.Log
+	entries []*member[*Entry]
+	agents  []*member[*agent.Agent]
+	workers []*worker.Core
+}
+
+// member is a part that a test can stop.
+type member[P any] struct {
+	part P
+	stop func()
+}
+
+const testDocument = `{
+  "environment": "production",
+  "failureDomains": [{"name": "a", "region": "r", "state": "in"}, {"name": "b", "region": "r", "state": "in"}, {"name": "c", "region": "r", "state": "in"}],
+  "teams": [{"name": "team", "quota": {"processors": "64", "memory": "256GiB", "accelerators": 0}, "mayBorrow": true}],
+  "services": [],
+  "watchers": [%s],
+  "guards": {"enabled": false, "latencyRatio": 1.2},
+  "drainedWorkers": [],
+  "largestWorker": {"processors": "16", "memory": "64GiB", "accelerators": 0}
+}`
+
+const testWatcher = `{"name": "freezeMonitor", "team": "team", "priority": "high", "size": {"processors": "250m", "memory": "256MiB"}}`
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func run[P interface{ Run(context.Context) error }](t *testing.T, part P) *member[P] {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := part.Run(ctx); err != nil {
+			t.Logf("%T ended: %v", part, err)
+		}
+	}()
+	m := &member[P]{part: part, stop: func() { cancel(); <-done }}
+	t.Cleanup(m.stop)
+	return m
+}
+
+func newCluster(t *testing.T, entries, workers int, watchers string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, log: &logservice.Log{}}
+	var seeds []string
+	for i := range entries {
+		link := freeAddress(t)
+		e := &Entry{
+			Settings: &settings.Entry{
+				ID: units.EntryID(fmt.Sprintf("entry-%d", i+1)), Environment: "production", FailureDomain: "a", Region: "r",
+				CallerAddress: freeAddress(t), AdminAddress: freeAddress(t), LinkAddress: link, AdvertisedLinkAddress: link,
+				Limits: settings.EntryLimits{TimelineEvents: 1000},
+			},
+			Log: c.log, DrainFor: 10 * time.Millisecond,
+		}
+		e.prepare() // the test asks the process before Run has begun
+		c.entries = append(c.entries, run(t, e))
+		seeds = append(seeds, link.String())
+	}
+	c.eventually("every entry process follows the log", func() bool {
+		_, err := c.backend().Publish(t.Context(), administration.Publication{
+			Environment: "production", Key: "first", Author: "test", Text: fmt.Appendf(nil, testDocument, watchers)})
+		return err == nil
+	})
+	for i := range workers {
+		core := &worker.Core{Name: units.WorkerID(fmt.Sprintf("worker-%d", i+1)), Capacity: units.Resources{Processors: 16000, Memory: 64 * units.GiB}}
+		c.workers = append(c.workers, core)
+		c.agents = append(c.agents, run(t, c.newAgent(core, i, seeds)))
+	}
+	c.eventually("every worker is registered and has a lessor", func() bool {
+		list, err := c.backend().Workers(t.Context())
+		ready := 0
+		for _, w := range list {
+			if w.State == "ready" && w.Lessor != "" {
+				ready++
+			}
+		}
+		return err == nil && ready == workers
+	})
+	return c
+}
+
+func (c *cluster) newAgent(core *worker.Core, i int, seeds []string) *agent.Agent {
+	domain := units.DomainName([]string{"a", "b", "c"}[i%3])
+	return &agent.Agent{
+		WorkerID: core.Name, Domain: domain, Rack: units.RackName(domain), Region: "r",
+		LinkAddress: freeAddress(c.t).String(), Worker: core, Entries: seeds,
+	}
+}
+
+// backend returns the administration API of the newest entry process.
+func (c *cluster) backend() backend { return backend{c.entries[len(c.entries)-1].part} }
+
+// eventually waits for a condition; the bound only ends a run that hangs.
+func (c *cluster) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(time.Minute); !condition(); {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (c *cluster) submit(key string, tasks int, runTime time.Duration) units.JobID {
+	c.t.Helper()
+	job, err := c.backend().Submit(c.t.Context(), administration.Submission{
+		Key: key, Team: "team", Name: "plan", Kind: "plan", Priority: units.PriorityNormal, Tasks: tasks,
+		Size: units.Resources{Processors: 1000, Memory: units.GiB}, RunTime: runTime,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return job.ID
+}
+
+func (c *cluster) state(id units.JobID) string {
+	job, err := c.backend().Job(c.t.Context(), id)
+	if err != nil {
+		return err.Error()
+	}
+	return job.State
+}
+
+func (c *cluster) checkRuns() {
+	c.t.Helper()
+	var runs []worker.Run
+	for _, w := range c.workers {
+		runs = append(runs, w.Runs()...)
+	}
+	if found := worker.Overlaps(runs); len(found) > 0 {
+		c.t.Errorf("tasks ran twice at a time:\n%s", strings.Join(found, "\n"))
+	}
+}
+
+// Guards against a break anywhere between submission and the recorded end.
+func TestJobCompletes(t *testing.T) {
+	c := newCluster(t, 2, 3, "")
+	id := c.submit("job-1", 12, 200*time.Millisecond)
+	if again := c.submit("job-1", 12, 200*time.Millisecond); again != id {
+		t.Errorf("repeated submission: got job %s, want %s", again, id)
+	}
+	c.eventually("the job completes", func() bool { return c.state(id) == "completed" })
+	c.checkRuns()
+	job, _ := c.backend().Job(t.Context(), id)
+	if got, want := job.Tasks.Completed, 12; got != want {
+		t.Errorf("completed tasks: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a task that starts again while the killed agent's worker still
+// runs it, and against one that is lost with the worker.
+func TestWorkerLostAndAgentReplaced(t *testing.T) {
+	c := newCluster(t, 2, 3, "")
+	id := c.submit("job-1", 24, 5*time.Second)
+	c.eventually("all tasks run", func() bool {
+		job, _ := c.backend().Job(t.Context(), id)
+		return job.Tasks.Running == 24
+	})
+	c.workers[0].SetFaults(worker.Faults{Unreachable: true}) // the instance is gone
+	c.agents[0].stop()
+	c.agents[1].stop()
+	seeds := c.agents[1].part.Entries
+	c.agents[1] = run(t, c.newAgent(c.workers[1], 1, seeds))
+	c.eventually("the job completes", func() bool { return c.state(id) == "completed" })
+	c.checkRuns()
+}
+
+// Guards against a document that operators changed but agents ignore: no task
+// may start in a failure domain that is out, and its tasks move.
+func TestFailureDomainOut(t *testing.T) {
+	c := newCluster(t, 2, 3, "")
+	d, err := c.backend().Document(t.Context(), "production", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := environment.SetDomainState([]byte(d.Text), "a", environment.DomainOut)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := c.submit("job-1", 24, 3*time.Second)
+	c.eventually("all tasks run", func() bool {
+		job, _ := c.backend().Job(t.Context(), id)
+		return job.Tasks.Running == 24
+	})
+	if _, err := c.backend().Publish(t.Context(), administration.Publication{
+		Environment: "production", Key: "out", Base: d.Version, Author: "test", Text: text}); err != nil {
+		t.Fatal(err)
+	}
+	accepted := time.Now()
+	c.eventually("the job completes", func() bool { return c.state(id) == "completed" })
+	c.checkRuns()
+	for _, r := range c.workers[0].Runs() {
+		if r.Start.After(accepted.Add(3 * time.Second)) {
+			t.Errorf("task %s started in the domain %s after it was taken out", r.Task, r.Start.Sub(accepted))
+		}
+	}
+}
+
+// Guards against a watcher that stays down after its worker died, with the log
+// and without it.
+func TestWatcherContinues(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage=%v", outage), func(t *testing.T) {
+			c := newCluster(t, 2, 3, testWatcher)
+			holder := -1
+			c.eventually("the watcher runs and its standby is admitted", func() bool {
+				standbys := 0
+				for i, w := range c.workers {
+					table, _ := w.Tasks(t.Context())
+					for _, row := range table.Tasks {
+						switch row.State {
+						case "running":
+							holder = i
+						case "standby":
+							standbys++
+						}
+					}
+				}
+				return holder >= 0 && standbys == 1
+			})
+			c.log.SetFaults(logservice.Faults{Outage: outage})
+			if outage {
+				time.Sleep(4 * time.Second) // entry processes notice within 3 s
+			}
+			c.workers[holder].SetFaults(worker.Faults{Unreachable: true})
+			c.agents[holder].stop()
+			c.eventually("the watcher runs elsewhere", func() bool {
+				for i, w := range c.workers {
+					table, _ := w.Tasks(t.Context())
+					for _, row := range table.Tasks {
+						if i != holder && row.State == "running" {
+							return true
+						}
+					}
+				}
+				return false
+			})
+			c.log.SetFaults(logservice.Faults{})
+			c.eventually("the ledger names the new holder", func() bool {
+				job, err := c.backend().Job(t.Context(), "watcher/freezeMonitor")
+				return err == nil && len(job.Details) == 1 && job.Details[0].State == "running" &&
+					job.Details[0].Worker != c.workers[holder].Name
+			})
+			time.Sleep(time.Second) // a second start would follow within a few ticks
+			c.checkRuns()
+		})
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -26,7 +26,7 @@
 // process leaves the members, listeners close after DrainFor, requests in
 // flight are answered, and sessions end last.
 func (e *Entry) Run(ctx context.Context) error {
-	e.init()
+	e.prepare()
 	if e.Requests != nil {
 		e.requests = e.Requests(e)
 	}
