--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,332 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	// net/http lingers 500 ms on a connection after a request that was too
+	// large, longer than goleak waits; it then ends by itself.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*conn).closeWriteAndWait"))
+}
+
+// pair returns both ends of a session: the dialled one and the accepted one.
+func pair(t testing.TB, dialled, accepted http.Handler) (*Session, *Listener) {
+	t.Helper()
+	l := &Listener{Address: "127.0.0.1:0", Handler: accepted}
+	address, err := l.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = l.Run(ctx) }()
+	s, err := Dial(ctx, address.String(), dialled)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		s.Close()
+		cancel()
+		<-ended
+		over, stop := context.WithCancel(context.Background())
+		stop()
+		l.Shutdown(over)
+	})
+	return s, l
+}
+
+func get(ctx context.Context, path string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://link"+path, nil)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// Guards against a request that net/http sends again on a reused stream after
+// the peer closed it without an answer: it would be executed twice.
+func TestRequestIsSentAtMostOnce(t *testing.T) {
+	var executed atomic.Int64
+	s, _ := pair(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/cut" {
+			executed.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		executed.Store(0)
+		response, err := s.RoundTrip(get(t.Context(), "/ok"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		r := get(t.Context(), "/cut")
+		r.Method = method
+		r.Header.Set("Idempotency-Key", "1")
+		if _, err := s.RoundTrip(r); !fault.Is(err, Unknown) {
+			t.Errorf("%s: got error %v, want kind %s", method, err, Unknown)
+		}
+		if got := executed.Load(); got != 1 {
+			t.Errorf("%s: executed %d times, want 1", method, got)
+		}
+	}
+}
+
+// Guards against a NotSent that is wrong, and against an Unknown where no byte
+// was written, which would lose a retry that is allowed.
+func TestErrorKinds(t *testing.T) {
+	release := make(chan struct{})
+	s, _ := pair(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	}))
+	defer close(release)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := s.RoundTrip(get(ended, "/")); !fault.Is(err, NotSent) {
+		t.Errorf("cancelled before the send: got %v, want %s", err, NotSent)
+	}
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := s.RoundTrip(get(short, "/wait")); !fault.Is(err, Unknown) {
+		t.Errorf("cancelled after the send: got %v, want %s", err, Unknown)
+	}
+	s.Close()
+	if _, err := s.RoundTrip(get(t.Context(), "/")); !fault.Is(err, NotSent) {
+		t.Errorf("closed session: got %v, want %s", err, NotSent)
+	}
+	if _, err := Dial(ended, "127.0.0.1:1", nil); !fault.Is(err, NotSent) {
+		t.Errorf("failed dial: got %v, want %s", err, NotSent)
+	}
+}
+
+// Guards against a shutdown that cuts off a request: each one must be answered
+// or be NotSent, whichever side stops.
+func TestShutdownCutsOffNoRequest(t *testing.T) {
+	var executed atomic.Int64
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(2 * time.Millisecond)
+		executed.Add(1)
+	})
+	for _, side := range []string{"dialled", "accepted"} {
+		executed.Store(0)
+		s, l := pair(t, handler, handler)
+		var answered, cut atomic.Int64
+		var wait sync.WaitGroup
+		for range 32 {
+			wait.Go(func() {
+				for range 10_000 { // ends with the session
+					response, err := s.RoundTrip(get(context.Background(), "/"))
+					switch {
+					case fault.Is(err, NotSent):
+						return
+					case err != nil:
+						cut.Add(1)
+						return
+					}
+					response.Body.Close()
+					answered.Add(1)
+				}
+			})
+		}
+		for answered.Load() < 200 {
+			time.Sleep(time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		if side == "dialled" {
+			s.Shutdown(ctx)
+		} else {
+			l.Shutdown(ctx)
+		}
+		wait.Wait()
+		cancel()
+		if cut.Load() != 0 || answered.Load() != executed.Load() {
+			t.Errorf("%s side stops: got %d cut off, %d answered, %d executed", side, cut.Load(), answered.Load(), executed.Load())
+		}
+	}
+}
+
+// silence forwards connections to address until the returned function is
+// called; then both directions go silent while the connections stay open.
+func silence(t *testing.T, address string) (string, func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var silent atomic.Bool
+	var conns []net.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a, err := l.Accept()
+		if err != nil {
+			return
+		}
+		b, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		conns = append(conns, a, b)
+		var wait sync.WaitGroup
+		for _, c := range [][2]net.Conn{{a, b}, {b, a}} {
+			wait.Go(func() {
+				buffer := make([]byte, 4096)
+				for {
+					n, err := c[0].Read(buffer)
+					if err != nil {
+						return
+					}
+					if !silent.Load() {
+						_, _ = c[1].Write(buffer[:n])
+					}
+				}
+			})
+		}
+		wait.Wait()
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		for _, c := range conns {
+			c.Close()
+		}
+		<-done
+	})
+	return l.Addr().String(), func() { silent.Store(true) }
+}
+
+// Guards against a session that stays open after its connection went silent.
+func TestSilentConnectionEndsSession(t *testing.T) {
+	if got, want := keepAliveInterval+writeTimeout, 3*time.Second; got >= want {
+		t.Errorf("silence is found after %v, want less than %v", got, want)
+	}
+	_, l := pair(t, nil, http.NotFoundHandler())
+	address, goSilent := silence(t, l.listener.Addr().String())
+	s, err := Dial(t.Context(), address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	response, err := s.RoundTrip(get(t.Context(), "/"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	goSilent()
+	if _, err := s.RoundTrip(get(t.Context(), "/")); !fault.Is(err, Unknown) {
+		t.Errorf("request on a silent connection: got %v, want %s", err, Unknown)
+	}
+	<-s.Done()
+}
+
+func TestMalformedMessages(t *testing.T) {
+	handler := Handle(func(_ context.Context, q *wire.Stop) (*wire.StopReply, error) {
+		if q.Worker == "none" {
+			return nil, errors.New("no such worker")
+		}
+		return &wire.StopReply{Clock: q.Clock}, nil
+	})
+	s, _ := pair(t, nil, handler)
+	valid, err := proto.Marshal(&wire.Stop{Worker: "worker-1", Reason: strings.Repeat("x", 1000)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		body   io.Reader
+		length int64
+		status int
+	}{
+		{"valid", bytes.NewReader(valid), int64(len(valid)), http.StatusOK},
+		{"truncated message", bytes.NewReader(valid[:500]), 500, http.StatusBadRequest},
+		{"oversized", bytes.NewReader(make([]byte, maxMessage+1)), maxMessage + 1, http.StatusRequestEntityTooLarge},
+	} {
+		r := get(t.Context(), "/stop")
+		r.Method, r.Body, r.ContentLength = http.MethodPost, io.NopCloser(c.body), c.length
+		response, err := s.RoundTrip(r)
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode != c.status {
+			t.Errorf("%s: got status %d, want %d", c.name, response.StatusCode, c.status)
+		}
+	}
+	var reply wire.StopReply
+	if err := s.Call(t.Context(), "/stop", &wire.Stop{Worker: "none"}, &reply); !fault.Is(err, Rejected) {
+		t.Errorf("rejected call: got %v, want kind %s", err, Rejected)
+	}
+	if err := s.Call(t.Context(), "/stop", &wire.Stop{Clock: 7}, &reply); err != nil || reply.Clock != 7 {
+		t.Errorf("call: got clock %d, error %v", reply.Clock, err)
+	}
+}
+
+func TestSessionLimit(t *testing.T) {
+	l := &Listener{Address: "127.0.0.1:0", Handler: http.NotFoundHandler(), Sessions: 1}
+	address, err := l.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = l.Run(ctx) }()
+	first, err := Dial(ctx, address.String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := first.RoundTrip(get(ctx, "/")); err != nil {
+		t.Fatal(err)
+	} else {
+		response.Body.Close()
+	}
+	second, err := Dial(ctx, address.String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-second.Done()
+	second.Close()
+	first.Shutdown(ctx)
+	cancel()
+	<-ended
+}
+
+func BenchmarkRoundTrip(b *testing.B) {
+	s, _ := pair(b, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	body := make([]byte, 512)
+	b.ReportAllocs()
+	b.SetParallelism(16)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r := get(context.Background(), "/")
+			r.Method, r.Body, r.ContentLength = http.MethodPost, io.NopCloser(bytes.NewReader(body)), int64(len(body))
+			response, err := s.RoundTrip(r)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			response.Body.Close()
+		}
+	})
+}
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
@@ -62,7 +63,11 @@
 				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 					return nil
 				}
-				return err
+				// Out of descriptors, most likely: sessions that end free some.
+				if !pause(ctx, acceptBackoff) {
+					return nil
+				}
+				continue
 			}
 			l.admit(conn)
 		}
@@ -70,6 +75,21 @@
 	return group.Wait()
 }
 
+// acceptBackoff keeps a failing accept from using a whole core.
+const acceptBackoff = 50 * time.Millisecond
+
+// pause waits and reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (l *Listener) admit(conn net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -77,9 +97,10 @@
 		conn.Close()
 		return
 	}
-	mux, err := yamux.Server(conn, muxConfig())
+	shared := coalesce(conn)
+	mux, err := yamux.Server(shared, muxConfig())
 	if err != nil {
-		conn.Close()
+		shared.Close()
 		return
 	}
 	s := newSession(mux, l.Handler, conn.RemoteAddr().String())
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -2,10 +2,10 @@
 // that carry HTTP/1.1 in both directions. Control messages are protobuf bodies;
 // requests of callers pass as they are.
 //
-// Every request opens a stream of its own. A reused HTTP connection would let
-// net/http repeat a request that it considers replayable after bytes were
-// written, which would break at-most-once execution; and a response on its own
-// stream cannot reach another caller.
+// A request has a stream to itself until its response has been read, so a
+// response cannot reach another caller; idle streams are used again. Transport
+// keeps net/http from sending a request twice on a reused stream, which would
+// break at-most-once execution.
 package link
 
 import (
@@ -13,9 +13,10 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -25,15 +26,30 @@
 )
 
 const (
-	// keepAliveInterval and writeTimeout bound the detection of a silent
-	// connection to 3 s; the lease duration leaves room for one redial.
+	// keepAliveInterval and writeTimeout (also the timeout of a keepalive)
+	// bound the detection of a silent connection to 2.8 s, below the 3 s that
+	// the lease duration leaves room for.
 	keepAliveInterval = time.Second
-	writeTimeout      = 2 * time.Second
+	writeTimeout      = 1800 * time.Millisecond
 	// maxMessage bounds a control message; the configuration document is the
 	// largest part of one.
 	maxMessage = 4 << 20
 	// maxHeader bounds the header block of a request on a session.
 	maxHeader = 64 << 10
+	// maxStreams bounds the streams that one side opens on a session. It is
+	// below yamux's accept backlog, past which the peer resets streams and the
+	// outcome of their requests is unknown.
+	maxStreams    = 1000
+	acceptBacklog = 1024
+	// maxIdleStreams bounds the memory of idle streams, about 20 KiB each with
+	// their buffers on both sides.
+	maxIdleStreams    = 64
+	idleStreamTimeout = 30 * time.Second
+	// headerTimeout frees a stream whose request header never completes.
+	headerTimeout = 10 * time.Second
+	// goAwayPath carries the announcement that a peer is about to close the
+	// session. It is answered when the receiver has no request under way.
+	goAwayPath = "/link/goaway"
 )
 
 // Kind tells failures of a call apart.
@@ -53,10 +69,12 @@
 // Session is one connection to a peer. It is safe for concurrent use.
 type Session struct {
 	mux       *yamux.Session
-	transport *http.Transport
+	transport *Transport
 	server    *http.Server
 	accept    *streamListener
 	remote    string
+	outgoing  gate // requests to the peer; shut when either side announces the end
+	incoming  atomic.Int64
 }
 
 type sessionKey struct{}
@@ -74,9 +92,10 @@
 	if err != nil {
 		return nil, fault.Wrap("dial", NotSent, err)
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	shared := coalesce(conn)
+	mux, err := yamux.Client(shared, muxConfig())
 	if err != nil {
-		conn.Close()
+		shared.Close()
 		return nil, fault.Wrap("dial", NotSent, err)
 	}
 	return newSession(mux, handler, address), nil
@@ -87,24 +106,30 @@
 	c.KeepAliveInterval = keepAliveInterval
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = 0 // requests carry their own deadlines
-	c.AcceptBacklog = 1024
+	c.AcceptBacklog = acceptBacklog
 	c.LogOutput = io.Discard // session ends are logged by their owners, once
 	return c
 }
 
 func newSession(mux *yamux.Session, handler http.Handler, remote string) *Session {
 	s := &Session{mux: mux, remote: remote}
-	s.transport = &http.Transport{
-		DialContext:            func(context.Context, string, string) (net.Conn, error) { return mux.Open() },
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeader,
-	}
-	s.accept = &streamListener{mux: mux, stopped: make(chan struct{})}
+	s.transport = NewTransport(Options{
+		Dial:        func(context.Context) (net.Conn, error) { return mux.Open() },
+		Connections: maxStreams,
+		Idle:        maxIdleStreams,
+		IdleTimeout: idleStreamTimeout,
+		HeaderBytes: maxHeader,
+	})
+	s.accept = &streamListener{mux: mux}
+	s.accept.open, s.accept.stop = context.WithCancel(context.Background())
+	// The server has no idle timeout: only the opener closes an idle stream,
+	// so that no request meets a stream that is being closed.
 	s.server = &http.Server{
-		Handler:        handler,
-		MaxHeaderBytes: maxHeader,
-		ConnContext:    func(ctx context.Context, _ net.Conn) context.Context { return context.WithValue(ctx, sessionKey{}, s) },
+		Handler:           s.serve(handler),
+		MaxHeaderBytes:    maxHeader,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return context.WithValue(ctx, sessionKey{}, s) },
 	}
 	go func() {
 		// Serve returns when the session ends or Shutdown is called.
@@ -113,43 +138,84 @@
 	return s
 }
 
+// OutcomeHeader tells on a response whether the request was executed; with
+// OutcomeNotRun it provably was not and never will be.
+const (
+	OutcomeHeader  = "Wasabihill-Outcome"
+	OutcomeDone    = "done"
+	OutcomeNotRun  = "notRun"
+	OutcomeUnknown = "unknown"
+)
+
+// serve answers the session's own messages and bounds the peer's requests.
+func (s *Session) serve(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == goAwayPath {
+			s.outgoing.wait(r.Context())
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		defer s.incoming.Add(-1)
+		if s.incoming.Add(1) > maxStreams || handler == nil {
+			w.Header().Set(OutcomeHeader, OutcomeNotRun)
+			http.Error(w, "too many requests on this session", http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Remote returns the peer's address.
 func (s *Session) Remote() string { return s.remote }
 
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
 
+// Ending reports whether either side has announced the end of the session;
+// new requests fail with NotSent.
+func (s *Session) Ending() bool { return s.outgoing.isShut() || s.mux.IsClosed() }
+
 // Close ends the session at once; requests in flight fail.
 func (s *Session) Close() {
 	s.accept.Close()
 	s.mux.Close()
 	s.server.Close()
-	s.transport.CloseIdleConnections()
+	s.transport.CloseIdle()
 }
 
-// Shutdown refuses new requests of the peer, waits until those in flight have
-// been answered or ctx ends, and closes the session.
+// Shutdown ends the session without cutting off a request: it asks the peer to
+// send no more, serves what the peer has sent until then, waits until the
+// requests of both sides have been answered, and closes. When ctx ends first it
+// closes at once.
 func (s *Session) Shutdown(ctx context.Context) {
-	_ = s.mux.GoAway()
+	s.outgoing.shut()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://link"+goAwayPath, nil)
+	if err == nil {
+		if response, err := s.transport.RoundTrip(request); err == nil {
+			response.Body.Close()
+		}
+	}
+	s.outgoing.wait(ctx)
 	_ = s.server.Shutdown(ctx)
 	s.Close()
 }
 
-// RoundTrip sends one HTTP request over a stream of its own. An error has kind
-// NotSent when the stream could not be opened, else Unknown. The caller closes
-// the response body.
+var errEnding = errors.New("session is ending")
+
+// RoundTrip sends one HTTP request over a stream of its own, at most once. An
+// error has kind NotSent when no byte of the request was written, else Unknown.
+// The caller closes the response body.
 func (s *Session) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := s.transport.RoundTrip(r)
-	if err == nil {
-		return response, nil
+	if !s.outgoing.enter() {
+		return nil, fault.Wrap("request", NotSent, errEnding)
 	}
-	if s.mux.IsClosed() || errors.Is(err, yamux.ErrSessionShutdown) || errors.Is(err, yamux.ErrRemoteGoAway) || errors.Is(err, yamux.ErrStreamsExhausted) {
-		var opErr *net.OpError
-		if errors.As(err, &opErr) && opErr.Op == "dial" {
-			return nil, fault.Wrap("request", NotSent, err)
-		}
+	response, err := s.transport.RoundTrip(r)
+	if err != nil {
+		s.outgoing.leave()
+		return nil, err
 	}
-	return nil, fault.Wrap("request", Unknown, err)
+	response.Body = &gatedBody{ReadCloser: response.Body, gate: &s.outgoing}
+	return response, nil
 }
 
 // Call posts a protobuf message to path and decodes the peer's reply.
@@ -191,7 +257,12 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
 		if err != nil {
-			http.Error(w, "message too large or cut short", http.StatusRequestEntityTooLarge)
+			status := http.StatusBadRequest
+			var tooLarge *http.MaxBytesError
+			if errors.As(err, &tooLarge) {
+				status = http.StatusRequestEntityTooLarge
+			}
+			http.Error(w, "message too large or truncated", status)
 			return
 		}
 		q := PQ(new(Q))
@@ -217,27 +288,22 @@
 // stops accepting without closing the session, so that Shutdown can let
 // requests in flight finish.
 type streamListener struct {
-	mux     *yamux.Session
-	once    sync.Once
-	stopped chan struct{}
+	mux  *yamux.Session
+	open context.Context // ended by Close
+	stop context.CancelFunc
 }
 
+// Accept must return when the listener is closed: Server.Shutdown waits for it.
 func (l *streamListener) Accept() (net.Conn, error) {
-	stream, err := l.mux.AcceptStream()
+	stream, err := l.mux.AcceptStreamWithContext(l.open)
 	if err != nil {
-		return nil, err
-	}
-	select {
-	case <-l.stopped:
-		stream.Close()
 		return nil, net.ErrClosed
-	default:
-		return stream, nil
 	}
+	return stream, nil
 }
 
 func (l *streamListener) Close() error {
-	l.once.Do(func() { close(l.stopped) })
+	l.stop()
 	return nil
 }
 
--- /dev/null
+++ b/internal/link/transport.go
@@ -0,0 +1,144 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+)
+
+// Transport sends each request at most once and tells whether any byte of a
+// failed request may have left this process. It reuses idle connections, which
+// net/http does safely only for requests that it cannot replay; RoundTrip
+// therefore makes every request impossible to replay.
+type Transport struct {
+	http *http.Transport
+}
+
+// Options configures a Transport.
+type Options struct {
+	Dial        func(ctx context.Context) (net.Conn, error)
+	Connections int           // most connections at a time; 0 means no limit
+	Idle        int           // most idle connections kept
+	IdleTimeout time.Duration // must be below the peer's, or a request meets a closing connection
+	HeaderBytes int64         // most bytes of a response header block
+}
+
+// NewTransport returns a transport to the one peer that o.Dial reaches.
+func NewTransport(o Options) *Transport {
+	return &Transport{http: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			conn, err := o.Dial(ctx)
+			if err != nil {
+				return nil, err
+			}
+			return &sentConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:        o.Connections,
+		MaxIdleConnsPerHost:    o.Idle,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: o.HeaderBytes,
+		DisableCompression:     true,
+	}}
+}
+
+// CloseIdle closes the idle connections; those in use finish their request.
+func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
+
+// attempt remembers the connection that carries a request.
+type attempt struct{ conn *sentConn }
+
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*sentConn)
+	if !ok {
+		return
+	}
+	conn.begin()
+	a.conn = conn
+}
+
+// RoundTrip sends r on a connection that carries no other request. An error
+// has kind NotSent only when no byte was handed to a connection and none will
+// be; else it is Unknown.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if err := r.Context().Err(); err != nil {
+		return nil, fault.Wrap("request", NotSent, err)
+	}
+	var a attempt
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
+	r = preventReplay(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := t.http.RoundTrip(r)
+	if err == nil {
+		return response, nil
+	}
+	// Without a connection nothing was written: the request was still waiting
+	// for one. With one, sealing it stops a write that has not begun yet.
+	if a.conn == nil || a.conn.seal() {
+		return nil, fault.Wrap("request", NotSent, err)
+	}
+	return nil, fault.Wrap("request", Unknown, err)
+}
+
+// replayedMethods are those that net/http sends again on a reused connection
+// that fails, when the request has no body or a body with GetBody.
+var replayedMethods = map[string]bool{"": true, http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true}
+
+// preventReplay changes r, a copy that the caller does not see.
+func preventReplay(r *http.Request) *http.Request {
+	r.GetBody = nil
+	if r.Body != nil && r.Body != http.NoBody {
+		return r
+	}
+	if replayedMethods[r.Method] || r.Header["Idempotency-Key"] != nil || r.Header["X-Idempotency-Key"] != nil {
+		r.Body = emptyBody{}
+	}
+	return r
+}
+
+// emptyBody is an empty body that net/http does not recognise as empty, so
+// that it does not replay the request.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+var errSealed = errors.New("request was abandoned before it was written")
+
+// sentConn records whether the request that holds it has written anything.
+type sentConn struct {
+	net.Conn
+	mu      sync.Mutex
+	written bool
+	sealed  bool
+}
+
+func (c *sentConn) begin() {
+	c.mu.Lock()
+	c.written = false
+	c.mu.Unlock()
+}
+
+// seal refuses later writes and reports whether none was made since begin.
+func (c *sentConn) seal() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return !c.written
+}
+
+func (c *sentConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.written = true
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
