--- /dev/null
+++ b/internal/forward/call.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/link"
+)
+
+const (
+	// wholeBytes is the largest response that is read completely before it is
+	// passed on; a truncated one can then still be answered or retried.
+	wholeBytes = 64 << 10
+	// attempts bounds the connections tried for one request.
+	attempts = 3
+	// A connection without a response header is suspected after ten service
+	// times, but not before minimumStall, which covers pauses of the endpoint.
+	stallFactor  = 10
+	minimumStall = 500 * time.Millisecond
+)
+
+// errSilent cancels an attempt on a connection that went silent.
+var errSilent = errors.New("connection is silent while the endpoint announces itself")
+
+// call is one admitted request. It holds a slot.
+type call struct {
+	forwarder  *Forwarder
+	endpoint   *endpoint
+	in         *http.Request
+	uri        string // for the endpoint
+	body       []byte
+	idempotent bool
+	deadline   time.Time
+	served     time.Duration // service time of a whole response, 0 otherwise
+}
+
+// run sends the request until an answer arrives or another attempt is not
+// allowed: after bytes were written, only idempotent requests get one.
+func (c *call) run(ctx context.Context, w http.ResponseWriter) {
+	unknown := false
+	var err error
+	for try := range attempts {
+		if try > 0 {
+			c.forwarder.retries.Inc(1)
+		}
+		err = c.attempt(ctx, w)
+		if err == nil {
+			return
+		}
+		sent := !fault.Is(err, link.NotSent)
+		unknown = unknown || sent
+		if ctx.Err() != nil || (sent && (!c.idempotent || !c.endpoint.budget.Withdraw())) {
+			break
+		}
+	}
+	if unknown {
+		c.forwarder.counters[headers.Unknown].Inc(1)
+		headers.Lose(w, "no whole response from the endpoint")
+		return
+	}
+	c.forwarder.reject(w, http.StatusServiceUnavailable, headers.NoConnect)
+}
+
+// attempt sends the request once. After nil the response has been written.
+func (c *call) attempt(ctx context.Context, w http.ResponseWriter) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	transport := c.endpoint.currentTransport()
+	c.endpoint.budget.Deposit()
+	start := time.Now()
+	stopWatch := c.watch(start, transport, cancel)
+	response, err := transport.RoundTrip(c.request(ctx))
+	stopWatch()
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return c.pass(w, response, start)
+}
+
+// watch suspects the connection when the response header takes too long. An
+// idempotent request moves to a new connection; another one keeps waiting, as
+// it may have been executed. Later requests avoid the old connections. The
+// returned function ends the watch.
+func (c *call) watch(start time.Time, transport *link.Transport, cancel context.CancelCauseFunc) (stop func()) {
+	_, _, service := c.endpoint.admission.load()
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(max(minimumStall, stallFactor*service), func() {
+		if !c.endpoint.announcedSince(start) {
+			mu.Lock()
+			if !stopped {
+				timer.Reset(minimumStall)
+			}
+			mu.Unlock()
+			return
+		}
+		c.forwarder.silent.Inc(1)
+		c.endpoint.renew(transport)
+		if c.idempotent {
+			cancel(errSilent)
+		}
+	})
+	return func() {
+		mu.Lock()
+		stopped = true
+		timer.Stop()
+		mu.Unlock()
+	}
+}
+
+func (c *call) request(ctx context.Context) *http.Request {
+	target, err := url.ParseRequestURI(c.uri)
+	if err != nil {
+		target = &url.URL{Path: "/"} // net/http has parsed the URI before
+	}
+	target.Scheme, target.Host = "http", c.endpoint.address
+	r := &http.Request{
+		Method: c.in.Method, URL: target, Host: c.in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, len(c.in.Header)), Body: http.NoBody,
+	}
+	if len(c.body) > 0 {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
+	}
+	headers.Copy(r.Header, c.in.Header)
+	r.Header.Set(headers.Deadline, max(time.Millisecond, time.Until(c.deadline)).Round(time.Microsecond).String())
+	r.Header.Set(headers.Idempotent, strconv.FormatBool(c.idempotent))
+	return r.WithContext(ctx)
+}
+
+// pass writes the endpoint's response. A truncated one is an error before
+// anything was written; later it aborts the stream, which the entry process
+// sees as truncated.
+func (c *call) pass(w http.ResponseWriter, response *http.Response, start time.Time) error {
+	var whole bytes.Buffer
+	n, err := io.CopyN(&whole, response.Body, wholeBytes+1)
+	if err != nil && err != io.EOF {
+		return fault.Wrap("response", link.Unknown, err)
+	}
+	h := w.Header()
+	headers.Copy(h, response.Header)
+	h.Set(headers.Outcome, string(headers.Done))
+	switch {
+	case response.ContentLength >= 0:
+		h["Content-Length"] = response.Header["Content-Length"]
+	case n <= wholeBytes && headers.BodyAllowed(c.in.Method, response.StatusCode):
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	w.WriteHeader(response.StatusCode)
+	_, err = w.Write(whole.Bytes())
+	if err == nil && n > wholeBytes {
+		_, err = io.Copy(w, response.Body)
+	}
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		c.forwarder.counters[headers.Unknown].Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	c.served = max(time.Since(start), time.Nanosecond)
+	c.forwarder.counters[headers.Done].Inc(1)
+	return nil
+}
--- /dev/null
+++ b/internal/forward/endpoint.go
@@ -0,0 +1,123 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/routing"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// goneAfter is three announcements, one a second, and some slack.
+	goneAfter = 3200 * time.Millisecond
+	// idleTimeout is below the idle timeouts of usual HTTP servers (5 s and
+	// more), so that no request meets a connection that the endpoint closes.
+	idleTimeout = time.Second
+	dialTimeout = time.Second
+	// maxHeader bounds the response header of an endpoint.
+	maxHeader = 64 << 10
+)
+
+// endpoint is the endpoint of one service beside this agent.
+type endpoint struct {
+	service   units.ServiceName
+	address   string
+	admission admission
+	budget    *routing.Budget
+
+	mu          sync.Mutex // guards the rest
+	state       wire.EndpointState
+	announced   time.Time
+	connections int
+	transport   *link.Transport
+}
+
+func newEndpoint(a announcement, queue int) *endpoint {
+	e := &endpoint{service: a.Service, address: a.Address, budget: routing.NewBudget()}
+	e.admission.limit = queue
+	e.admission.slots = a.Slots
+	e.admission.closed = true
+	e.connections = a.Connections
+	e.transport = e.newTransport()
+	return e
+}
+
+func (e *endpoint) newTransport() *link.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	address := e.address
+	return link.NewTransport(link.Options{
+		Dial:        func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) },
+		Connections: e.connections,
+		Idle:        e.connections,
+		IdleTimeout: idleTimeout,
+		HeaderBytes: maxHeader,
+	})
+}
+
+// announce applies an announcement of this endpoint.
+func (e *endpoint) announce(a announcement, draining bool, now time.Time) {
+	e.mu.Lock()
+	e.announced = now
+	e.state = a.state()
+	e.mu.Unlock()
+	if e.state == wire.EndpointState_ENDPOINT_STATE_READY && !draining {
+		e.admission.open(a.Slots)
+	} else {
+		e.admission.close()
+	}
+}
+
+// current is the state at now: an endpoint that misses its announcements is gone.
+func (e *endpoint) current(now time.Time) wire.EndpointState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.announced) > goneAfter {
+		return wire.EndpointState_ENDPOINT_STATE_GONE
+	}
+	return e.state
+}
+
+// announcedSince reports whether the endpoint announced itself after t: a
+// connection without a response is then silent or its request is slow, but the
+// endpoint lives.
+func (e *endpoint) announcedSince(t time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.announced.After(t)
+}
+
+func (e *endpoint) currentTransport() *link.Transport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.transport
+}
+
+// renew makes later requests use new connections; requests in flight on old
+// ones go on. It does nothing when another request has renewed already.
+func (e *endpoint) renew(old *link.Transport) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.transport == old {
+		e.transport = e.newTransport()
+	}
+	old.CloseIdle()
+}
+
+func (e *endpoint) report(draining bool, now time.Time) *wire.EndpointReport {
+	busy, queued, service := e.admission.load()
+	state := e.current(now)
+	if draining && state == wire.EndpointState_ENDPOINT_STATE_READY {
+		state = wire.EndpointState_ENDPOINT_STATE_LEAVING
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &wire.EndpointReport{
+		Service: string(e.service), State: state, Slots: int32(e.admission.slots), Connections: int32(e.connections),
+		Busy: int32(busy), Queued: int32(queued), LatencyMicroseconds: service.Microseconds(),
+	}
+}
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,175 @@
+// Package forward is the agent's side of a request: it admits requests of all
+// entry processes to the endpoint beside the agent, within the endpoint's
+// slots, and sends them to it.
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Options configures a Forwarder. Zero fields take the defaults.
+type Options struct {
+	Scope     tally.Scope // counters of outcomes; default none
+	Queue     int         // most waiting requests per endpoint; default 64
+	BodyBytes int64       // largest request body; default 8 MiB
+}
+
+// Forwarder admits and sends requests. It is safe for concurrent use.
+type Forwarder struct {
+	options  Options
+	counters map[headers.Result]tally.Counter
+	reasons  map[headers.Cause]tally.Counter
+	retries  tally.Counter
+	silent   tally.Counter
+
+	mu        sync.Mutex
+	endpoints map[units.ServiceName]*endpoint
+	draining  bool
+	inFlight  sync.WaitGroup // entered only with mu held and while not draining
+}
+
+// New returns a Forwarder without endpoints.
+func New(o Options) *Forwarder {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Queue == 0 {
+		o.Queue = 64
+	}
+	if o.BodyBytes == 0 {
+		o.BodyBytes = 8 << 20
+	}
+	f := &Forwarder{
+		options: o, endpoints: make(map[units.ServiceName]*endpoint),
+		counters: make(map[headers.Result]tally.Counter), reasons: make(map[headers.Cause]tally.Counter),
+		retries: o.Scope.Counter("forwardRetries"), silent: o.Scope.Counter("silentConnections"),
+	}
+	for _, r := range []headers.Result{headers.Done, headers.NotRun, headers.Unknown} {
+		f.counters[r] = o.Scope.Tagged(map[string]string{"outcome": string(r)}).Counter("forwarded")
+	}
+	for _, c := range []headers.Cause{headers.Leaving, headers.Overload, headers.TooLate, headers.NoEndpoint, headers.NoConnect, headers.Malformed} {
+		f.reasons[c] = o.Scope.Tagged(map[string]string{"reason": string(c)}).Counter("rejected")
+	}
+	return f
+}
+
+// Reports describes the endpoints for the next heartbeat.
+func (f *Forwarder) Reports() []*wire.EndpointReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	reports := make([]*wire.EndpointReport, 0, len(f.endpoints))
+	for name, e := range f.endpoints {
+		r := e.report(f.draining, now)
+		reports = append(reports, r)
+		if r.State == wire.EndpointState_ENDPOINT_STATE_GONE {
+			e.admission.close()
+			if now.Sub(e.announced) > time.Minute && r.Busy == 0 {
+				e.currentTransport().CloseIdle()
+				delete(f.endpoints, name)
+			}
+		}
+	}
+	return reports
+}
+
+// Drain rejects new requests as not run and waits until those in flight have
+// been answered or ctx ends.
+func (f *Forwarder) Drain(ctx context.Context) {
+	f.mu.Lock()
+	f.draining = true
+	for _, e := range f.endpoints {
+		e.admission.close()
+	}
+	f.mu.Unlock()
+	idle := make(chan struct{})
+	go func() {
+		f.inFlight.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
+// Close drops idle connections to endpoints.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		e.currentTransport().CloseIdle()
+	}
+}
+
+// enter finds the endpoint for a request and counts the request as in flight.
+func (f *Forwarder) enter(service units.ServiceName) (*endpoint, headers.Cause) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[service]
+	switch {
+	case f.draining:
+		return nil, headers.Leaving
+	case e == nil:
+		return nil, headers.NoEndpoint
+	case e.current(time.Now()) != wire.EndpointState_ENDPOINT_STATE_READY:
+		return nil, headers.Leaving
+	}
+	f.inFlight.Add(1)
+	return e, ""
+}
+
+func (f *Forwarder) reject(w http.ResponseWriter, status int, cause headers.Cause) {
+	f.counters[headers.NotRun].Inc(1)
+	f.reasons[cause].Inc(1)
+	headers.Reject(w, status, cause, string(cause))
+}
+
+// defaultTime bounds a request whose entry process gave no deadline.
+const (
+	defaultTime = 10 * time.Second
+	maxTime     = time.Hour
+)
+
+// ServeHTTP serves /services/{service}/{path...} on the sessions of entry
+// processes.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service, uri, err := headers.Target(r.RequestURI)
+	left, deadlineErr := headers.TimeLeft(r.Header, defaultTime, maxTime)
+	idempotent, idempotentErr := headers.IsIdempotent(r.Method, r.Header)
+	if err != nil || deadlineErr != nil || idempotentErr != nil {
+		f.reject(w, http.StatusBadRequest, headers.Malformed)
+		return
+	}
+	deadline := time.Now().Add(left)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	e, cause := f.enter(service)
+	if e == nil {
+		f.reject(w, http.StatusServiceUnavailable, cause)
+		return
+	}
+	defer f.inFlight.Done()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.options.BodyBytes))
+	if err != nil {
+		f.reject(w, http.StatusRequestEntityTooLarge, headers.Malformed)
+		return
+	}
+	if cause := e.admission.acquire(ctx, headers.PriorityOf(r.Header), deadline); cause != "" {
+		f.reject(w, http.StatusServiceUnavailable, cause)
+		return
+	}
+	c := &call{forwarder: f, endpoint: e, in: r, uri: uri, body: body, idempotent: idempotent, deadline: deadline}
+	defer func() { e.admission.release(c.served) }()
+	c.run(ctx, w)
+}
--- /dev/null
+++ b/internal/gateway/counters.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wasabihill.example/wasabihill/internal/headers"
+)
+
+// counters are looked up once: a lookup by name takes locks on every request.
+type counters struct {
+	requests, shed, retries, hedges, hedgesWon, cut tally.Counter
+	outcomes                                        map[headers.Result]tally.Counter
+	latency                                         tally.Histogram
+}
+
+func newCounters(scope tally.Scope) counters {
+	c := counters{
+		requests: scope.Counter("requests"), shed: scope.Counter("requestsShed"),
+		retries: scope.Counter("retries"), hedges: scope.Counter("hedges"), hedgesWon: scope.Counter("hedgesWon"),
+		cut:      scope.Counter("responsesCut"),
+		outcomes: make(map[headers.Result]tally.Counter),
+	}
+	for _, o := range []headers.Result{headers.Done, headers.NotRun, headers.Unknown} {
+		c.outcomes[o] = scope.Tagged(map[string]string{"outcome": string(o)}).Counter("outcomes")
+	}
+	// 250 us doubled 17 times reaches half a minute, past most deadlines.
+	c.latency = scope.Histogram("latency", tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 18))
+	return c
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,275 @@
+// Package gateway serves the requests of callers at an entry process: it
+// admits them, chooses endpoints, retries and hedges where that is safe, and
+// passes on whole responses only.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/routing"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Options configures a Gateway. Zero fields take the defaults.
+type Options struct {
+	Table        *routing.Table
+	Document     func() *environment.Document // current document; nil result rejects every request
+	Scope        tally.Scope                  // counters; default none
+	Limit        int                          // most requests at a time; default 4096
+	ServiceLimit int                          // most requests of one service at a time; default 2048
+	BodyBytes    int64                        // largest request body; default 1 MiB
+	WholeBytes   int64                        // largest response read completely before it is passed on; default 1 MiB
+	DefaultTime  time.Duration                // deadline of a request without one; default 10 s
+	MaxTime      time.Duration                // longest deadline; default 5 min
+}
+
+func (o *Options) defaults() {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	for _, n := range []struct {
+		field *int
+		value int
+	}{{&o.Limit, 4096}, {&o.ServiceLimit, 2048}} {
+		if *n.field == 0 {
+			*n.field = n.value
+		}
+	}
+	for _, n := range []struct {
+		field *int64
+		value int64
+	}{{&o.BodyBytes, 1 << 20}, {&o.WholeBytes, 1 << 20}} {
+		if *n.field == 0 {
+			*n.field = n.value
+		}
+	}
+	if o.DefaultTime == 0 {
+		o.DefaultTime = 10 * time.Second
+	}
+	if o.MaxTime == 0 {
+		o.MaxTime = 5 * time.Minute
+	}
+}
+
+// Gateway is the HTTP handler for callers. It is safe for concurrent use.
+type Gateway struct {
+	options  Options
+	counters counters
+	budget   *routing.Budget
+	active   atomic.Int64
+	draining atomic.Bool
+	services sync.Map       // units.ServiceName -> *service
+	attempts sync.WaitGroup // losing hedges that are being given up
+}
+
+// service is the state of one service at this entry process.
+type service struct {
+	active atomic.Int64
+	load   atomic.Pointer[loadSample]
+}
+
+// loadSample keeps a summary of the service's endpoints for loadAge, because
+// summing up a thousand endpoints for each request is too expensive.
+type loadSample struct {
+	load routing.Load
+	at   time.Time
+}
+
+const loadAge = 10 * time.Millisecond
+
+// New returns a Gateway.
+func New(o Options) *Gateway {
+	o.defaults()
+	return &Gateway{options: o, counters: newCounters(o.Scope), budget: routing.NewBudget()}
+}
+
+// Limits of the caller listener: a header block and the time to read it.
+const (
+	maxHeaderBytes = 32 << 10
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	bodyTimeout    = 10 * time.Second
+	writeTimeout   = 30 * time.Second // for each part of a large response
+	maxHeaders     = 100
+)
+
+// Server returns an HTTP server with the limits of the caller listener.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{
+		Handler: g, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: log.New(io.Discard, "", 0), // broken connections of callers are counted, not logged
+	}
+}
+
+// Ready reports whether the load balancer should send requests here.
+func (g *Gateway) Ready() bool { return !g.draining.Load() }
+
+// Shutdown ends the service of callers without cutting off a request. It turns
+// readiness off, serves for notice, in which the load balancer goes elsewhere,
+// then stops server and waits until every request has been answered or ctx
+// ends. Responses meanwhile ask callers to close their connections, so that no
+// request meets a connection that is being closed. The links must stay open
+// until Shutdown returns.
+func (g *Gateway) Shutdown(ctx context.Context, server *http.Server, notice time.Duration) {
+	g.draining.Store(true)
+	timer := time.NewTimer(notice)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if server.Shutdown(ctx) == nil {
+		g.attempts.Wait()
+	}
+}
+
+// ServeHTTP serves /services/{service}/{path...}.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	g.counters.requests.Inc(1)
+	if g.draining.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	in, status, err := g.parse(r, start)
+	if err != nil {
+		g.reject(w, status, headers.Malformed, err.Error())
+		return
+	}
+	s := g.service(in.service)
+	defer s.active.Add(-1)
+	defer g.active.Add(-1)
+	perService, total := s.active.Add(1), g.active.Add(1)
+	if cause := g.shed(s, in, perService, total, start); cause != "" {
+		g.counters.shed.Inc(1)
+		g.reject(w, http.StatusServiceUnavailable, cause, string(cause))
+		return
+	}
+	if status, err := g.readBody(w, r, in); err != nil {
+		g.reject(w, status, headers.Malformed, err.Error())
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), in.deadline.At)
+	defer cancel()
+	g.budget.Deposit()
+	a := g.call(ctx, in)
+	defer a.discard()
+	g.write(w, in, a)
+	g.counters.latency.RecordDuration(time.Since(start))
+}
+
+func (g *Gateway) service(name units.ServiceName) *service {
+	if s, ok := g.services.Load(name); ok {
+		return s.(*service)
+	}
+	s, _ := g.services.LoadOrStore(name, &service{})
+	return s.(*service)
+}
+
+// shares are the parts of the limits that each priority may fill, so that the
+// rest is left to higher ones.
+var shares = map[units.Priority]float64{
+	units.PriorityLow: 0.6, units.PriorityNormal: 0.75, units.PriorityHigh: 0.9, units.PriorityUrgent: 1,
+}
+
+// shed decides whether the request is rejected at once: at a limit, or when
+// the requests before it leave no time until its deadline.
+func (g *Gateway) shed(s *service, in *inbound, perService, total int64, now time.Time) headers.Cause {
+	share := shares[in.priority]
+	if float64(total) > share*float64(g.options.Limit) || perService > int64(g.options.ServiceLimit) {
+		return headers.Overload
+	}
+	sample := s.load.Load()
+	if sample == nil || now.Sub(sample.at) > loadAge {
+		sample = &loadSample{load: g.options.Table.Load(in.service, now), at: now}
+		s.load.Store(sample)
+	}
+	switch wait := sample.load.Wait(); {
+	case sample.load.Endpoints == 0:
+		return headers.NoEndpoint
+	case wait > 0 && !in.deadline.Allows(wait+sample.load.Latency, now):
+		return headers.Overload
+	}
+	return ""
+}
+
+// inbound is a caller's request that passed the checks.
+type inbound struct {
+	request    *http.Request
+	service    units.ServiceName
+	priority   units.Priority
+	idempotent bool
+	deadline   routing.Deadline
+	body       []byte
+}
+
+var (
+	errNoService = errors.New("no such service")
+	errUpgrade   = errors.New("upgrades of the protocol are not supported")
+	errHeaders   = errors.New("too many headers")
+	errBody      = errors.New("request body too large")
+	errTruncated = errors.New("request body truncated")
+)
+
+// parse checks everything but the body.
+func (g *Gateway) parse(r *http.Request, now time.Time) (*inbound, int, error) {
+	name, _, err := headers.Target(r.RequestURI)
+	if err != nil {
+		return nil, http.StatusNotFound, err
+	}
+	document := g.options.Document()
+	if document == nil || document.Service(name) == nil {
+		return nil, http.StatusNotFound, errNoService
+	}
+	left, err := headers.TimeLeft(r.Header, g.options.DefaultTime, g.options.MaxTime)
+	if err != nil {
+		return nil, http.StatusBadRequest, err
+	}
+	idempotent, err := headers.IsIdempotent(r.Method, r.Header)
+	switch {
+	case err != nil:
+		return nil, http.StatusBadRequest, err
+	case r.Header["Upgrade"] != nil || r.Method == http.MethodConnect:
+		return nil, http.StatusBadRequest, errUpgrade
+	case len(r.Header) > maxHeaders:
+		return nil, http.StatusRequestHeaderFieldsTooLarge, errHeaders
+	case r.ContentLength > g.options.BodyBytes:
+		return nil, http.StatusRequestEntityTooLarge, errBody
+	}
+	return &inbound{
+		request: r, service: name, priority: document.Service(name).Priority, idempotent: idempotent,
+		deadline: routing.Deadline{At: now.Add(left)},
+	}, 0, nil
+}
+
+// readBody reads the body completely, so that a retry can send it again and a
+// caller that stops sending holds no endpoint.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, in *inbound) (int, error) {
+	if r.ContentLength == 0 {
+		return 0, nil
+	}
+	control := http.NewResponseController(w)
+	// Without support for deadlines the server's own timeouts remain.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.options.BodyBytes))
+	in.body = body
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, errBody
+	case err != nil:
+		return http.StatusBadRequest, errTruncated
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,214 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/goleak"
+
+	"wasabihill.example/wasabihill/internal/gateway"
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/standin/endpoint"
+)
+
+func TestMain(m *testing.M) {
+	// net/http lingers 500 ms on a connection after a request that was too
+	// large, longer than goleak waits; it then ends by itself.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*conn).closeWriteAndWait"))
+}
+
+// response is what a caller saw.
+type response struct {
+	status  int
+	outcome headers.Result
+	reason  headers.Cause
+	header  http.Header
+	body    []byte
+	err     error // the response is not whole
+}
+
+func newClient(t testing.TB) *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func send(c *http.Client, method, url string, body io.Reader, pairs ...string) response {
+	r, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return response{err: err}
+	}
+	for i := 0; i < len(pairs); i += 2 {
+		r.Header.Set(pairs[i], pairs[i+1])
+	}
+	answer, err := c.Do(r)
+	if err != nil {
+		return response{err: err}
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return response{answer.StatusCode, headers.Result(answer.Header.Get(headers.Outcome)), headers.Cause(answer.Header.Get(headers.Reason)), answer.Header, data, err}
+}
+
+// check reports why a response with outcome done is not the whole answer to
+// request id.
+func (r *response) check(id string) string {
+	switch {
+	case r.err != nil:
+		return r.err.Error()
+	case r.header.Get(endpoint.RequestID) != id:
+		return "answer of request " + r.header.Get(endpoint.RequestID)
+	case r.header.Get(endpoint.WholeCheck) != fmt.Sprintf("%016x", xxhash.Sum64(r.body)):
+		return "body is not whole"
+	}
+	return ""
+}
+
+func TestContractOfRequests(t *testing.T) {
+	e := newEntry(t, gateway.Options{BodyBytes: 1000})
+	newAgent(t, 1, endpoint.Options{ResponseBytes: 200}, e)
+	c := newClient(t)
+	big := strings.Repeat("x", 1001)
+	for _, test := range []struct {
+		name, method, path string
+		body               io.Reader
+		pairs              []string
+		status             int
+		outcome            headers.Result
+	}{
+		{"get", "GET", "/services/desk/a/b?c=d", nil, nil, 200, headers.Done},
+		{"head", "HEAD", "/services/desk/", nil, nil, 200, headers.Done},
+		{"post", "POST", "/services/desk", strings.NewReader("body"), nil, 200, headers.Done},
+		{"chunked post", "POST", "/services/desk", io.MultiReader(strings.NewReader("body")), nil, 200, headers.Done},
+		{"endpoint error", "GET", "/services/desk/", nil, []string{"Fault", "error"}, 500, headers.Done},
+		{"unknown service", "GET", "/services/none/", nil, nil, 404, headers.NotRun},
+		{"other path", "GET", "/other", nil, nil, 404, headers.NotRun},
+		{"malformed deadline", "GET", "/services/desk/", nil, []string{headers.Deadline, "soon"}, 400, headers.NotRun},
+		{"negative deadline", "GET", "/services/desk/", nil, []string{headers.Deadline, "-1s"}, 400, headers.NotRun},
+		{"malformed idempotent", "GET", "/services/desk/", nil, []string{headers.Idempotent, "maybe"}, 400, headers.NotRun},
+		{"upgrade", "GET", "/services/desk/", nil, []string{"Upgrade", "websocket", "Connection", "Upgrade"}, 400, headers.NotRun},
+		{"body too large", "POST", "/services/desk/", strings.NewReader(big), nil, 413, headers.NotRun},
+		{"chunked body too large", "POST", "/services/desk/", io.MultiReader(strings.NewReader(big)), nil, 413, headers.NotRun},
+		{"headers too large", "GET", "/services/desk/", nil, []string{"X", strings.Repeat("x", 64<<10)}, 431, ""},
+	} {
+		r := send(c, test.method, e.url+test.path, test.body, test.pairs...)
+		if r.err != nil || r.status != test.status || r.outcome != test.outcome {
+			t.Errorf("%s: got status %d, outcome %q, error %v; want %d, %q", test.name, r.status, r.outcome, r.err, test.status, test.outcome)
+		}
+	}
+}
+
+// Guards against a second execution of a request that must run at most once,
+// against truncated answers that look whole, and against a notRun that is wrong.
+func TestFaultsOfEndpoint(t *testing.T) {
+	e := newEntry(t, gateway.Options{})
+	a := newAgent(t, 1, endpoint.Options{}, e)
+	b := newAgent(t, 2, endpoint.Options{}, e)
+	c := newClient(t)
+	for _, test := range []struct {
+		fault     string
+		outcome   headers.Result // of the non-idempotent request
+		executed  int
+		different headers.Result // of the idempotent request when it differs
+	}{
+		{"", headers.Done, 1, ""},
+		{"resetBefore", headers.Unknown, 0, ""},
+		{"resetAfter", headers.Unknown, 1, ""},
+		{"truncated", headers.Unknown, 1, ""},
+		{"silentBefore", headers.Unknown, 0, ""},
+		{"silent", headers.Unknown, 1, ""},
+		{"slow", headers.Unknown, 1, ""},
+		{"error", headers.Done, 1, ""},
+	} {
+		for _, method := range []string{"GET", "POST"} {
+			id := test.fault + method
+			r := send(c, method, e.url+"/services/desk/", strings.NewReader("body"), headers.Idempotent, "false",
+				"Idempotency-Key", id, endpoint.RequestID, id, endpoint.FaultName, test.fault, headers.Deadline, "300ms")
+			if r.outcome != test.outcome || r.err != nil {
+				t.Errorf("%s: got outcome %q, status %d, error %v; want %q", id, r.outcome, r.status, r.err, test.outcome)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if got := a.endpoint.Executed()[id] + b.endpoint.Executed()[id]; got != test.executed {
+				t.Errorf("%s: executed %d times, want %d", id, got, test.executed)
+			}
+		}
+	}
+}
+
+// Guards against a planned stop that cuts off a request, and against notRun
+// answers about requests that an endpoint executed.
+func TestPlannedStopsCutOffNoRequest(t *testing.T) {
+	for _, kind := range []string{"endpoint", "agent", "entry"} {
+		t.Run(kind, func(t *testing.T) {
+			e := newEntry(t, gateway.Options{})
+			agents := []*agentProcess{}
+			for i := range 3 {
+				agents = append(agents, newAgent(t, i, endpoint.Options{ServiceTime: 2 * time.Millisecond}, e))
+			}
+			c := newClient(t)
+			var sent, done, refused atomic.Int64
+			var stopped atomic.Bool
+			var wait sync.WaitGroup
+			answers := sync.Map{}
+			for worker := range 12 {
+				wait.Go(func() {
+					// The load balancer stops sending when readiness is off.
+					for i := 0; !stopped.Load() && e.gateway.Ready() && i < 100_000; i++ {
+						id := fmt.Sprint(worker, "-", i)
+						r := send(c, "POST", e.url+"/services/desk/", bytes.NewReader([]byte(id)), endpoint.RequestID, id)
+						sent.Add(1)
+						answers.Store(id, r.outcome)
+						switch {
+						case r.outcome == headers.Done && r.check(id) == "":
+							done.Add(1)
+						case r.outcome == headers.NotRun:
+							refused.Add(1)
+						default:
+							t.Errorf("%s: got outcome %q, error %v", id, r.outcome, r.err)
+						}
+					}
+				})
+			}
+			for done.Load() < 500 {
+				time.Sleep(time.Millisecond)
+			}
+			switch kind {
+			case "endpoint":
+				agents[0].leave()
+			case "agent":
+				agents[0].stop()
+			case "entry":
+				e.stop()
+			}
+			stopped.Store(true)
+			wait.Wait()
+			executed := map[string]int{}
+			for _, a := range agents {
+				for id, n := range a.endpoint.Executed() {
+					executed[id] += n
+				}
+			}
+			answers.Range(func(id, outcome any) bool {
+				want := 1
+				if outcome == headers.NotRun {
+					want = 0
+				}
+				if got := executed[id.(string)]; got != want {
+					t.Errorf("%s: outcome %s, executed %d times", id, outcome, got)
+				}
+				return true
+			})
+			if refused.Load() > 0 {
+				t.Errorf("got %d of %d requests refused, want none while two endpoints are ready", refused.Load(), sent.Load())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/system_test.go
@@ -0,0 +1,154 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/forward"
+	"wasabihill.example/wasabihill/internal/gateway"
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/routing"
+	"wasabihill.example/wasabihill/internal/standin/endpoint"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// heartbeatInterval is shorter than the product's, for faster tests.
+const heartbeatInterval = 50 * time.Millisecond
+
+var document = &environment.Document{
+	FailureDomains: []environment.FailureDomain{{Name: "a", Region: "r", State: environment.DomainIn}},
+	Services:       []environment.Service{{Name: "desk", Priority: units.PriorityUrgent, Slots: 8, Connections: 64}},
+}
+
+// entryProcess is the request path of an entry process.
+type entryProcess struct {
+	gateway *gateway.Gateway
+	table   *routing.Table
+	links   *link.Listener
+	server  *http.Server
+	url     string
+	stop    func()
+}
+
+func newEntry(t testing.TB, o gateway.Options) *entryProcess {
+	t.Helper()
+	e := &entryProcess{table: routing.New(routing.Settings{Domain: "a", Region: "r"})}
+	e.table.SetDocument(document, time.Now())
+	o.Table, o.Document = e.table, func() *environment.Document { return document }
+	e.gateway = gateway.New(o)
+	heartbeat := link.Handle(func(ctx context.Context, h *wire.Heartbeat) (*wire.HeartbeatReply, error) {
+		e.table.Observe(units.WorkerID(h.Worker), link.FromContext(ctx), h, time.Now())
+		return &wire.HeartbeatReply{}, nil
+	})
+	e.links = &link.Listener{Address: "127.0.0.1:0", Handler: heartbeat}
+	if _, err := e.links.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.url = "http://" + callers.Addr().String()
+	e.server = e.gateway.Server()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = e.links.Run(ctx) })
+	wait.Go(func() { _ = e.server.Serve(callers) })
+	e.stop = sync.OnceFunc(func() {
+		stop, done := context.WithTimeout(context.Background(), 10*time.Second)
+		defer done()
+		e.gateway.Shutdown(stop, e.server, 50*time.Millisecond)
+		cancel()
+		e.links.Shutdown(stop)
+		wait.Wait()
+	})
+	t.Cleanup(e.stop)
+	return e
+}
+
+// agentProcess is the request path of an agent with its endpoint.
+type agentProcess struct {
+	forwarder *forward.Forwarder
+	endpoint  *endpoint.Endpoint
+	leave     func() // the endpoint leaves as on SIGTERM
+	stop      func() // planned stop of the agent
+}
+
+func newAgent(t testing.TB, index int, o endpoint.Options, entries ...*entryProcess) *agentProcess {
+	t.Helper()
+	a := &agentProcess{forwarder: forward.New(forward.Options{})}
+	announcements, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: a.forwarder.AnnounceHandler()}
+	o.Service, o.Agent, o.Seed = "desk", "http://"+announcements.Addr().String(), uint64(index)
+	if a.endpoint, err = endpoint.New(o); err != nil {
+		t.Fatal(err)
+	}
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = server.Serve(announcements) })
+	endpointCtx, leave := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go func() { defer close(left); _ = a.endpoint.Run(endpointCtx) }()
+	a.leave = func() { leave(); <-left }
+	mux := http.NewServeMux()
+	mux.Handle(headers.Prefix, a.forwarder)
+	ctx, cancel := context.WithCancel(context.Background())
+	var sessions []*link.Session
+	for _, e := range entries {
+		address, err := e.links.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := link.Dial(ctx, address.String(), mux)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sessions = append(sessions, s)
+		wait.Go(func() { a.beat(ctx, fmt.Sprint("worker-", index), s) })
+	}
+	a.stop = sync.OnceFunc(func() {
+		stop, done := context.WithTimeout(context.Background(), 10*time.Second)
+		defer done()
+		a.forwarder.Drain(stop)
+		time.Sleep(2 * heartbeatInterval) // entry processes hear that the agent leaves
+		cancel()
+		for _, s := range sessions {
+			s.Shutdown(stop)
+		}
+		a.leave()
+		server.Close()
+		wait.Wait()
+		a.forwarder.Close()
+	})
+	t.Cleanup(a.stop)
+	for _, e := range entries {
+		deadline := time.Now().Add(5 * time.Second)
+		for e.table.Eligible("desk", time.Now()) == 0 && time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return a
+}
+
+func (a *agentProcess) beat(ctx context.Context, worker string, s *link.Session) {
+	for ctx.Err() == nil {
+		h := &wire.Heartbeat{Worker: worker, FailureDomain: "a", Region: "r", Endpoints: a.forwarder.Reports()}
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		_ = s.Call(call, "/link/heartbeat", h, &wire.HeartbeatReply{})
+		cancel()
+		select {
+		case <-time.After(heartbeatInterval):
+		case <-ctx.Done():
+		}
+	}
+}
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -23,6 +23,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/headers"
 )
 
 const (
@@ -138,15 +139,6 @@
 	return s
 }
 
-// OutcomeHeader tells on a response whether the request was executed; with
-// OutcomeNotRun it provably was not and never will be.
-const (
-	OutcomeHeader  = "Wasabihill-Outcome"
-	OutcomeDone    = "done"
-	OutcomeNotRun  = "notRun"
-	OutcomeUnknown = "unknown"
-)
-
 // serve answers the session's own messages and bounds the peer's requests.
 func (s *Session) serve(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -157,7 +149,7 @@
 		}
 		defer s.incoming.Add(-1)
 		if s.incoming.Add(1) > maxStreams || handler == nil {
-			w.Header().Set(OutcomeHeader, OutcomeNotRun)
+			w.Header().Set(headers.Outcome, string(headers.NotRun))
 			http.Error(w, "too many requests on this session", http.StatusServiceUnavailable)
 			return
 		}
--- /dev/null
+++ b/internal/routing/budget.go
@@ -0,0 +1,53 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Budget bounds retries and hedges to a tenth of the requests, so that they
+// cannot multiply the load of a system in trouble. The zero value is empty;
+// use NewBudget.
+type Budget struct{ tokens atomic.Int64 }
+
+const (
+	token         = 10  // deposits that pay for one retry: 10% of requests
+	budgetStart   = 10  // retries allowed before the first deposits
+	budgetMaximum = 100 // retries that a quiet time can save up
+)
+
+// NewBudget returns a budget that allows a few retries at once.
+func NewBudget() *Budget {
+	b := &Budget{}
+	b.tokens.Store(budgetStart * token)
+	return b
+}
+
+// Deposit accounts for one request of a caller.
+func (b *Budget) Deposit() {
+	if b.tokens.Load() < budgetMaximum*token {
+		b.tokens.Add(1)
+	}
+}
+
+// Withdraw pays for one retry or hedge and reports whether the budget held it.
+func (b *Budget) Withdraw() bool {
+	for {
+		n := b.tokens.Load()
+		if n < token {
+			return false
+		}
+		if b.tokens.CompareAndSwap(n, n-token) {
+			return true
+		}
+	}
+}
+
+// Deadline is the moment by which a caller needs the response.
+type Deadline struct{ At time.Time }
+
+// Remaining is the time left, not below zero.
+func (d Deadline) Remaining(now time.Time) time.Duration { return max(0, d.At.Sub(now)) }
+
+// Allows reports whether work that takes about need can still end in time.
+func (d Deadline) Allows(need time.Duration, now time.Time) bool { return d.Remaining(now) > need }
--- /dev/null
+++ b/internal/routing/choice.go
@@ -0,0 +1,269 @@
+package routing
+
+import (
+	"net/http"
+	"time"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Result tells Choice.End how a request ended.
+type Result int
+
+// The results of a request.
+const (
+	Succeeded Result = iota // a whole response arrived
+	Failed                  // no whole response, or a server error
+	Rejected                // the agent proved that the request did not run
+	Leaving                 // like Rejected, because the endpoint is leaving
+	NotSent                 // no byte was sent; the session is ending
+	Cancelled               // given up here: the caller left or a hedge won
+)
+
+// Choice is an endpoint chosen for one attempt. End must be called once.
+type Choice struct {
+	Endpoint *Endpoint
+	session  Session
+	start    time.Time
+	probe    bool
+}
+
+// RoundTrip sends the attempt to the endpoint's agent.
+func (c *Choice) RoundTrip(r *http.Request) (*http.Response, error) { return c.session.RoundTrip(r) }
+
+// Request describes the attempt to choose for.
+type Request struct {
+	Service    units.ServiceName
+	Idempotent bool
+	Avoid      []*Endpoint // tried before; chosen only when nothing else is left
+}
+
+func (r *Request) avoids(e *Endpoint) bool {
+	for _, a := range r.Avoid {
+		if a == e {
+			return true
+		}
+	}
+	return false
+}
+
+// samples bounds the random draws for two candidates before a scan.
+const samples = 8
+
+// Choose picks an endpoint for the request, or returns nil when none is
+// eligible.
+func (t *Table) Choose(r Request, now time.Time) *Choice {
+	all := t.endpoints(r.Service)
+	if len(all) == 0 {
+		return nil
+	}
+	if e := t.dueProbe(all, &r, now); e != nil {
+		return e.choose(now, true)
+	}
+	var best, fallback *Endpoint
+	candidates := 0
+	for i := 0; i < samples && candidates < 2; i++ {
+		random := t.settings.Random()
+		e := all[random%uint64(len(all))]
+		if !e.eligible(now) || e.ejected.Load() || e == best || r.avoids(e) {
+			continue
+		}
+		// Part of the draws passes over an endpoint in slow start.
+		if float64(random>>40)/(1<<24) > e.share(now) {
+			fallback = better(fallback, e, now)
+			continue
+		}
+		best = better(best, e, now)
+		candidates++
+	}
+	if best == nil {
+		best = fallback
+	}
+	if best == nil {
+		best = t.scan(all, &r, now)
+	}
+	if best == nil {
+		return nil
+	}
+	return best.choose(now, false)
+}
+
+func better(a, b *Endpoint, now time.Time) *Endpoint {
+	if a == nil || b.score(now) < a.score(now) {
+		return b
+	}
+	return a
+}
+
+// dueProbe draws one endpoint and lets the request probe it when it is ejected
+// and due, so that at most a small share of requests are probes.
+func (t *Table) dueProbe(all []*Endpoint, r *Request, now time.Time) *Endpoint {
+	e := all[t.settings.Random()%uint64(len(all))]
+	if e.ejected.Load() && e.eligible(now) && !r.avoids(e) && e.claimProbe(r.Idempotent, now) {
+		return e
+	}
+	return nil
+}
+
+// scan looks at every endpoint: the best one in service, else one that was
+// avoided, else an ejected one.
+func (t *Table) scan(all []*Endpoint, r *Request, now time.Time) *Endpoint {
+	var ranks [3]*Endpoint
+	for _, e := range all {
+		if !e.eligible(now) {
+			continue
+		}
+		rank := 0
+		if e.ejected.Load() {
+			rank = 2
+		} else if r.avoids(e) {
+			rank = 1
+		}
+		ranks[rank] = better(ranks[rank], e, now)
+	}
+	for _, e := range ranks {
+		if e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func (e *Endpoint) choose(now time.Time, probe bool) *Choice {
+	e.outstanding.Add(1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &Choice{Endpoint: e, session: e.session, start: now, probe: probe}
+}
+
+// End records how the attempt ended.
+func (c *Choice) End(result Result, now time.Time) {
+	e := c.Endpoint
+	e.outstanding.Add(-1)
+	if result == Leaving || result == NotSent {
+		e.withdraw(c.session)
+	}
+	e.mu.Lock()
+	eject := false
+	switch result {
+	case Succeeded:
+		e.measure(now.Sub(c.start), now)
+		e.outlying(false)
+	case Failed:
+		e.measure(now.Sub(c.start), now)
+		eject = e.outlying(true)
+	case Cancelled:
+		// The response would have taken at least this long.
+		if d := now.Sub(c.start); d > e.expectedLocked(now) {
+			e.measure(d, now)
+		}
+	}
+	returned := false
+	if c.probe {
+		returned = e.endProbe(result, now)
+		eject = false
+	}
+	e.mu.Unlock()
+	if returned {
+		e.startSlowly(now)
+	}
+	if eject && !e.ejected.Load() {
+		e.table.eject(e, now)
+	}
+}
+
+// withdraw stops the use of the endpoint until its next heartbeat, unless a
+// newer session has taken over.
+func (e *Endpoint) withdraw(session Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.session == session {
+		e.usable.Store(false)
+	}
+}
+
+// endProbe reports whether the endpoint returns. Rejections say nothing about
+// its health.
+func (e *Endpoint) endProbe(result Result, now time.Time) bool {
+	if !e.ejected.Load() {
+		return false
+	}
+	e.probing = false
+	switch result {
+	case Succeeded:
+		e.probes++
+	case Failed:
+		e.eject(now)
+	}
+	if e.probes < probesToReturn {
+		return false
+	}
+	e.probes, e.ejections = 0, max(0, e.ejections-1)
+	e.ejected.Store(false)
+	return true
+}
+
+// eject ejects e unless half of the eligible endpoints are ejected already: a
+// fault that hits most of them is not theirs.
+func (t *Table) eject(e *Endpoint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	eligible, ejected := 0, 0
+	for _, o := range t.endpoints(e.Service) {
+		if !o.eligible(now) {
+			continue
+		}
+		eligible++
+		if o.ejected.Load() {
+			ejected++
+		}
+	}
+	if (ejected+1)*2 > eligible {
+		return
+	}
+	e.mu.Lock()
+	e.eject(now)
+	e.mu.Unlock()
+}
+
+// Load describes a service for admission at the entry process.
+type Load struct {
+	Endpoints int           // eligible
+	Slots     int64         // of those
+	Requests  int64         // waiting or running there
+	Latency   time.Duration // lowest expected one
+}
+
+// Wait estimates how long a new request waits for a slot.
+func (l Load) Wait() time.Duration {
+	excess := l.Requests + 1 - l.Slots
+	if excess <= 0 || l.Slots == 0 {
+		return 0
+	}
+	return time.Duration(float64(excess) / float64(l.Slots) * float64(l.Latency))
+}
+
+// Load sums up the eligible endpoints of the service.
+func (t *Table) Load(service units.ServiceName, now time.Time) Load {
+	var l Load
+	for _, e := range t.endpoints(service) {
+		if !e.eligible(now) {
+			continue
+		}
+		l.Endpoints++
+		l.Slots += e.slots.Load()
+		l.Requests += e.outstanding.Load() + e.others.Load()
+		if d := e.expected(now); l.Latency == 0 || d < l.Latency {
+			l.Latency = d
+		}
+	}
+	return l
+}
+
+// HedgeDelay is the time after which an idempotent attempt deserves a second
+// one: three times the expected latency, at least 2 ms, which few healthy
+// responses exceed.
+func (c *Choice) HedgeDelay(now time.Time) time.Duration {
+	distance := time.Duration(c.Endpoint.distance.Load())
+	return max(2*time.Millisecond, 3*c.Endpoint.expected(now)+distance)
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,265 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+type fakeSession struct{ name string }
+
+func (*fakeSession) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, http.ErrAbortHandler
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// newTable returns a table with n ready endpoints of service s in domain a,
+// past their slow start.
+func newTable(n int) (*Table, *fakeSession) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	t := New(Settings{Domain: "a", Region: "r", Random: func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Uint64()
+	}})
+	s := &fakeSession{}
+	for i := range n {
+		t.Observe(name(i), s, beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0), start.Add(-time.Minute))
+	}
+	refresh(t, s, n, start)
+	return t, s
+}
+
+func name(i int) units.WorkerID { return units.WorkerID(fmt.Sprint("worker-", i)) }
+
+func refresh(t *Table, s Session, n int, now time.Time) {
+	for i := range n {
+		t.Observe(name(i), s, beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0), now)
+	}
+}
+
+func beat(domain, region string, state wire.EndpointState, busy int32) *wire.Heartbeat {
+	return &wire.Heartbeat{FailureDomain: domain, Region: region, Endpoints: []*wire.EndpointReport{
+		{Service: "s", State: state, Slots: 8, Connections: 64, Busy: busy, LatencyMicroseconds: 1000}}}
+}
+
+var request = Request{Service: "s", Idempotent: true}
+
+// Guards against requests to an endpoint that must not get any.
+func TestEligibility(t *testing.T) {
+	ready := beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0)
+	document := func(state environment.DomainState, drained ...units.WorkerID) *environment.Document {
+		return &environment.Document{FailureDomains: []environment.FailureDomain{{Name: "a", Region: "r", State: state}}, DrainedWorkers: drained}
+	}
+	for _, c := range []struct {
+		name     string
+		beat     *wire.Heartbeat
+		document *environment.Document
+		age      time.Duration
+		want     bool
+	}{
+		{"ready", ready, document(environment.DomainIn), 2 * time.Second, true},
+		{"old heartbeat", ready, document(environment.DomainIn), 2*time.Second + 1, false},
+		{"leaving", beat("a", "r", wire.EndpointState_ENDPOINT_STATE_LEAVING, 0), document(environment.DomainIn), 0, false},
+		{"gone", beat("a", "r", wire.EndpointState_ENDPOINT_STATE_GONE, 0), document(environment.DomainIn), 0, false},
+		{"domain out", ready, document(environment.DomainOut), 0, false},
+		{"unknown domain", beat("b", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0), document(environment.DomainIn), 0, false},
+		{"worker drained", ready, document(environment.DomainIn, "worker-0"), 0, false},
+		{"no endpoint", &wire.Heartbeat{}, document(environment.DomainIn), 0, false},
+	} {
+		for _, documentFirst := range []bool{true, false} {
+			table := New(Settings{Domain: "a", Region: "r"})
+			if documentFirst {
+				table.SetDocument(c.document, start)
+			}
+			table.Observe("worker-0", &fakeSession{}, c.beat, start)
+			if !documentFirst {
+				table.SetDocument(c.document, start)
+			}
+			if got := table.Choose(request, start.Add(c.age)) != nil; got != c.want {
+				t.Errorf("%s, document first %t: got chosen %t, want %t", c.name, documentFirst, got, c.want)
+			}
+		}
+	}
+}
+
+// Guards against an old session whose end removes endpoints that a newer one
+// has taken over.
+func TestRemoveIgnoresOlderSession(t *testing.T) {
+	table, old := newTable(1)
+	table.Observe(name(0), &fakeSession{"new"}, beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0), start)
+	table.Remove(name(0), old)
+	if table.Choose(request, start) == nil {
+		t.Error("got no endpoint after the old session ended, want the one of the new session")
+	}
+}
+
+// Guards against a choice that ignores load, latency or distance.
+func TestChoicePrefersLessLoadedAndNearer(t *testing.T) {
+	table, s := newTable(2)
+	table.Observe(name(0), s, beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 8), start)
+	table.Observe(name(2), s, beat("z", "other", wire.EndpointState_ENDPOINT_STATE_READY, 0), start.Add(-time.Minute))
+	table.Observe(name(2), s, beat("z", "other", wire.EndpointState_ENDPOINT_STATE_READY, 0), start)
+	counts := map[units.WorkerID]int{}
+	for range 300 {
+		c := table.Choose(request, start)
+		counts[c.Endpoint.Worker]++
+		c.End(Cancelled, start)
+	}
+	if counts[name(1)] < 190 || counts[name(2)] > 0 {
+		t.Errorf("got choices %v, want most on the idle near worker-1 and none in the other region", counts)
+	}
+}
+
+func fail(table *Table, worker units.WorkerID, n int, now time.Time) {
+	for range 10_000 {
+		c := table.Choose(request, now)
+		if c.Endpoint.Worker != worker {
+			c.End(Succeeded, now)
+			continue
+		}
+		c.End(Failed, now)
+		if n--; n == 0 {
+			return
+		}
+	}
+}
+
+// Guards against a failing endpoint that keeps its share, and against one that
+// never returns.
+func TestOutlierIsEjectedAndReturnsByProbes(t *testing.T) {
+	table, s := newTable(4)
+	fail(table, name(1), failuresToEject, start)
+	count := func(now time.Time, result Result) (n int) {
+		for range 400 {
+			c := table.Choose(request, now)
+			if c.Endpoint.Worker == name(1) {
+				n++
+			}
+			c.End(result, now)
+		}
+		return n
+	}
+	if got := count(start.Add(time.Millisecond), Succeeded); got != 0 {
+		t.Errorf("got %d requests to an ejected endpoint, want 0", got)
+	}
+	later := start.Add(1500 * time.Millisecond)
+	if got := count(later, Succeeded); got < probesToReturn {
+		t.Errorf("got %d probes after the ejection, want at least %d", got, probesToReturn)
+	}
+	refresh(table, s, 4, later.Add(20*time.Second))
+	if got := count(later.Add(20*time.Second), Succeeded); got < 40 {
+		t.Errorf("got %d of 400 requests after slow start, want about a quarter", got)
+	}
+}
+
+// Guards against ejecting most of a set when the fault lies elsewhere.
+func TestAtMostHalfIsEjected(t *testing.T) {
+	table, _ := newTable(5)
+	for range 2000 {
+		table.Choose(request, start).End(Failed, start)
+	}
+	ejected := 0
+	for _, e := range table.endpoints("s") {
+		if e.ejected.Load() {
+			ejected++
+		}
+	}
+	if ejected != 2 {
+		t.Errorf("got %d of 5 ejected, want 2", ejected)
+	}
+}
+
+// Guards against a stampede to endpoints whose domain returns to service.
+func TestReturningDomainStartsSlowly(t *testing.T) {
+	table, s := newTable(4)
+	for i := range 4 {
+		table.Observe(name(10+i), s, beat("b", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0), start)
+	}
+	domains := func(state environment.DomainState) *environment.Document {
+		return &environment.Document{FailureDomains: []environment.FailureDomain{
+			{Name: "a", Region: "r", State: environment.DomainIn}, {Name: "b", Region: "r", State: state}}}
+	}
+	table.settings.SameRegionCost = 0
+	table.SetDocument(domains(environment.DomainOut), start)
+	table.SetDocument(domains(environment.DomainIn), start)
+	returned := 0
+	for range 1000 {
+		c := table.Choose(request, start.Add(100*time.Millisecond))
+		if c.Endpoint.Worker >= name(10) && len(c.Endpoint.Worker) == len("worker-10") {
+			returned++
+		}
+	}
+	if returned == 0 || returned > 300 {
+		t.Errorf("got %d of 1000 requests at the start of the return, want some but at most 300", returned)
+	}
+}
+
+// Guards against retries above a tenth of the requests.
+func TestBudgetIsATenth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget()
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 2000).Draw(t, "steps") {
+			if rapid.IntRange(0, 2).Draw(t, "step") > 0 {
+				b.Deposit()
+				requests++
+			} else if b.Withdraw() {
+				retries++
+			}
+		}
+		if retries > budgetStart+requests/token {
+			t.Fatalf("got %d retries for %d requests, want at most %d", retries, requests, budgetStart+requests/token)
+		}
+	})
+}
+
+// Run with -race: heartbeats, removals, choices and results together.
+func TestConcurrentUse(t *testing.T) {
+	table, s := newTable(8)
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			for i := range 2000 {
+				if c := table.Choose(request, start); c != nil {
+					c.End(Result(i%6), start)
+				}
+			}
+		})
+	}
+	for i := range 500 {
+		refresh(table, s, 8, start)
+		table.Remove(name(i%8), s)
+	}
+	wait.Wait()
+	refresh(table, s, 8, start)
+	for _, e := range table.endpoints("s") {
+		if got := e.outstanding.Load(); got != 0 {
+			t.Errorf("%s: got %d outstanding after all ended, want 0", e.Worker, got)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	table, s := newTable(1000)
+	table.settings.Random = rand.Uint64
+	now := time.Now()
+	refresh(table, s, 1000, now)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			table.Choose(request, now).End(Succeeded, now)
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,203 @@
+// Package routing chooses the endpoint for each request of a caller. It holds
+// what heartbeats and earlier requests have told about every endpoint, and
+// decides with the time and the random source that it is given.
+//
+// Reading is lock-free apart from the statistics of the endpoint concerned:
+// the set of endpoints changes rarely and is replaced as a whole.
+package routing
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Session carries requests to an agent; *link.Session is one.
+type Session interface{ http.RoundTripper }
+
+// Settings are the constants of routing. Zero fields take the defaults.
+type Settings struct {
+	Domain units.DomainName // failure domain of this process
+	Region units.RegionName // region of this process
+	// Costs are added to the expected latency of an endpoint.
+	SameRegionCost  time.Duration // other domain of the region; default 8 ms, a round trip
+	OtherRegionCost time.Duration // default 50 ms
+	Fresh           time.Duration // oldest heartbeat of an eligible endpoint; default 2 s
+	Ejection        time.Duration // first ejection; doubles each time up to 30 s; default 1 s
+	SlowStart       time.Duration // time until a returning endpoint takes its full share; default 10 s
+	Random          func() uint64 // safe for concurrent use; default math/rand/v2
+}
+
+func (s *Settings) defaults() {
+	for _, d := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&s.SameRegionCost, 8 * time.Millisecond},
+		{&s.OtherRegionCost, 50 * time.Millisecond},
+		{&s.Fresh, 2 * time.Second},
+		{&s.Ejection, time.Second},
+		{&s.SlowStart, 10 * time.Second},
+	} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	if s.Random == nil {
+		s.Random = rand.Uint64
+	}
+}
+
+// Table holds the endpoints of every service. It is safe for concurrent use.
+type Table struct {
+	settings Settings
+	sets     atomic.Pointer[map[units.ServiceName]*set]
+
+	mu       sync.Mutex // guards changes of membership, document and ejections
+	document *environment.Document
+	workers  map[units.WorkerID]*worker
+}
+
+// worker groups the endpoints that one agent reports.
+type worker struct {
+	session   Session
+	domain    units.DomainName
+	region    units.RegionName
+	draining  bool
+	endpoints map[units.ServiceName]*Endpoint
+}
+
+// set is the immutable list of a service's endpoints.
+type set struct{ endpoints []*Endpoint }
+
+// New returns an empty table.
+func New(s Settings) *Table {
+	s.defaults()
+	t := &Table{settings: s, workers: make(map[units.WorkerID]*worker)}
+	t.sets.Store(&map[units.ServiceName]*set{})
+	return t
+}
+
+// SetDocument applies the state of failure domains and drained workers.
+func (t *Table) SetDocument(d *environment.Document, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.document = d
+	for id, w := range t.workers {
+		for _, e := range w.endpoints {
+			t.admit(id, w, e, now)
+		}
+	}
+}
+
+// Observe records a heartbeat that arrived over session.
+func (t *Table) Observe(id units.WorkerID, session Session, h *wire.Heartbeat, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.workers[id]
+	if w == nil {
+		w = &worker{endpoints: make(map[units.ServiceName]*Endpoint)}
+		t.workers[id] = w
+	}
+	w.session, w.domain, w.region = session, units.DomainName(h.FailureDomain), units.RegionName(h.Region)
+	w.draining = h.Draining
+	changed := false
+	reported := make(map[units.ServiceName]bool, len(h.Endpoints))
+	for _, r := range h.Endpoints {
+		name := units.ServiceName(r.Service)
+		reported[name] = true
+		e := w.endpoints[name]
+		if e == nil {
+			e = &Endpoint{Worker: id, Service: name, table: t}
+			w.endpoints[name] = e
+			changed = true
+		}
+		e.observe(r, session, t.distance(w), now)
+		t.admit(id, w, e, now)
+	}
+	for name := range w.endpoints {
+		if !reported[name] {
+			delete(w.endpoints, name)
+			changed = true
+		}
+	}
+	if changed {
+		t.rebuild()
+	}
+}
+
+// Remove forgets the worker's endpoints when session is the one that its last
+// heartbeat came over; a newer session keeps them.
+func (t *Table) Remove(id units.WorkerID, session Session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w := t.workers[id]; w != nil && w.session == session {
+		delete(t.workers, id)
+		t.rebuild()
+	}
+}
+
+// admit decides whether the endpoint may get requests, heartbeat age aside. An
+// endpoint that becomes usable starts slowly.
+func (t *Table) admit(id units.WorkerID, w *worker, e *Endpoint, now time.Time) {
+	usable := !w.draining && wire.EndpointState(e.state.Load()) == wire.EndpointState_ENDPOINT_STATE_READY
+	if t.document != nil {
+		usable = usable && !t.document.DomainIsOut(w.domain) && !t.document.IsDrained(id)
+	}
+	if usable && !e.usable.Swap(true) {
+		e.startSlowly(now)
+	} else if !usable {
+		e.usable.Store(false)
+	}
+}
+
+// distance is the extra latency of the worker's failure domain.
+func (t *Table) distance(w *worker) time.Duration {
+	switch {
+	case w.domain == t.settings.Domain:
+		return 0
+	case w.region == t.settings.Region:
+		return t.settings.SameRegionCost
+	}
+	return t.settings.OtherRegionCost
+}
+
+// rebuild replaces the immutable sets after a change of membership.
+func (t *Table) rebuild() {
+	sets := make(map[units.ServiceName]*set)
+	for _, w := range t.workers {
+		for name, e := range w.endpoints {
+			s := sets[name]
+			if s == nil {
+				s = &set{}
+				sets[name] = s
+			}
+			s.endpoints = append(s.endpoints, e)
+		}
+	}
+	t.sets.Store(&sets)
+}
+
+func (t *Table) endpoints(service units.ServiceName) []*Endpoint {
+	if s := (*t.sets.Load())[service]; s != nil {
+		return s.endpoints
+	}
+	return nil
+}
+
+// Eligible counts the endpoints of the service that may get requests now.
+func (t *Table) Eligible(service units.ServiceName, now time.Time) int {
+	n := 0
+	for _, e := range t.endpoints(service) {
+		if e.eligible(now) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/standin/endpoint/endpoint.go
@@ -0,0 +1,290 @@
+// Package endpoint is a substitute for a service's endpoint (runner). It takes
+// a configurable time for each request, records what it executed, and can
+// misbehave in the ways that real endpoints and their connections do.
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers of the substitute.
+const (
+	RequestID  = "Request-Id"  // of the caller; echoed, and recorded when executed
+	Digest     = "Body-Digest" // xxhash of the request body, on responses
+	FaultName  = "Fault"       // on a request: the fault to inject
+	WholeCheck = "Response-Digest"
+)
+
+// Options configures an Endpoint. Zero fields take the defaults.
+type Options struct {
+	Service       string
+	Address       string // IP:port to listen on; default 127.0.0.1:0
+	Agent         string // base URL of the agent's announcement listener; empty announces nowhere
+	Slots         int    // default 8
+	Connections   int    // default 64
+	ServiceTime   time.Duration
+	Spread        float64 // sigma of the log-normal service time; 0 for a constant one
+	ResponseBytes int     // length of a response body; default that of a short JSON object
+	Fault         string  // injected into a share of the requests
+	FaultShare    float64
+	Seed          uint64
+}
+
+// Endpoint is the substitute.
+type Endpoint struct {
+	options  Options
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+	slots    chan struct{}
+	conns    atomic.Int64
+	active   atomic.Int64
+	lastBusy atomic.Int64
+
+	mu       sync.Mutex // guards the rest
+	random   *rand.Rand
+	executed map[string]int
+	unnamed  int
+	silenced []net.Conn
+}
+
+// maxRecorded bounds the memory for executed request ids.
+const maxRecorded = 4_000_000
+
+// New binds the address.
+func New(o Options) (*Endpoint, error) {
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	if o.Slots == 0 {
+		o.Slots = 8
+	}
+	if o.Connections == 0 {
+		o.Connections = 64
+	}
+	listener, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{
+		options: o, listener: listener, slots: make(chan struct{}, o.Slots),
+		client: &http.Client{Timeout: time.Second},
+		random: rand.New(rand.NewPCG(o.Seed, 1)), executed: make(map[string]int),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/executed", e.serveExecuted)
+	mux.HandleFunc("POST /v1/faults", e.serveFaults)
+	mux.HandleFunc("/", e.serve)
+	e.server = &http.Server{Handler: mux, ConnState: e.limit, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 10 * time.Second}
+	return e, nil
+}
+
+// Address is where the endpoint listens.
+func (e *Endpoint) Address() string { return e.listener.Addr().String() }
+
+// limit closes connections above the limit at once, as a runner does.
+func (e *Endpoint) limit(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if e.conns.Add(1) > int64(e.options.Connections) {
+			conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		e.conns.Add(-1)
+	}
+}
+
+const (
+	announceInterval = time.Second
+	// leaveQuiet is how long the endpoint must have been idle after it
+	// announced that it leaves: a request may be on its way from the agent.
+	leaveQuiet   = 200 * time.Millisecond
+	leaveTimeout = 30 * time.Second
+)
+
+// Run serves and announces until ctx ends, then leaves: it announces that it
+// is leaving, finishes what it has and returns.
+func (e *Endpoint) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- e.server.Serve(e.listener) }()
+	tick := time.NewTicker(announceInterval)
+	defer tick.Stop()
+	defer e.close()
+	for {
+		e.announce("ready")
+		select {
+		case <-tick.C:
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			e.leave()
+			<-failed
+			return nil
+		}
+	}
+}
+
+func (e *Endpoint) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	e.lastBusy.Store(time.Now().UnixNano())
+	tick := time.NewTicker(leaveQuiet / 4)
+	defer tick.Stop()
+	for next := time.Now(); ctx.Err() == nil; <-tick.C {
+		now := time.Now()
+		if !now.Before(next) {
+			e.announce("leaving")
+			next = now.Add(announceInterval)
+		}
+		if e.active.Load() == 0 && now.UnixNano()-e.lastBusy.Load() > int64(leaveQuiet) {
+			break
+		}
+	}
+	_ = e.server.Shutdown(ctx)
+}
+
+// close drops the connections that a fault silenced.
+func (e *Endpoint) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.silenced {
+		c.Close()
+	}
+	e.server.Close()
+	e.client.CloseIdleConnections()
+}
+
+// announce ignores failures: the next announcement follows in a second.
+func (e *Endpoint) announce(state string) {
+	if e.options.Agent == "" {
+		return
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": e.options.Service, "address": e.Address(), "slots": e.options.Slots, "connections": e.options.Connections, "state": state,
+	})
+	if err != nil {
+		return
+	}
+	response, err := e.client.Post(e.options.Agent+"/v1/announce", "application/json", bytes.NewReader(body))
+	if err == nil {
+		response.Body.Close()
+	}
+}
+
+func (e *Endpoint) serveExecuted(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"executed": e.executed, "unnamed": e.unnamed})
+}
+
+// Executed returns how often each request id was executed.
+func (e *Endpoint) Executed() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	copied := make(map[string]int, len(e.executed))
+	for id, n := range e.executed {
+		copied[id] = n
+	}
+	return copied
+}
+
+func (e *Endpoint) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var change struct {
+		Fault string  `json:"fault"`
+		Share float64 `json:"share"`
+	}
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096)).Decode(&change)
+	if err != nil || (change.Fault != "" && faults[change.Fault] == nil) {
+		http.Error(w, "want {\"fault\": a known fault or \"\", \"share\": 0 to 1}", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.options.Fault, e.options.FaultShare = change.Fault, change.Share
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// draw returns the service time and fault of the next request.
+func (e *Endpoint) draw(r *http.Request) (time.Duration, fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := e.options.ServiceTime
+	if e.options.Spread > 0 {
+		d = time.Duration(float64(d) * math.Exp(e.random.NormFloat64()*e.options.Spread))
+	}
+	name := r.Header.Get(FaultName)
+	if name == "" && e.options.FaultShare > 0 && e.random.Float64() < e.options.FaultShare {
+		name = e.options.Fault
+	}
+	return d, faults[name]
+}
+
+func (e *Endpoint) record(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if id == "" || len(e.executed) >= maxRecorded {
+		e.unnamed++
+		return
+	}
+	e.executed[id]++
+}
+
+// serve executes one request. A request is recorded before its service time:
+// from then on it has taken effect.
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	e.active.Add(1)
+	defer func() {
+		e.lastBusy.Store(time.Now().UnixNano())
+		e.active.Add(-1)
+	}()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64<<20))
+	if err != nil {
+		http.Error(w, "request body too large or truncated", http.StatusBadRequest)
+		return
+	}
+	select {
+	case e.slots <- struct{}{}:
+		defer func() { <-e.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	d, inject := e.draw(r)
+	if inject != nil && inject(e, w, r, before) {
+		return
+	}
+	e.record(r.Header.Get(RequestID))
+	if d > 0 {
+		time.Sleep(d)
+	}
+	if inject != nil && inject(e, w, r, after) {
+		return
+	}
+	answer := e.answer(r, body)
+	w.Header().Set(RequestID, r.Header.Get(RequestID))
+	w.Header().Set(Digest, fmt.Sprintf("%016x", xxhash.Sum64(body)))
+	w.Header().Set(WholeCheck, fmt.Sprintf("%016x", xxhash.Sum64(answer)))
+	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	_, _ = w.Write(answer)
+}
+
+func (e *Endpoint) answer(r *http.Request, body []byte) []byte {
+	answer := fmt.Appendf(nil, "{\"requestId\":%q,\"digest\":\"%016x\"}\n", r.Header.Get(RequestID), xxhash.Sum64(body))
+	if n := e.options.ResponseBytes - len(answer); n > 0 {
+		answer = append(answer, bytes.Repeat([]byte("x"), n)...)
+	}
+	return answer
+}
