Test the agent under generated histories and fix what they found

cause: Generated mixes of pauses, restarts, rivals, partitions and log outages made the agent run watchers twice: an ended standby was adopted as a run, a lessor activated a standby after it had attested the expiry or after its lessee had changed lessor, and a lapsed watcher was reported before the lessor could report that it had taken over. A launch handler raced with the control loop. change: Labels mark standbys; a lessor activates only what it has not attested and what every entry that answered lately still lists; the end of a lapsed watcher is held back for 10 s; ask returns values instead of writing them. A lessor that knows of the change of lessor from no entry, during a log outage, is not covered.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -138,6 +138,7 @@
 	lease     lease
 	lessees   map[units.WorkerID]*lessee
 	entries   map[string]*entry
+	logSince  time.Time // the log has been reachable since; zero while it is not
 	guarded   guardState
 }
 
@@ -241,6 +242,7 @@
 // that one tick decides on one instant.
 func (a *Agent) tick(now time.Time) {
 	a.pollEndpoints(now)
+	a.tickLog(now)
 	a.tickLease(now)
 	a.tickLessees(now)
 	a.tickWorker(now)
@@ -314,16 +316,25 @@
 	return mux
 }
 
-// ask runs fn on the control loop and waits for it.
-func (a *Agent) ask(ctx context.Context, fn func()) error {
-	answered := make(chan struct{})
-	if a.post(func() { defer close(answered); fn() }) {
+// ask runs fn on the control loop and returns its result. When ctx ends first,
+// fn may still run later; its result is dropped.
+func ask[T any](ctx context.Context, a *Agent, fn func() (T, error)) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	answered := make(chan answer, 1)
+	if a.post(func() {
+		value, err := fn()
+		answered <- answer{value, err}
+	}) {
 		select {
-		case <-answered:
-			return nil
+		case got := <-answered:
+			return got.value, got.err
 		case <-ctx.Done():
 		case <-a.done:
 		}
 	}
-	return fault.New("ask", NotReady, "the agent is stopping")
+	var zero T
+	return zero, fault.New("ask", NotReady, "the agent is stopping or overloaded")
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 // world is three workers, one per failure domain, their agents and the platform.
 type world struct {
 	t        *testing.T
+	mu       sync.Mutex // guards the maps below and events
 	ctx      context.Context
 	network  *network
 	platform *platform
@@ -49,11 +51,11 @@
 func (w *world) start(names ...string) {
 	for _, name := range names {
 		g := newGate()
-		w.gates[name] = g
 		process := w.variant(w, name, &gatedWorker{Worker: w.cores[name], gate: g}, g)
-		w.agents[name] = process
 		failed := make(chan error, 1)
-		w.errors[name] = failed
+		w.mu.Lock()
+		w.gates[name], w.agents[name], w.errors[name] = g, process, failed
+		w.mu.Unlock()
 		go func() { failed <- process.Run(w.ctx) }()
 	}
 }
@@ -119,8 +121,8 @@
 		},
 	}
 	a.Events = func(kind, subject, text string) {
-		w.network.mu.Lock()
-		defer w.network.mu.Unlock()
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.events = append(w.events, fmt.Sprintf("%s %s %s %s %s", time.Now().Format("05.000"), name, kind, subject, text))
 	}
 	return a
@@ -133,18 +135,26 @@
 
 // pauseLoop stops everything the process does for d, like SIGSTOP.
 func (w *world) pauseLoop(name string, d time.Duration) {
-	if a, ok := w.agents[name].(*Agent); ok {
+	process, g := w.current(name)
+	if a, ok := process.(*Agent); ok {
 		go a.post(func() { time.Sleep(d) })
 	}
-	w.gates[name].pause(d)
+	g.pause(d)
 }
 
 // restart kills the process at once and starts its successor.
 func (w *world) restart(name string) {
-	w.gates[name].kill()
+	_, g := w.current(name)
+	g.kill()
 	w.start(name)
 }
 
+func (w *world) current(name string) (process, *gate) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.agents[name], w.gates[name]
+}
+
 // check returns every violated guarantee.
 func (w *world) check() []string {
 	var runs []worker.Run
@@ -185,7 +195,7 @@
 		go w.platform.dispatch(ctx)
 		scenario(w)
 		problems = w.check()
-		if t.Failed() {
+		if t.Failed() || len(problems) > 0 {
 			for _, e := range w.events {
 				t.Log(e)
 			}
@@ -243,3 +253,11 @@
 		}
 	}))
 }
+
+// killAfter ends the process right after the next such operation took effect.
+func (w *world) killAfter(name, op string) {
+	process, _ := w.current(name)
+	if a, ok := process.(*Agent); ok {
+		a.Worker.(*gatedWorker).armKill(op)
+	}
+}
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -49,7 +49,7 @@
 	request := workerapi.StartRequest{
 		Epoch: a.epoch, Task: t.name, Attempt: t.attempt, Kind: t.spec.GetJobKind(), Size: t.size,
 		RunTime: time.Duration(t.spec.GetRunMilliseconds()) * time.Millisecond, LeaseUntil: t.startEnd,
-		Checkpoint: t.spec.GetCheckpoint(), Standby: t.holder != "", Label: label(t.spec),
+		Checkpoint: t.spec.GetCheckpoint(), Standby: t.holder != "", Label: label(t),
 	}
 	a.call(t, func(ctx callContext) error {
 		if !time.Now().Before(until) {
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -129,7 +129,7 @@
 		session, err := a.dial(dialing, e.address)
 		cancel()
 		if err == nil {
-			if a.beat(ctx, e, session) {
+			if a.beatUntilSilent(ctx, e, session) {
 				backoff = firstBackoff
 			}
 			if a.draining.Load() {
@@ -144,9 +144,9 @@
 	}
 }
 
-// beat sends heartbeats on one session until one is not answered, and reports
+// beatUntilSilent sends heartbeats on one session until one is not answered, and reports
 // whether any was.
-func (a *Agent) beat(ctx context.Context, e *entry, session Session) (answered bool) {
+func (a *Agent) beatUntilSilent(ctx context.Context, e *entry, session Session) (answered bool) {
 	if !a.post(func() { e.session, e.wantRunning, e.interference = session, true, 0 }) {
 		return false
 	}
@@ -172,29 +172,37 @@
 	return answered
 }
 
+// beat is one heartbeat on its way.
+type beat struct {
+	message  *wire.Heartbeat
+	reports  []sentReport
+	sent     time.Time
+	interval time.Duration // until the next one
+}
+
 func (a *Agent) beatOnce(ctx context.Context, e *entry, session Session) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	var heartbeat *wire.Heartbeat
-	var reports []sentReport
-	var interval time.Duration
-	var sent time.Time
-	err := a.ask(ctx, func() {
-		sent = time.Now()
-		heartbeat, reports = a.compose(e, sent)
-		interval = heartbeatInterval * time.Duration(max(len(a.entries), fewEntries)) / fewEntries
+	b, err := ask(ctx, a, func() (beat, error) {
+		b := beat{sent: time.Now(), interval: heartbeatInterval * time.Duration(max(len(a.entries), fewEntries)) / fewEntries}
+		b.message, b.reports = a.compose(e, b.sent)
+		return b, nil
 	})
 	if err != nil {
 		return heartbeatInterval, err
 	}
 	reply := &wire.HeartbeatReply{}
-	if err := session.Call(ctx, "/link/heartbeat", heartbeat, reply); err != nil {
-		return interval, err
+	if err := session.Call(ctx, "/link/heartbeat", b.message, reply); err != nil {
+		return b.interval, err
 	}
 	var document *environment.Document
 	var parseErr error
 	if len(reply.ConfigDocument) > 0 {
 		document, parseErr = a.parse(reply.ConfigDocument)
 	}
-	return interval, a.ask(ctx, func() { a.applyReply(e, reply, document, parseErr, sent, reports) })
+	_, err = ask(ctx, a, func() (struct{}, error) {
+		a.applyReply(e, reply, document, parseErr, b.sent, b.reports)
+		return struct{}{}, nil
+	})
+	return b.interval, err
 }
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -10,18 +10,15 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// spread is how long one entry has to act on a report before the next one gets
-// it too. All entries acting at once would write the same record many times
-// into a log that takes a few hundred appends a second.
-const spread = 2 * time.Second
+// watcherHold is how long the end of a watcher whose lease lapsed is held back,
+// counted from its end and from when the log was reachable again. The lessor may
+// have activated the standby as the next attempt while the log was unreachable;
+// its report must be recorded before anyone assigns that attempt elsewhere.
+const watcherHold = 10 * time.Second
 
 // maxReports bounds a heartbeat; the rest follows in the next one.
 const maxReports = 256
 
-// due reports whether an entry of the given rank gets something to act on that
-// has waited since the given instant.
-func due(rank int, since, now time.Time) bool { return now.Sub(since) >= time.Duration(rank)*spread }
-
 // sentReport identifies what a heartbeat carried: an acknowledgement counts
 // only for the outcome that was in the heartbeat it answers.
 type sentReport struct {
@@ -45,23 +42,23 @@
 	}
 	h.Capacity, h.Committed, h.Evictable = wire.FromResources(a.capacity), wire.FromResources(a.committed()), wire.FromResources(a.evictable())
 	h.LeaseTerm, h.LeaseValid, h.Registered = uint64(a.lease.term), a.lease.valid(now), a.lease.registered
-	h.WantsLessor = a.lease.wants && due(e.rank, a.lease.wantsFrom, now)
-	h.Expiries = a.expiries(e.rank, now)
+	h.WantsLessor = a.lease.wants
+	h.Expiries = a.expiries(now)
 	h.Interference, e.composed = a.interference(e.interference)
 	if e.rank == 0 && a.PendingEvents != nil {
 		h.Events = a.PendingEvents()
 	}
 	if full {
-		h.Running = a.runningRefs()
+		h.Running = a.runningRefs(now)
 	}
-	sent := a.addReports(h, e, full, now)
+	sent := a.addReports(h, now)
 	return h, sent
 }
 
-func (a *Agent) runningRefs() []*wire.TaskRef {
+func (a *Agent) runningRefs(now time.Time) []*wire.TaskRef {
 	var refs []*wire.TaskRef
 	for _, t := range a.tasks {
-		if t.phase != ended && (t.holder == "" || t.activateAs != 0) {
+		if (t.phase != ended || a.heldBack(t, now)) && (t.holder == "" || t.activateAs != 0) {
 			refs = append(refs, t.ref())
 		}
 	}
@@ -69,15 +66,13 @@
 }
 
 // addReports adds the reports that are not yet acknowledged, oldest first.
-func (a *Agent) addReports(h *wire.Heartbeat, e *entry, full bool, now time.Time) []sentReport {
+func (a *Agent) addReports(h *wire.Heartbeat, now time.Time) []sentReport {
 	var pending []*task
 	for _, t := range a.tasks {
-		if t.phase != running && t.phase != ended || t.silent || t.acknowledged {
+		if t.phase != running && t.phase != ended || t.silent || t.acknowledged || a.heldBack(t, now) {
 			continue
 		}
-		if full || due(e.rank, t.reportSince, now) {
-			pending = append(pending, t)
-		}
+		pending = append(pending, t)
 	}
 	slices.SortFunc(pending, func(x, y *task) int {
 		return cmp.Or(x.reportSince.Compare(y.reportSince), cmp.Compare(x.name.Job, y.name.Job), cmp.Compare(x.name.Index, y.name.Index))
@@ -91,6 +86,13 @@
 	return sent
 }
 
+func (a *Agent) heldBack(t *task, now time.Time) bool {
+	if t.isBatch() || t.outcome != wire.Outcome_OUTCOME_EXPIRED {
+		return false
+	}
+	return now.Sub(t.since) < watcherHold || a.logSince.IsZero() || now.Sub(a.logSince) < watcherHold
+}
+
 func (t *task) report() *wire.TaskReport {
 	r := &wire.TaskReport{Task: t.ref(), Outcome: t.outcome}
 	if t.phase == ended {
@@ -116,7 +118,9 @@
 	}
 	a.applyConfiguration(reply, document, parseErr, sent)
 	a.applyRegistration(reply, now)
-	a.applyLessees(reply.Lessees, now)
+	if units.Epoch(reply.RegisteredEpoch) == a.epoch {
+		a.applyLessees(reply.Lessees, sent, now)
+	}
 	a.applyStandbys(reply.Standbys, now)
 	a.learnEntries(reply.Entries, now)
 }
@@ -137,6 +141,16 @@
 // log now.
 const recent = 2 * time.Second
 
+// tickLog notes since when the log has been reachable without a break.
+func (a *Agent) tickLog(now time.Time) {
+	switch {
+	case !a.logReachable(now):
+		a.logSince = time.Time{}
+	case a.logSince.IsZero():
+		a.logSince = now
+	}
+}
+
 // logReachable reports whether an entry has recently said that it reaches the log.
 func (a *Agent) logReachable(now time.Time) bool { return a.anyEntry(now, true) }
 
--- /dev/null
+++ b/internal/agent/history_test.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		set := false
+		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+		if !set {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// fault is one entry of a generated history.
+type event struct {
+	kind string
+	name string // worker
+	op   string
+	at   time.Duration
+	long time.Duration
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("%s %s %s at %s for %s", e.kind, e.name, e.op, e.at, e.long)
+}
+
+// injections carry out the events.
+var injections = map[string]func(*world, event){
+	// pause stops the process, possibly past its lease, and wakes it.
+	"pause": func(w *world, e event) { w.pauseLoop(e.name, e.long) },
+	// kill ends the process right after an operation took effect on the
+	// worker and starts its successor later.
+	"kill": func(w *world, e event) {
+		w.killAfter(e.name, e.op)
+		time.Sleep(e.long)
+		w.restart(e.name)
+	},
+	// double starts a second agent while the first goes on.
+	"double": func(w *world, e event) { w.start(e.name) },
+	"cutFromEntries": func(w *world, e event) {
+		w.network.setCut(e.name, "entry", true)
+		time.Sleep(e.long)
+		w.network.setCut(e.name, "entry", false)
+	},
+	"isolate": func(w *world, e event) {
+		others := []string{"w1", "w2", "w3", "entry"}
+		for _, o := range others {
+			w.network.setCut(e.name, o, true)
+		}
+		time.Sleep(e.long)
+		for _, o := range others {
+			w.network.setCut(e.name, o, false)
+		}
+	},
+	"logDown": func(w *world, e event) {
+		w.platform.setLog(false)
+		time.Sleep(e.long)
+		w.platform.setLog(true)
+	},
+	"loseReplies": func(w *world, e event) {
+		w.cores[e.name].SetFaults(worker.Faults{LoseReplies: 2, LoseOp: e.op})
+	},
+	"slowWorker": func(w *world, e event) {
+		w.cores[e.name].SetFaults(worker.Faults{Delay: 1500 * time.Millisecond, Speed: 0.5})
+		time.Sleep(e.long)
+		w.cores[e.name].SetFaults(worker.Faults{})
+	},
+}
+
+func drawHistory(rt *rapid.T) []event {
+	kinds := []string{"pause", "kill", "double", "cutFromEntries", "isolate", "logDown", "loseReplies", "slowWorker"}
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) event {
+		return event{
+			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"),
+			name: rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(rt, "worker"),
+			op:   rapid.SampledFrom([]string{"start", "tasks", "forget", "renew"}).Draw(rt, "op"),
+			at:   time.Duration(rapid.IntRange(3000, 40000).Draw(rt, "at")) * time.Millisecond,
+			long: time.Duration(rapid.IntRange(200, 25000).Draw(rt, "for")) * time.Millisecond,
+		}
+	}), 1, 6).Draw(rt, "history")
+}
+
+// play runs a history over ten tasks and two watchers, heals everything, and
+// returns the violations.
+func play(t *testing.T, history []event, seed uint64, noise float64, variant func(*world) func(*world)) []string {
+	return simulate(t, seed, noise, func(w *world) {
+		healed := variant(w)
+		w.start("w1", "w2", "w3")
+		for i := range uint32(10) {
+			w.platform.submit(i, batch(time.Duration(3+i)*time.Second, 2000+500*units.Millicores(i%3)))
+		}
+		for i := range uint32(2) {
+			watcher := batch(0, 500)
+			watcher.Kind = wire.TaskKind_TASK_KIND_WATCHER
+			w.platform.submit(100+i, watcher)
+		}
+		ordered := slices.Clone(history)
+		slices.SortFunc(ordered, func(a, b event) int { return int(a.at - b.at) })
+		start := time.Now()
+		for _, e := range ordered {
+			time.Sleep(e.at - time.Since(start))
+			go injections[e.kind](w, e)
+		}
+		time.Sleep(70*time.Second - time.Since(start))
+		w.network.mu.Lock()
+		w.network.noise = 0
+		w.network.mu.Unlock()
+		healed(w)
+	})
+}
+
+// Guards against an agent that, under any mix of pauses, restarts, rivals,
+// partitions, log outages and lost or late messages, runs a task in two places,
+// runs a refused attempt, commits more than the worker has, or loses a task.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		history := drawHistory(rt)
+		seed := rapid.Uint64().Draw(rt, "seed")
+		problems := play(t, history, seed, 0.1, func(*world) func(*world) {
+			return func(w *world) {
+				if !w.settle(2 * time.Minute) {
+					w.platform.mu.Lock()
+					w.platform.problem("tasks are unfinished two minutes after the faults ended")
+					w.platform.mu.Unlock()
+				}
+			}
+		})
+		if len(problems) > 0 {
+			rt.Fatalf("%v\n%s", history, strings.Join(problems, "\n"))
+		}
+	})
+}
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -30,20 +30,18 @@
 		return nil, fault.New("launch", NotReady, "%d tasks in one request", len(l.Tasks))
 	}
 	results := make(chan *wire.LaunchResult, len(l.Tasks))
-	var refused error
-	reply := &wire.LaunchReply{}
-	err := a.ask(ctx, func() {
+	reply, err := ask(ctx, a, func() (*wire.LaunchReply, error) {
 		a.observeClock(l.Clock)
-		reply.Clock = a.clock()
-		if refused = a.ready(l); refused != nil {
-			return
+		if err := a.ready(l); err != nil {
+			return nil, err
 		}
 		for _, task := range l.Tasks {
 			a.launch(l, task, results)
 		}
+		return &wire.LaunchReply{Clock: a.clock()}, nil
 	})
-	if err != nil || refused != nil {
-		return nil, firstOf(err, refused)
+	if err != nil {
+		return nil, err
 	}
 	timer := time.NewTimer(launchWait)
 	defer timer.Stop()
@@ -60,15 +58,6 @@
 	return reply, nil
 }
 
-func firstOf(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // ready reports why no launch can be decided now. It is not a refusal: nothing
 // is remembered and the entry repeats the launch.
 func (a *Agent) ready(l *wire.Launch) error {
@@ -129,7 +118,11 @@
 // repeat answers a launch of an attempt that the agent has a row of.
 func (a *Agent) repeat(t *task, results chan<- *wire.LaunchResult) {
 	switch t.phase {
-	case running, ended:
+	case ended:
+		if s, ok := a.memory.answer(t.name, t.attempt); ok {
+			results <- &wire.LaunchResult{Task: t.ref(), Outcome: s.outcome, Reason: s.reason}
+		}
+	case running:
 		results <- &wire.LaunchResult{Task: t.ref(), Outcome: wire.Outcome_OUTCOME_STARTED}
 	default:
 		t.results = append(t.results, results)
--- a/internal/agent/lessee.go
+++ b/internal/agent/lessee.go
@@ -30,7 +30,7 @@
 	deadline  time.Time // send time of the last granted request + leaseDuration
 	granted   time.Time // send time of the last granted request; zero for none in this term
 	wants     bool      // asked for another lessor; never renews in this term again
-	wantsFrom time.Time
+	wantsFrom time.Time // when it asked
 
 	requesting bool
 	nextAt     time.Time
--- a/internal/agent/lessor.go
+++ b/internal/agent/lessor.go
@@ -20,22 +20,38 @@
 	learned   time.Time
 	granted   time.Time // last grant; zero for none
 	attested  bool      // the lease has expired; it is never granted again in this term
-	since     time.Time // of the attestation
 	recorded  bool      // an entry acknowledged the expiry
-	mentioned time.Time
+	disclosed bool      // an entry may have recorded the expiry
+	mentioned time.Time // send time of the last heartbeat whose reply listed it
+	omitted   time.Time // send time of the last heartbeat whose reply did not
+}
+
+// stillOurs reports whether every entry that answered lately lists the lessee.
+// One that does not has seen a change of lessor that others have yet to see.
+func (l *lessee) stillOurs(now time.Time) bool {
+	return now.Sub(l.mentioned) < recent && now.Sub(l.omitted) >= recent
 }
 
 // applyLessees takes in the lessees that an entry lists. An entry that is
 // behind lists a lower epoch or term, which is ignored.
-func (a *Agent) applyLessees(listed []*wire.Lessee, now time.Time) {
+func (a *Agent) applyLessees(listed []*wire.Lessee, sent, now time.Time) {
+	present := make(map[units.WorkerID]bool, len(listed))
 	for _, l := range listed {
 		known := a.lessees[units.WorkerID(l.Worker)]
 		epoch, term := units.Epoch(l.Epoch), units.Term(l.Term)
 		switch {
 		case known == nil || epoch > known.epoch || epoch == known.epoch && term > known.term:
-			a.lessees[units.WorkerID(l.Worker)] = &lessee{worker: units.WorkerID(l.Worker), epoch: epoch, term: term, learned: now, mentioned: now}
+			a.lessees[units.WorkerID(l.Worker)] = &lessee{worker: units.WorkerID(l.Worker), epoch: epoch, term: term, learned: now, mentioned: sent}
 		case epoch == known.epoch && term == known.term:
-			known.mentioned = now
+			known.mentioned = sent
+		default:
+			continue
+		}
+		present[units.WorkerID(l.Worker)] = true
+	}
+	for id, l := range a.lessees {
+		if !present[id] {
+			l.omitted = sent
 		}
 	}
 }
@@ -57,14 +73,11 @@
 
 // serveLease answers POST /link/lease.
 func (a *Agent) serveLease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseReply, error) {
-	reply := &wire.LeaseReply{}
-	err := a.ask(ctx, func() {
+	return ask(ctx, a, func() (*wire.LeaseReply, error) {
 		a.observeClock(request.Clock)
-		reply.Clock = a.clock()
-		reply.Reason = a.grant(request, time.Now())
-		reply.Granted = reply.Reason == ""
+		reason := a.grant(request, time.Now())
+		return &wire.LeaseReply{Granted: reason == "", Reason: reason, Clock: a.clock()}, nil
 	})
-	return reply, err
 }
 
 // grant records a grant and returns "", or returns why there is none.
@@ -102,26 +115,39 @@
 			continue
 		}
 		if !l.attested && !now.Before(l.expiry()) && a.inForce(now) {
-			l.attested, l.since = true, now
+			l.attested = true
 			a.event("leaseExpired", string(l.worker), "no grant for the duration of the lease")
 		}
 	}
 }
 
-// expiries returns the attestations for a peer of the given rank.
-func (a *Agent) expiries(rank int, now time.Time) []*wire.LeaseExpiry {
+// expiries returns the attestations. One waits while a standby of the holder is
+// being activated: once the expiry is recorded, any entry may assign the
+// watcher anew, so its activation has to be reported no later. Once an
+// attestation has been sent, no standby of the holder is activated any more.
+func (a *Agent) expiries(now time.Time) []*wire.LeaseExpiry {
 	if !a.inForce(now) {
 		return nil
 	}
 	var out []*wire.LeaseExpiry
 	for _, l := range a.lessees {
-		if l.attested && !l.recorded && due(rank, l.since, now) {
+		if l.attested && !l.recorded && !a.activating(l.worker) && (l.disclosed || a.logReachable(now)) {
+			l.disclosed = true
 			out = append(out, &wire.LeaseExpiry{Worker: string(l.worker), Epoch: uint64(l.epoch), Term: uint64(l.term)})
 		}
 	}
 	return out
 }
 
+func (a *Agent) activating(holder units.WorkerID) bool {
+	for _, t := range a.tasks {
+		if t.holder == holder && t.activateAs != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Agent) acknowledgeExpiries(acknowledged []*wire.LeaseExpiry) {
 	for _, e := range acknowledged {
 		l := a.lessees[units.WorkerID(e.Worker)]
--- a/internal/agent/network_test.go
+++ b/internal/agent/network_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -151,15 +152,17 @@
 type gatedWorker struct {
 	workerapi.Worker
 	*gate
-	killAfter string // operation after whose effect the process dies
+	killAfter atomic.Pointer[string] // operation after whose effect the process dies
 }
 
+func (w *gatedWorker) armKill(op string) { w.killAfter.Store(&op) }
+
 func (w *gatedWorker) do(op string, call func() error) error {
 	if err := w.pass(); err != nil {
 		return fault.Wrap(op, workerapi.Unknown, err)
 	}
 	err := call()
-	if w.killAfter == op {
+	if last := w.killAfter.Load(); last != nil && *last == op {
 		w.kill()
 	}
 	if lost := w.pass(); lost != nil {
--- a/internal/agent/platform_test.go
+++ b/internal/agent/platform_test.go
@@ -35,8 +35,8 @@
 
 type registration struct {
 	epoch, term, lessorEpoch uint64
-	lessor, address          string
-	expired, told            bool
+	lessor                   string
+	expired                  bool
 }
 
 type record struct {
@@ -167,6 +167,10 @@
 		w.term++
 		p.chooseLessor(h.Worker, w, w.lessor)
 	}
+	for _, r := range h.Reports {
+		p.report(h.Worker, h.Epoch, r)
+		reply.ReportsAcknowledged = append(reply.ReportsAcknowledged, r.Task)
+	}
 	for _, e := range h.Expiries {
 		l := p.workers[e.Worker]
 		if l.epoch == e.Epoch && l.term == e.Term && l.lessor == h.Worker && l.lessorEpoch == h.Epoch && !l.expired {
@@ -175,10 +179,6 @@
 		}
 		reply.ExpiriesAcknowledged = append(reply.ExpiriesAcknowledged, e)
 	}
-	for _, r := range h.Reports {
-		p.report(h.Worker, r)
-		reply.ReportsAcknowledged = append(reply.ReportsAcknowledged, r.Task)
-	}
 }
 
 func (p *platform) chooseLessor(name string, w *registration, not string) {
@@ -226,9 +226,16 @@
 	}
 }
 
-func (p *platform) report(worker string, report *wire.TaskReport) {
+// report records a report about the current attempt, or the activation of a
+// standby as the next one.
+func (p *platform) report(worker string, epoch uint64, report *wire.TaskReport) {
 	r := p.tasks[report.Task.Task()]
-	if report.Outcome == wire.Outcome_OUTCOME_STARTED && report.Task.Attempt == r.attempt+1 && r.worker == worker || r.attempt != report.Task.Attempt || r.ended {
+	isWatcher := r.spec.Kind == wire.TaskKind_TASK_KIND_WATCHER
+	if isWatcher && report.Outcome == wire.Outcome_OUTCOME_STARTED && report.Task.Attempt == r.attempt+1 {
+		r.attempt, r.worker, r.epoch, r.started = report.Task.Attempt, worker, epoch, true
+		return
+	}
+	if r.attempt != report.Task.Attempt || r.ended || r.worker != worker {
 		return
 	}
 	switch report.Outcome {
@@ -319,3 +326,9 @@
 	}
 	return true
 }
+
+func (p *platform) setLog(reachable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logDown = !reachable
+}
--- a/internal/agent/standby.go
+++ b/internal/agent/standby.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		l := a.lessees[t.holder]
-		if l != nil && l.epoch == t.holderEnd && l.attested && !l.recorded && a.logDown(now) && a.inForce(now) {
+		if l != nil && l.epoch == t.holderEnd && l.attested && !l.disclosed && l.stillOurs(now) && a.logDown(now) && a.inForce(now) {
 			t.activateAs = t.next()
 			a.event("standbyActivated", t.name.String(), "the holder's lease expired while the log is unreachable")
 			continue
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -15,20 +15,16 @@
 // fold, so it is obeyed under any epoch, and an attempt not yet seen is
 // remembered: its launch may still be on the way.
 func (a *Agent) serveStop(ctx context.Context, s *wire.Stop) (*wire.StopReply, error) {
-	reply := &wire.StopReply{}
-	var refused error
-	err := a.ask(ctx, func() {
+	return ask(ctx, a, func() (*wire.StopReply, error) {
 		a.observeClock(s.Clock)
-		reply.Clock = a.clock()
 		if s.Worker != string(a.WorkerID) || !a.adopted || len(s.Tasks) > maxTasks {
-			refused = fault.New("stop", NotReady, "worker %s is not held here", s.Worker)
-			return
+			return nil, fault.New("stop", NotReady, "worker %s is not held here", s.Worker)
 		}
 		for _, ref := range s.Tasks {
 			a.stop(ref, s.Reason)
 		}
+		return &wire.StopReply{Clock: a.clock()}, nil
 	})
-	return reply, firstOf(err, refused)
 }
 
 func (a *Agent) stop(ref *wire.TaskRef, reason string) {
@@ -38,6 +34,12 @@
 	switch {
 	case t == nil || t.attempt != number && t.activateAs != number:
 		a.memory.remember(name, number, wire.Outcome_OUTCOME_REFUSED, "stopped before it was launched: "+reason)
+		if t == nil {
+			// The entry repeats the stop until the end is reported.
+			absent := &task{name: name, attempt: number, spec: &wire.TaskSpec{}, reason: reason, noRow: true, phase: ended, since: now}
+			absent.outcomeNow(wire.Outcome_OUTCOME_STOPPED, now)
+			a.tasks[name] = absent
+		}
 	case t.phase == waiting:
 		a.refuse(t, "stopped before it was started: "+reason)
 	case t.phase != ended:
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"encoding/base64"
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -75,6 +78,7 @@
 	usageAt      time.Time
 	share        float64
 	silent       bool // its end is not reported
+	noRow        bool // the worker has no row of it
 	acknowledged bool // the report of its current outcome was acknowledged
 	reportSince  time.Time
 }
@@ -106,28 +110,42 @@
 	t.results = nil
 }
 
-// label encodes the spec for the worker's table, from which a restarted agent
-// adopts the task.
-func label(spec *wire.TaskSpec) string {
-	data, err := proto.Marshal(spec)
+// standbyMark starts the label of a row that was admitted as a standby, followed
+// by the attempt it was admitted under. While the row still has that attempt it
+// never ran, and its end says nothing about the attempt, which runs elsewhere.
+const standbyMark = "standby/"
+
+// label encodes the task for the worker's table, from which a restarted agent
+// adopts it.
+func label(t *task) string {
+	data, err := proto.Marshal(t.spec)
 	if err != nil {
 		return ""
 	}
-	return base64.RawStdEncoding.EncodeToString(data)
+	text := base64.RawStdEncoding.EncodeToString(data)
+	if t.holder != "" {
+		return fmt.Sprintf("%s%d:%s", standbyMark, t.attempt, text)
+	}
+	return text
 }
 
-// specOf decodes a label. A row without a readable one keeps its size, so that
-// it is still counted.
-func specOf(row workerapi.Task) *wire.TaskSpec {
-	spec := &wire.TaskSpec{}
-	data, err := base64.RawStdEncoding.DecodeString(row.Label)
+// readLabel decodes a label. A row without a readable one keeps its size, so
+// that it is still counted.
+func readLabel(row workerapi.Task) (spec *wire.TaskSpec, neverRan bool) {
+	text := row.Label
+	if rest, ok := strings.CutPrefix(text, standbyMark); ok {
+		number, encoded, _ := strings.Cut(rest, ":")
+		text, neverRan = encoded, number == strconv.FormatUint(uint64(row.Attempt), 10)
+	}
+	spec = &wire.TaskSpec{}
+	data, err := base64.RawStdEncoding.DecodeString(text)
 	if err == nil {
 		err = proto.Unmarshal(data, spec)
 	}
-	if err != nil || row.Label == "" {
-		return &wire.TaskSpec{Kind: wire.TaskKind_TASK_KIND_BATCH, Priority: wire.Priority_PRIORITY_LOW, JobKind: row.Kind}
+	if err != nil || text == "" {
+		spec = &wire.TaskSpec{Kind: wire.TaskKind_TASK_KIND_BATCH, Priority: wire.Priority_PRIORITY_LOW, JobKind: row.Kind}
 	}
-	return spec
+	return spec, neverRan
 }
 
 // committed sums what the worker is committed to: tasks that may occupy it and
@@ -202,6 +220,10 @@
 	if !t.silent && !t.acknowledged {
 		return
 	}
+	if t.noRow {
+		delete(a.tasks, t.name)
+		return
+	}
 	epoch := a.epoch
 	a.call(t, func(ctx callContext) error { return a.Worker.Forget(ctx, epoch, t.name, t.attempt) }, func(err error) {
 		if err != nil && !fault.Is(err, workerapi.NotFound) {
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -110,16 +110,24 @@
 	a.event("workerHeld", string(a.WorkerID), fmt.Sprintf("epoch %d, %d tasks adopted", a.epoch, len(a.tasks)))
 }
 
+// unknownHolder stands for the holder of an adopted standby until an entry
+// lists it.
+const unknownHolder units.WorkerID = "unknown"
+
 // adoptRow takes over a row that the agent does not know.
 func (a *Agent) adoptRow(row workerapi.Task, now time.Time) *task {
-	t := &task{name: row.Task, attempt: row.Attempt, spec: specOf(row), size: row.Size, share: row.Throttle, since: now, reportSince: now}
+	spec, neverRan := readLabel(row)
+	t := &task{name: row.Task, attempt: row.Attempt, spec: spec, size: row.Size, share: row.Throttle, since: now, reportSince: now}
+	if neverRan {
+		t.holder, t.mentioned = unknownHolder, now
+	}
 	a.tasks[row.Task] = t
 	switch row.State {
 	case workerapi.Running:
 		t.phase = running
 		t.outcomeNow(wire.Outcome_OUTCOME_STARTED, now)
 	case workerapi.Standby:
-		t.phase, t.mentioned, t.holder = standby, now, "unknown"
+		t.phase, t.holder, t.mentioned = standby, unknownHolder, now
 	default:
 		a.finish(t, row, now)
 	}
