Catch a naive agent with the checker that the agent passes

cause: A checker that no agent fails proves nothing; and a standby that was activated during a log outage and ended before its start was recorded lost its attempt number to another worker. change: naive_test.go has an agent that starts on any lease, checks no epoch, assumes on lost replies and ignores the age of its configuration. The start of an activated standby is reported before its end.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -170,8 +170,10 @@
 			problems = append(problems, fmt.Sprintf("task %s: attempt %d was refused but ran on %s", r.Task, r.Attempt, r.Worker))
 		}
 		domain := string(domains[string(r.Worker)])
-		if out, ok := w.platform.outSince[domain]; ok && r.Start.After(out.Add(3*time.Second)) {
-			problems = append(problems, fmt.Sprintf("task %s started in domain %s %s after it was taken out", r.Task, domain, r.Start.Sub(out)))
+		for _, o := range w.platform.outages {
+			if o.domain == domain && r.Start.After(o.from.Add(3*time.Second)) && (o.to.IsZero() || r.Start.Before(o.to)) {
+				problems = append(problems, fmt.Sprintf("task %s started in domain %s %s after it was taken out", r.Task, domain, r.Start.Sub(o.from)))
+			}
 		}
 	}
 	return append(problems, w.platform.problems...)
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -113,7 +113,7 @@
 
 func (a *Agent) activated(t *task, as units.Attempt) {
 	if t.phase == standby {
-		t.attempt, t.holder, t.activateAs = as, "", 0
+		t.attempt, t.holder, t.activateAs, t.startFirst = as, "", 0, true
 		a.started(t, time.Now())
 	}
 }
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -80,22 +80,22 @@
 	pending = pending[:min(len(pending), maxReports)]
 	sent := make([]sentReport, len(pending))
 	for i, t := range pending {
-		sent[i] = sentReport{attempt{t.name, t.attempt}, t.outcome}
+		sent[i] = sentReport{attempt{t.name, t.attempt}, t.reported()}
 		h.Reports = append(h.Reports, t.report())
 	}
 	return sent
 }
 
 func (a *Agent) heldBack(t *task, now time.Time) bool {
-	if t.isBatch() || t.outcome != wire.Outcome_OUTCOME_EXPIRED {
+	if t.isBatch() || t.reported() != wire.Outcome_OUTCOME_EXPIRED {
 		return false
 	}
 	return now.Sub(t.since) < watcherHold || a.logSince.IsZero() || now.Sub(a.logSince) < watcherHold
 }
 
 func (t *task) report() *wire.TaskReport {
-	r := &wire.TaskReport{Task: t.ref(), Outcome: t.outcome}
-	if t.phase == ended {
+	r := &wire.TaskReport{Task: t.ref(), Outcome: t.reported()}
+	if t.phase == ended && !t.startFirst {
 		r.Checkpoint, r.Reason, r.RunMilliseconds = t.checkpoint, t.reason, t.ran.Milliseconds()
 		if !t.peak.IsZero() {
 			r.Used = wire.FromResources(t.peak)
@@ -129,10 +129,10 @@
 	for _, ref := range acknowledged {
 		key := attempt{ref.Task(), units.Attempt(ref.GetAttempt())}
 		t := a.tasks[key.task]
-		if t == nil || t.attempt != key.number || !slices.Contains(reports, sentReport{key, t.outcome}) {
+		if t == nil || t.attempt != key.number || !slices.Contains(reports, sentReport{key, t.reported()}) {
 			continue
 		}
-		t.acknowledged = true
+		t.startFirst, t.acknowledged = false, t.reported() == t.outcome
 		a.drive(t, now)
 	}
 }
--- a/internal/agent/history_test.go
+++ b/internal/agent/history_test.go
@@ -82,6 +82,27 @@
 		time.Sleep(e.long)
 		w.platform.setLog(true)
 	},
+	// domainOut takes a domain out while the entries cannot read it, and lets
+	// new tasks arrive meanwhile.
+	"domainOut": func(w *world, e event) {
+		w.platform.freeze(true)
+		w.platform.publish([]string{string(domains[e.name])}, nil)
+		time.Sleep(4 * time.Second)
+		for i := range uint32(6) {
+			w.platform.submit(200+uint32(e.at/time.Millisecond)*10+i, batch(2*time.Second, 1000))
+		}
+		time.Sleep(e.long)
+		w.platform.freeze(false)
+		w.platform.publish([]string{string(domains[e.name])}, nil)
+		time.Sleep(5 * time.Second)
+		w.platform.publish(nil, nil)
+	},
+	// drain empties a worker for a while.
+	"drain": func(w *world, e event) {
+		w.platform.publish(nil, []units.WorkerID{units.WorkerID(e.name)})
+		time.Sleep(e.long)
+		w.platform.publish(nil, nil)
+	},
 	"loseReplies": func(w *world, e event) {
 		w.cores[e.name].SetFaults(worker.Faults{LoseReplies: 2, LoseOp: e.op})
 	},
@@ -93,7 +114,7 @@
 }
 
 func drawHistory(rt *rapid.T) []event {
-	kinds := []string{"pause", "kill", "double", "cutFromEntries", "isolate", "logDown", "loseReplies", "slowWorker"}
+	kinds := []string{"pause", "kill", "double", "cutFromEntries", "isolate", "logDown", "loseReplies", "slowWorker", "domainOut", "drain"}
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) event {
 		return event{
 			kind: rapid.SampledFrom(kinds).Draw(rt, "kind"),
--- /dev/null
+++ b/internal/agent/naive_test.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// naiveAgent starts whatever it is told to under any lease, takes the worker
+// back when it is fenced, takes a lost reply for a failed start and never asks
+// how old its configuration is. It shows that the checker sees what the agent
+// must not do.
+type naiveAgent struct {
+	world  *world
+	name   string
+	worker workerapi.Worker
+	gate   *gate
+
+	mu      sync.Mutex
+	holder  workerapi.Holder
+	held    time.Time
+	session Session
+}
+
+func newNaive(w *world, name string, access workerapi.Worker, g *gate) process {
+	return &naiveAgent{world: w, name: name, worker: access, gate: g}
+}
+
+func (n *naiveAgent) Run(ctx context.Context) error {
+	n.hold(ctx)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /link/launch", link.Handle(n.launch))
+	mux.HandleFunc("POST /link/stop", link.Handle(func(context.Context, *wire.Stop) (*wire.StopReply, error) { return &wire.StopReply{}, nil }))
+	for ctx.Err() == nil {
+		if n.session == nil {
+			n.session, _ = n.world.dial(n.name, n.gate, "entry", mux)
+		}
+		n.step(ctx)
+		time.Sleep(500 * time.Millisecond)
+	}
+	return nil
+}
+
+func (n *naiveAgent) hold(ctx context.Context) {
+	holder, err := n.worker.Hold(ctx, n.name)
+	if err == nil {
+		n.mu.Lock()
+		n.holder, n.held = holder, time.Now()
+		n.mu.Unlock()
+	}
+}
+
+// lease is eight seconds from now on the worker's clock, whoever granted it.
+func (n *naiveAgent) lease() (units.Epoch, workerapi.Clock) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holder.Epoch, n.holder.Clock + workerapi.Clock(time.Since(n.held)+leaseDuration)
+}
+
+func (n *naiveAgent) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	table, err := n.worker.Tasks(ctx)
+	if err != nil {
+		return
+	}
+	epoch, until := n.lease()
+	beat := &wire.Heartbeat{Worker: n.name, Epoch: uint64(epoch), Capacity: wire.FromResources(n.holder.Capacity), RunningFull: true, Registered: true}
+	var names []units.Task
+	for _, t := range table.Tasks {
+		if t.State == workerapi.Running {
+			names = append(names, t.Task)
+			beat.Running = append(beat.Running, wire.NewTaskRef(t.Task, t.Attempt))
+		}
+		beat.Reports = append(beat.Reports, &wire.TaskReport{Task: wire.NewTaskRef(t.Task, t.Attempt), Outcome: naiveOutcome(t.State), Checkpoint: t.Checkpoint})
+	}
+	if _, err := n.worker.Renew(ctx, epoch, until, names); fault.Is(err, workerapi.Fenced) {
+		n.hold(ctx)
+	}
+	if n.session != nil {
+		_ = n.session.Call(ctx, "/link/heartbeat", beat, &wire.HeartbeatReply{})
+	}
+}
+
+func naiveOutcome(s workerapi.TaskState) wire.Outcome {
+	if s == workerapi.Running {
+		return wire.Outcome_OUTCOME_STARTED
+	}
+	return outcomes[s]
+}
+
+func (n *naiveAgent) launch(ctx context.Context, l *wire.Launch) (*wire.LaunchReply, error) {
+	reply := &wire.LaunchReply{}
+	for _, t := range l.Tasks {
+		epoch, until := n.lease()
+		err := n.worker.Start(ctx, workerapi.StartRequest{
+			Epoch: epoch, Task: t.Task.Task(), Attempt: units.Attempt(t.Task.Attempt), Size: t.Spec.Size.Units(),
+			RunTime: time.Duration(t.Spec.RunMilliseconds) * time.Millisecond, LeaseUntil: until, Checkpoint: t.Spec.Checkpoint,
+		})
+		result := &wire.LaunchResult{Task: t.Task, Outcome: wire.Outcome_OUTCOME_STARTED}
+		if err != nil {
+			result.Outcome, result.Reason = wire.Outcome_OUTCOME_REFUSED, err.Error()
+		}
+		reply.Results = append(reply.Results, result)
+	}
+	return reply, nil
+}
+
+// Guards against a checker that would pass anything: the naive agent must break
+// the rules under the faults that the agent passes, and the agent must not.
+func TestNaiveAgentIsCaught(t *testing.T) {
+	cases := []struct {
+		name   string
+		events []event
+		want   string // part of a violation
+	}{
+		{"pause past the lease", []event{{kind: "pause", name: "w1", at: 1500 * time.Millisecond, long: 20 * time.Second}}, "ran until"},
+		{"isolated past the lease", []event{{kind: "isolate", name: "w2", at: 1500 * time.Millisecond, long: 25 * time.Second}}, "ran until"},
+		{"lost replies of starts", []event{{kind: "loseReplies", name: "w1", op: "start", at: 0}, {kind: "loseReplies", name: "w2", op: "start", at: 0}, {kind: "loseReplies", name: "w3", op: "start", at: 0}}, "was refused but ran"},
+		{"domain out while cut off", []event{{kind: "domainOut", name: "w3", at: time.Second, long: 30 * time.Second}}, "after it was taken out"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			wantNone(t, play(t, c.events, 7, 0, func(*world) func(*world) { return func(*world) {} }))
+			problems := play(t, c.events, 7, 0, func(w *world) func(*world) {
+				w.variant = newNaive
+				w.platform.naive = true
+				return func(*world) {}
+			})
+			all := strings.Join(problems, "\n")
+			if !strings.Contains(all, c.want) {
+				t.Errorf("naive agent: got violations %q, want one with %q", all, c.want)
+			}
+			t.Logf("naive agent: %d violations, the first: %s", len(problems), strings.SplitN(all, "\n", 2)[0])
+		})
+	}
+}
--- a/internal/agent/platform_test.go
+++ b/internal/agent/platform_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
@@ -30,7 +33,16 @@
 	network  *network
 	problems []string
 	refused  map[attempt]bool
-	outSince map[string]time.Time // domain
+	outages  []outage
+	frozen   bool                 // the entries have lost the stream of configurations
+	naive    bool                 // release tasks of workers that are silent for 5 s
+	heard    map[string]time.Time // worker
+}
+
+// outage is a time during which a domain was out of service.
+type outage struct {
+	domain   string
+	from, to time.Time // to is zero while it lasts
 }
 
 type registration struct {
@@ -50,7 +62,7 @@
 func newPlatform(seed uint64, n *network) *platform {
 	p := &platform{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*registration{}, tasks: map[units.Task]*record{},
-		handlers: map[string]http.Handler{}, network: n, refused: map[attempt]bool{}, outSince: map[string]time.Time{}, readAt: time.Now(),
+		handlers: map[string]http.Handler{}, network: n, refused: map[attempt]bool{}, heard: map[string]time.Time{}, readAt: time.Now(),
 	}
 	p.publish(nil, nil)
 	return p
@@ -67,20 +79,31 @@
 		Services: []environment.Service{{Name: "desk", Team: "moulds", Priority: units.PriorityUrgent, LatencyTarget: 50 * time.Millisecond,
 			PerEndpoint: units.Resources{Processors: 1000, Memory: units.GiB}, Slots: 8, Connections: 64}},
 	}
-	outNow := map[string]bool{}
-	for _, name := range out {
-		outNow[name] = true
-	}
-	p.outSince = map[string]time.Time{}
 	for _, name := range []string{"a", "b", "c"} {
 		state := environment.DomainIn
-		if outNow[name] {
+		if slices.Contains(out, name) {
 			state = environment.DomainOut
-			p.outSince[name] = time.Now()
 		}
+		p.recordOutage(name, state == environment.DomainOut)
 		document.FailureDomains = append(document.FailureDomains, environment.FailureDomain{Name: units.DomainName(name), Region: "r", State: state})
 	}
-	p.document, p.offset = environment.Encode(document), p.offset+1
+	if !p.frozen {
+		p.document, p.offset = environment.Encode(document), p.offset+1
+	}
+}
+
+func (p *platform) recordOutage(domain string, out bool) {
+	for i := range p.outages {
+		if o := &p.outages[i]; o.domain == domain && o.to.IsZero() {
+			if out {
+				return
+			}
+			o.to = time.Now()
+		}
+	}
+	if out {
+		p.outages = append(p.outages, outage{domain: domain, from: time.Now()})
+	}
 }
 
 func (p *platform) submit(index uint32, spec *wire.TaskSpec) {
@@ -110,7 +133,8 @@
 }
 
 func (p *platform) heartbeat(h *wire.Heartbeat) *wire.HeartbeatReply {
-	if !p.logDown {
+	p.heard[h.Worker] = time.Now()
+	if !p.logDown && !p.frozen {
 		p.readAt = time.Now()
 	}
 	reply := &wire.HeartbeatReply{Entry: "entry", ConfigOffset: p.offset, LogReachable: !p.logDown,
@@ -245,6 +269,7 @@
 		r.ended = true
 	default:
 		if report.Checkpoint != "" {
+			r.spec = proto.Clone(r.spec).(*wire.TaskSpec) // messages on their way share the old one
 			r.spec.Checkpoint = report.Checkpoint
 		}
 		r.worker, r.started = "", false
@@ -256,9 +281,14 @@
 func (p *platform) dispatch(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.mu.Lock()
+		for name, at := range p.heard {
+			if p.naive && time.Since(at) > 5*time.Second {
+				p.release(name, func(units.Task, *record) bool { return true })
+			}
+		}
 		var names []string
 		for _, name := range []string{"w1", "w2", "w3"} {
-			if w := p.workers[name]; w != nil && !w.expired {
+			if w := p.workers[name]; w != nil && !w.expired && (!p.naive || time.Since(p.heard[name]) < 5*time.Second) {
 				names = append(names, name)
 			}
 		}
@@ -332,3 +362,9 @@
 	defer p.mu.Unlock()
 	p.logDown = !reachable
 }
+
+func (p *platform) freeze(frozen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = frozen
+}
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -78,6 +78,7 @@
 	usageAt      time.Time
 	share        float64
 	silent       bool // its end is not reported
+	startFirst   bool // its start must be recorded before its end: nobody assigned the attempt
 	noRow        bool // the worker has no row of it
 	acknowledged bool // the report of its current outcome was acknowledged
 	reportSince  time.Time
@@ -95,6 +96,15 @@
 	t.phase, t.since, t.tries, t.retryAt = p, now, 0, time.Time{}
 }
 
+// reported is the outcome to report next. The end of an activated standby would
+// be ignored as that of an unknown attempt until its start is recorded.
+func (t *task) reported() wire.Outcome {
+	if t.startFirst {
+		return wire.Outcome_OUTCOME_STARTED
+	}
+	return t.outcome
+}
+
 // outcomeNow sets the outcome to report and starts its repetition anew.
 func (t *task) outcomeNow(o wire.Outcome, now time.Time) {
 	if t.outcome != o {
@@ -131,11 +141,12 @@
 
 // readLabel decodes a label. A row without a readable one keeps its size, so
 // that it is still counted.
-func readLabel(row workerapi.Task) (spec *wire.TaskSpec, neverRan bool) {
+func readLabel(row workerapi.Task) (spec *wire.TaskSpec, neverRan, activated bool) {
 	text := row.Label
 	if rest, ok := strings.CutPrefix(text, standbyMark); ok {
 		number, encoded, _ := strings.Cut(rest, ":")
 		text, neverRan = encoded, number == strconv.FormatUint(uint64(row.Attempt), 10)
+		activated = !neverRan
 	}
 	spec = &wire.TaskSpec{}
 	data, err := base64.RawStdEncoding.DecodeString(text)
@@ -145,7 +156,7 @@
 	if err != nil || text == "" {
 		spec = &wire.TaskSpec{Kind: wire.TaskKind_TASK_KIND_BATCH, Priority: wire.Priority_PRIORITY_LOW, JobKind: row.Kind}
 	}
-	return spec, neverRan
+	return spec, neverRan, activated
 }
 
 // committed sums what the worker is committed to: tasks that may occupy it and
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -116,8 +116,8 @@
 
 // adoptRow takes over a row that the agent does not know.
 func (a *Agent) adoptRow(row workerapi.Task, now time.Time) *task {
-	spec, neverRan := readLabel(row)
-	t := &task{name: row.Task, attempt: row.Attempt, spec: spec, size: row.Size, share: row.Throttle, since: now, reportSince: now}
+	spec, neverRan, activated := readLabel(row)
+	t := &task{name: row.Task, attempt: row.Attempt, spec: spec, size: row.Size, share: row.Throttle, since: now, reportSince: now, startFirst: activated}
 	if neverRan {
 		t.holder, t.mentioned = unknownHolder, now
 	}
