--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -49,7 +49,7 @@
 	request := workerapi.StartRequest{
 		Epoch: a.epoch, Task: t.name, Attempt: t.attempt, Kind: t.spec.GetJobKind(), Size: t.size,
 		RunTime: time.Duration(t.spec.GetRunMilliseconds()) * time.Millisecond, LeaseUntil: t.startEnd,
-		Checkpoint: t.spec.GetCheckpoint(), Standby: t.holder != "", Label: label(t.spec),
+		Checkpoint: t.spec.GetCheckpoint(), Standby: t.holder != "", Label: label(t),
 	}
 	a.call(t, func(ctx callContext) error {
 		if !time.Now().Before(until) {
@@ -113,7 +113,7 @@
 
 func (a *Agent) activated(t *task, as units.Attempt) {
 	if t.phase == standby {
-		t.attempt, t.holder, t.activateAs = as, "", 0
+		t.attempt, t.holder, t.activateAs, t.startFirst = as, "", 0, true
 		a.started(t, time.Now())
 	}
 }
