--- a/internal/dispatch/interference.go
+++ b/internal/dispatch/interference.go
@@ -22,7 +22,8 @@
 
 // interferes returns the cost of the slowdown that the task adds. Beyond what
 // the guards tolerate a worker takes one such task at a time and only when no
-// other has room: the agent can throttle one, several make it evict.
+// other has room: the agent can throttle one, several make it evict. Urgent
+// work does not wait for that.
 func (d *Dispatcher) interferes(r *row, q *request) (float64, bool) {
 	x := d.excess(q.job.JobKind, r)
 	if x == 0 {
@@ -39,7 +40,7 @@
 	if r.excess+x <= d.policy.slowdown {
 		return costSlowdown * x, true
 	}
-	if r.excess > 0 {
+	if r.excess > 0 && q.batch() {
 		return 0, false
 	}
 	return costInterferes + costSlowdown*x, true
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -156,7 +156,7 @@
 		return
 	}
 	size := d.size(j, &j.Tasks[index])
-	over := !t.within(size)
+	over := !t.within(size, p)
 	if over != pass.borrowing {
 		// The rest of the job is as large; a smaller one may fit the quota.
 		c.skip()
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -126,9 +126,9 @@
 	task, attempt := q.task(), q.row().Attempt+1
 	d.proposals = append(d.proposals, Proposal{Action: Assign, Task: task, Attempt: attempt, Holder: r.holder,
 		Committed: q.size, Borrowed: q.borrowed, MayEvict: len(victims) > 0, Victims: victims})
-	f := flight{attempt: attempt, holder: r.holder, size: q.size, at: d.in.Now, team: q.job.Team}
+	f := flight{attempt: attempt, holder: r.holder, size: q.size, at: d.in.Now, team: q.job.Team, priority: q.job.Priority}
 	if q.team != nil {
-		q.team.charge(q.size)
+		q.team.charge(q.size, q.job.Priority)
 		d.budget--
 	}
 	d.inFlight[task] = f
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -10,8 +10,8 @@
 	name    units.TeamName
 	quota   units.Resources
 	borrows bool
-	used    units.Resources // open attempts and proposals in flight
-	share   float64         // dominant share of the quota
+	used    [units.PriorityUrgent + 1]units.Resources // open attempts and proposals in flight, by priority
+	share   float64                                   // dominant share of the quota
 	next    [units.PriorityUrgent + 1]cursor
 }
 
@@ -32,11 +32,11 @@
 	}
 	for _, f := range d.inFlight {
 		if t := d.teamRow(f.team); t != nil {
-			t.used = t.used.Add(f.size)
+			t.used[f.priority] = t.used[f.priority].Add(f.size)
 		}
 	}
 	for i := range d.teams {
-		d.teams[i].share = dominantShare(d.teams[i].used, d.teams[i].quota)
+		d.teams[i].share = dominantShare(d.teams[i].total(units.PriorityLow), d.teams[i].quota)
 	}
 }
 
@@ -50,13 +50,26 @@
 }
 
 // charge adds a proposed attempt to the team's use.
-func (t *teamRow) charge(size units.Resources) {
-	t.used = t.used.Add(size)
-	t.share = dominantShare(t.used, t.quota)
+func (t *teamRow) charge(size units.Resources, p units.Priority) {
+	t.used[p] = t.used[p].Add(size)
+	t.share = dominantShare(t.total(units.PriorityLow), t.quota)
 }
 
-// within reports whether the team stays within its quota with the size added.
-func (t *teamRow) within(size units.Resources) bool { return t.used.Add(size).Fits(t.quota) }
+// total is what the team's work of a priority and above uses.
+func (t *teamRow) total(least units.Priority) units.Resources {
+	var sum units.Resources
+	for p := least; p <= units.PriorityUrgent; p++ {
+		sum = sum.Add(t.used[p])
+	}
+	return sum
+}
+
+// within reports whether the size fits the quota beside the team's other work
+// of that priority and above. Lower work does not count, so that a team's
+// borrowed work cannot push its own urgent work over the quota.
+func (t *teamRow) within(size units.Resources, p units.Priority) bool {
+	return t.total(p).Add(size).Fits(t.quota)
+}
 
 // dominantShare is the largest used fraction of the quota in any dimension. A
 // dimension that is used without any quota counts as far over.
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -37,11 +37,12 @@
 
 // flight is a proposed assignment that the fold has not shown yet.
 type flight struct {
-	attempt units.Attempt
-	holder  ledger.Holder
-	team    units.TeamName
-	size    units.Resources
-	at      time.Time
+	attempt  units.Attempt
+	holder   ledger.Holder
+	team     units.TeamName
+	priority units.Priority
+	size     units.Resources
+	at       time.Time
 }
 
 // buildRows copies the table of workers and decides who may get tasks.
--- a/internal/dispatch/size.go
+++ b/internal/dispatch/size.go
@@ -6,15 +6,18 @@
 )
 
 const (
-	// enoughSamples replaces the declared size by the learned one; with fewer,
-	// but at least someSamples, the larger of the two counts.
-	enoughSamples = 20
-	someSamples   = 4
-	// Processors can be shared for a moment, memory cannot: hence a lower
-	// quantile for the one, and the top plus an eighth for the other.
-	processorsPermille = 900
-	memoryPermille     = 995
-	memoryMargin       = 8
+	// From enoughSamples on the learned size replaces the declared one, with a
+	// margin of one part in as many as there are samples on top: the largest of
+	// a few says little about the next. With fewer, but at least someSamples,
+	// the larger of learned and declared counts.
+	enoughSamples = 6
+	someSamples   = 3
+	// Processors can be shared for a moment and the tasks of a worker peak at
+	// different times, so the typical use is enough; memory cannot be shared,
+	// hence nearly the top plus one part in 16.
+	processorsPermille = 600
+	memoryPermille     = 970
+	memoryMargin       = 16
 	// Learned memory is never below this, for runs that are measured too early.
 	leastMemory = 64 * units.MiB
 	// headroomShare of a worker's processors stays free of batch beside an
@@ -62,7 +65,7 @@
 	memory := units.Bytes(k.Memory.Quantile(memoryPermille)) * units.KiB
 	l = learnedSize{updated: k.Updated, samples: k.Memory.Samples, size: units.Resources{
 		Processors: max(1, units.Millicores(k.Processors.Quantile(processorsPermille))),
-		Memory:     max(leastMemory, memory+memory/memoryMargin)}}
+		Memory:     max(leastMemory, memory+memory/memoryMargin+memory/units.Bytes(max(1, k.Memory.Samples)))}}
 	d.learned[kind] = l
 	return l
 }
--- a/internal/ledger/index.go
+++ b/internal/ledger/index.go
@@ -11,9 +11,9 @@
 
 // team holds the indexes of one team.
 type team struct {
-	jobs    []*Job                           // by sequence, ended ones included
-	waiting [units.PriorityUrgent + 1][]*Job // jobs with waiting tasks, by sequence
-	used    units.Resources                  // committed by open attempts
+	jobs    []*Job                                    // by sequence, ended ones included
+	waiting [units.PriorityUrgent + 1][]*Job          // jobs with waiting tasks, by sequence
+	used    [units.PriorityUrgent + 1]units.Resources // committed by open attempts
 }
 
 func (l *Ledger) team(name units.TeamName) *team {
@@ -67,7 +67,7 @@
 		h := Holder{t.Worker, t.Epoch}
 		l.holders[h] = append(l.holders[h], units.Task{Job: j.ID, Index: index})
 		tm := l.team(j.Team)
-		tm.used = tm.used.Add(t.Committed)
+		tm.used[j.Priority] = tm.used[j.Priority].Add(t.Committed)
 		if t.State == Assigned {
 			l.addLaunching(h, t.Committed, 1)
 		}
@@ -96,7 +96,7 @@
 		l.openTasks--
 		l.unhold(Holder{t.Worker, t.Epoch}, units.Task{Job: j.ID, Index: index})
 		tm := l.team(j.Team)
-		tm.used = tm.used.Sub(t.Committed)
+		tm.used[j.Priority] = tm.used[j.Priority].Sub(t.Committed)
 		if t.State == Assigned {
 			l.addLaunching(Holder{t.Worker, t.Epoch}, t.Committed, -1)
 		}
@@ -187,12 +187,12 @@
 	return t.waiting[p]
 }
 
-// Used returns what the team's open attempts commit.
-func (l *Ledger) Used(name units.TeamName) units.Resources {
+// Used returns what the team's open attempts commit, by priority.
+func (l *Ledger) Used(name units.TeamName) [units.PriorityUrgent + 1]units.Resources {
 	if t := l.teams[name]; t != nil {
 		return t.used
 	}
-	return units.Resources{}
+	return [units.PriorityUrgent + 1]units.Resources{}
 }
 
 // TasksOn returns the tasks whose open attempt is on the holder, unordered. The
--- a/internal/ledger/learned.go
+++ b/internal/ledger/learned.go
@@ -16,8 +16,10 @@
 	// halveAt keeps about the last 128 samples in force, so that a kind whose
 	// size changes is learned anew within that many runs.
 	halveAt = 128 * sampleWeight
-	// bucketsPerOctave bounds the error of a quantile to one part in eight.
-	bucketsPerOctave = 8
+	// bucketsPerOctave bounds the error of a quantile to one part in 32: sizes
+	// are rounded up, and what is rounded is lost to other tasks.
+	octaveBits       = 5
+	bucketsPerOctave = 1 << octaveBits
 	maxKinds         = 4096
 )
 
@@ -42,7 +44,7 @@
 	if v < bucketsPerOctave {
 		return uint32(v)
 	}
-	shift := uint32(bits.Len64(v)) - 4 // keeps the leading one and three more bits
+	shift := uint32(bits.Len64(v)) - octaveBits - 1 // keeps the leading one and five more bits
 	return (shift+1)*bucketsPerOctave + uint32(v>>shift) - bucketsPerOctave
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -160,7 +160,7 @@
 	if len(queue) != 2 || queue[0].ID != "b" || fmt.Sprint(queue[0].Waiting()) != "[0 2]" {
 		t.Errorf("got queue %v", queue)
 	}
-	if got := g.l.Used("moulds").Processors; got != 2000 {
+	if got := g.l.Used("moulds")[units.PriorityNormal].Processors; got != 2000 {
 		t.Errorf("got %d millicores used, want 2000", got)
 	}
 	if got := g.l.TasksOn(holder); len(got) != 1 || got[0] != b1 {
@@ -170,7 +170,7 @@
 	if got := queue[0].Waiting(); fmt.Sprint(got) != "[0 1 2]" {
 		t.Errorf("got waiting %v after eviction, want all three in order", got)
 	}
-	if _, waiting, open := g.l.Counts(); waiting != 4 || open != 0 || !g.l.Used("moulds").IsZero() || g.l.JobByKey("moulds", "key-a").ID != "a" {
+	if _, waiting, open := g.l.Counts(); waiting != 4 || open != 0 || !g.l.Used("moulds")[units.PriorityNormal].IsZero() || g.l.JobByKey("moulds", "key-a").ID != "a" {
 		t.Errorf("got %d waiting, %d open, %v used", waiting, open, g.l.Used("moulds"))
 	}
 }
@@ -212,7 +212,7 @@
 func TestLearned(t *testing.T) {
 	var h Histogram
 	for v := range uint64(1 << 12) {
-		if up := upperBound(bucketOf(v)); up < v || (v > 8 && up > v+v/8) {
+		if up := upperBound(bucketOf(v)); up < v || up > v+v/bucketsPerOctave {
 			t.Fatalf("value %d: bucket ends at %d", v, up)
 		}
 	}
--- a/internal/trial/fixture.go
+++ b/internal/trial/fixture.go
@@ -104,8 +104,8 @@
 		at(crashAt, func() { x.machines[1].crash(x) })
 		at(crashAt+crashBack, func() { x.machines[1].join() })
 	}
-	if x.c.BadWorker && x.version != Ideal {
-		at(badFrom, func() { x.machines[2].bad = true })
+	if x.c.BadWorker {
+		at(badFrom, func() { x.machines[2].bad, x.machines[2].leaving = x.version != Ideal, x.version == Ideal })
 	}
 	if x.c.DomainOut {
 		at(absentFrom, func() { x.doc = document(x.firm, environment.DomainOut) })
@@ -205,9 +205,11 @@
 
 // accept applies a proposal and, when it won, launches the attempt.
 func (x *fixture) accept(p dispatch.Proposal, entry []byte) {
+	old := x.l.Task(p.Task)
+	waited := old != nil && old.State.Waiting()
 	x.apply(entry)
-	if p.Action != dispatch.Assign {
-		return
+	if p.Action != dispatch.Assign || !waited {
+		return // or the same proposal has won before
 	}
 	t := x.l.Task(p.Task)
 	if t == nil || t.State != ledger.Assigned || t.Attempt != p.Attempt || t.Worker != p.Holder.Worker || t.Epoch != p.Holder.Epoch {
--- a/internal/trial/guard.go
+++ b/internal/trial/guard.go
@@ -17,6 +17,14 @@
 
 const learningRate = 0.25
 
+// setpoint is the share of the tolerated slowdown that the guard aims at; the
+// rest is for tasks that start before their effect is seen.
+const setpoint = 0.8
+
+// naivePause gives the naive guard the same patience as the other one: what
+// differs is that it evicts the newest task and does not throttle.
+const naivePause = 3 * time.Second
+
 func (i *interference) learn(factor float64, running []*attempt) {
 	if i.estimate == nil {
 		i.estimate, i.table = map[units.JobKind]float64{}, dispatch.Interference{}
@@ -57,9 +65,9 @@
 	}
 	ratio := x.doc.Guards.LatencyRatio
 	if x.version == Naive {
-		// Acts on every measurement, also on those from before its last action.
-		if a := m.newest(); seen > ratio && a != nil {
-			m.evict(x, a.task, "latency", false)
+		if a := m.newest(); seen > ratio && a != nil && x.elapsed-m.actedAt >= naivePause {
+			m.actedAt = x.elapsed
+			m.evict(x, a.task, "latency", true)
 		}
 		return
 	}
@@ -73,10 +81,10 @@
 		return // the measurement is from before the last action
 	}
 	switch {
-	case seen > ratio:
+	case seen > 1+(ratio-1)*0.95:
 		m.actedAt = x.elapsed
-		m.relieve(x)
-	case seen < 1+(ratio-1)/2:
+		m.relieve(x, max(0.5, setpoint*(ratio-1)/(seen-1)))
+	case seen < 1+(ratio-1)*setpoint*0.75:
 		for _, a := range m.running {
 			if a.throttle < 1 {
 				a.throttle = min(1, a.throttle*1.25)
@@ -87,9 +95,9 @@
 	}
 }
 
-// relieve throttles the attempt that slows the endpoint most by what is known,
-// or evicts it when it is throttled already.
-func (m *machine) relieve(x *fixture) {
+// relieve throttles the attempt that slows the endpoint most by what is known
+// in proportion to the excess, or evicts it when it is throttled already.
+func (m *machine) relieve(x *fixture, by float64) {
 	var worst *attempt
 	most := -1.0
 	for _, a := range m.running {
@@ -103,7 +111,7 @@
 	switch {
 	case worst == nil:
 	case worst.throttle > 0.2:
-		worst.throttle /= 2
+		worst.throttle *= by
 	default:
 		m.evict(x, worst.task, "latency", true)
 	}
--- a/internal/trial/machine.go
+++ b/internal/trial/machine.go
@@ -45,7 +45,8 @@
 const (
 	checkpointEvery = 30.0 // seconds of work
 	memoryRampUp    = 10.0 // seconds until a task uses all its memory
-	failsAfter      = 1.0  // seconds, on a worker that fails everything
+	startup         = 3.0  // seconds without progress at each start: loading a program and gigabytes of input or checkpoint
+	failsAfter      = 4.0  // seconds, on a worker that fails everything
 	// The interference model: an endpoint's latency is its base latency times
 	// 1 + the noise of the tasks beside it + contention * (use of processors
 	// above calm).
@@ -115,7 +116,8 @@
 	speed := 1.0
 	if x.version == Ideal {
 		m.factor = 1
-	} else if cores > capacity {
+	}
+	if cores > capacity {
 		speed = (capacity - endpoint) / (cores - endpoint)
 	}
 	if m.memory > 1 && x.version != Ideal {
@@ -133,6 +135,9 @@
 // advance runs one attempt for a step and reports whether it ended.
 func (m *machine) advance(x *fixture, a *attempt, speed float64) bool {
 	a.age += step.Seconds()
+	if a.age < startup {
+		return false
+	}
 	if m.bad && a.spec.kind != nil && a.age > failsAfter {
 		m.fail(x, a, "exit 1")
 		return true
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -78,7 +78,7 @@
 type Version int
 
 // The versions. Ideal is the product's dispatcher that is told true sizes, in a
-// world without interference, failures of tasks or a guard.
+// world without interference or a guard, and that knows which worker fails.
 const (
 	Product Version = iota
 	Naive
--- a/internal/trial/work.go
+++ b/internal/trial/work.go
@@ -106,9 +106,10 @@
 	if !x.c.Shift {
 		return 0.4
 	}
-	// The peak moves to another domain every two minutes.
+	// The peak moves to another domain every two minutes and exceeds what is
+	// reserved, so it takes from what batch leaves idle.
 	if domain(int(x.elapsed/(2*time.Minute))%3) == m.domain {
-		return 0.8
+		return 1.4
 	}
 	return 0.4
 }
