--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	Committed units.Resources // endpoints' reservations included
 	Evictable units.Resources // committed by batch below urgent
 	Services  []units.ServiceName
+	Busy      float64       // of the busiest endpoint beside it: busy and queued requests over slots
 	Age       time.Duration // of the heartbeat
 	Draining  bool
 	Session   bool // a launch can be delivered
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -59,6 +59,7 @@
 	}
 	defer func() { d.started = d.Stats.Assigned > 0 }()
 	d.watchers()
+	d.serveReservations()
 	if d.Random.IntN(lowFirstChance) == 0 {
 		for p := units.PriorityLow; p < units.PriorityUrgent; p++ {
 			d.missed = units.PriorityUrgent // reserves nothing
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -21,6 +21,7 @@
 	borrowed bool
 	preempt  bool
 	spread   *placed // nil to compute it from the job
+	noRoom   bool    // no worker had room, whatever else spoke against it
 }
 
 func (q *request) task() units.Task       { return units.Task{Job: q.job.ID, Index: q.index} }
@@ -56,6 +57,7 @@
 func (d *Dispatcher) sample(q *request) *row {
 	for _, s := range d.noRoom {
 		if q.covers(s) {
+			q.noRoom = true
 			return nil
 		}
 	}
@@ -100,7 +102,7 @@
 			return best
 		}
 	}
-	if !roomy {
+	if q.noRoom = !roomy; q.noRoom {
 		d.noRoom = append(d.noRoom, shortage{q.size, q.batch()})
 	}
 	return best
@@ -126,7 +128,7 @@
 	task, attempt := q.task(), q.row().Attempt+1
 	d.proposals = append(d.proposals, Proposal{Action: Assign, Task: task, Attempt: attempt, Holder: r.holder,
 		Committed: q.size, Borrowed: q.borrowed, MayEvict: len(victims) > 0, Victims: victims})
-	f := flight{attempt: attempt, holder: r.holder, size: q.size, at: d.in.Now, team: q.job.Team, priority: q.job.Priority}
+	f := flight{attempt: attempt, holder: r.holder, size: q.size, at: d.in.Now, team: q.job.Team, priority: q.job.Priority, kind: q.job.JobKind}
 	if q.team != nil {
 		q.team.charge(q.size, q.job.Priority)
 		d.budget--
--- a/internal/dispatch/preemption.go
+++ b/internal/dispatch/preemption.go
@@ -55,7 +55,7 @@
 // reclaim takes back room from borrowed work for a task within its team's
 // quota that has waited.
 func (d *Dispatcher) reclaim(q *request) bool {
-	if d.reclaims >= maxReclaims || d.in.Now.Sub(d.unplaced[q.task()]) < reclaimAfter {
+	if !q.noRoom || d.reclaims >= maxReclaims || d.in.Now.Sub(d.unplaced[q.task()]) < reclaimAfter {
 		return false
 	}
 	d.reclaims++
@@ -68,6 +68,9 @@
 		if r.probe || r.launching >= r.mayLaunch || !need.Fits(r.evictable) || !q.size.Fits(r.Capacity.Sub(r.reserved)) {
 			continue
 		}
+		if _, ok := d.cost(r, q); !ok {
+			continue
+		}
 		if v := d.victims(r, need, func(_ *ledger.Job, t *ledger.Task) bool { return t.Borrowed }); v != nil {
 			d.evict(q, r, v)
 			return true
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -9,8 +9,8 @@
 const (
 	// A task that has found no room for reserveAfter gets the next room on one
 	// worker, so that a stream of small tasks cannot starve a large one.
-	reserveAfter    = 20 * time.Second
-	reservationFor  = 10 * time.Minute
+	reserveAfter    = time.Minute
+	reservationFor  = 2 * time.Minute
 	maxReservations = 8
 	maxUnplaced     = 20_000
 )
@@ -22,7 +22,7 @@
 }
 
 // miss notes that the task found no worker, and reserves one if it has waited
-// long enough.
+// long enough for room. Interference may last; a reservation would not end it.
 func (d *Dispatcher) miss(q *request) {
 	// A task that higher priorities keep out does not wait for want of size.
 	d.missed = max(d.missed, q.job.Priority)
@@ -34,7 +34,7 @@
 		}
 		return
 	}
-	if !d.overtaken(q.size) || q.borrowed || q.job.Priority < d.missed || d.in.Now.Sub(first) < reserveAfter || len(d.reserved) >= min(maxReservations, len(d.eligible)/8+1) {
+	if !q.noRoom || !d.overtaken(q.size) || q.borrowed || q.job.Priority < d.missed || d.in.Now.Sub(first) < reserveAfter || len(d.reserved) >= min(maxReservations, len(d.eligible)/16+1) {
 		return
 	}
 	for _, r := range d.reserved {
@@ -50,6 +50,9 @@
 		if _, taken := d.reserved[r.ID]; taken || r.probe || !q.size.Fits(r.Capacity.Sub(r.reserved)) {
 			continue
 		}
+		if _, ok := d.cost(r, q); !ok {
+			continue
+		}
 		if c := dominantShare(missing(q.size, r.free), r.Capacity); best == nil || c < least {
 			best, least = r, c
 		}
@@ -98,6 +101,31 @@
 	}
 }
 
+// serveReservations starts the tasks whose reserved worker has room now. They
+// may be far back in their queues, where a walk would not reach them.
+func (d *Dispatcher) serveReservations() {
+	for _, i := range d.eligible {
+		r := &d.rows[i]
+		s, taken := d.reserved[r.ID]
+		if !taken {
+			continue
+		}
+		j := d.in.Ledger.Job(s.task.Job)
+		t := d.teamRow(j.Team)
+		if t == nil || !d.ready(j, s.task.Index) {
+			continue
+		}
+		q := request{job: j, index: s.task.Index, team: t, size: d.size(j, &j.Tasks[s.task.Index])}
+		q.borrowed = !t.within(q.size, j.Priority)
+		switch _, ok := d.cost(r, &q); {
+		case !ok || (q.borrowed && !t.borrows):
+			delete(d.reserved, r.ID) // room is no longer all that it lacks
+		case d.fits(r, &q):
+			d.assign(&q, r, nil)
+		}
+	}
+}
+
 // mayUseReserved reports whether the worker is free of another task's
 // reservation. Urgent work and watchers do not wait for one.
 func (d *Dispatcher) mayUseReserved(r *row, q *request) bool {
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -42,6 +42,7 @@
 	team     units.TeamName
 	priority units.Priority
 	size     units.Resources
+	kind     units.JobKind
 	at       time.Time
 }
 
@@ -59,7 +60,7 @@
 			r.reserved = r.reserved.Add(d.policy.services[s])
 		}
 		if len(w.Services) > 0 {
-			r.headroom = w.Capacity.Processors / headroomShare
+			r.headroom = headroom(w, r.reserved)
 		}
 		d.byWorker[w.ID] = int32(len(d.rows))
 		d.rows = append(d.rows, r)
@@ -77,6 +78,13 @@
 	d.pruneHistory()
 }
 
+// headroom is what batch leaves free beside an endpoint on top of the
+// endpoint's reservation: a little always, more when its slots fill up.
+func headroom(w *Worker, reserved units.Resources) units.Millicores {
+	extra := float64(reserved.Processors) * max(0, w.Busy-busySlots)
+	return min(w.Capacity.Processors/headroomShare+units.Millicores(extra), w.Capacity.Processors/2)
+}
+
 // usable reports whether a launch could be delivered and would be admitted.
 func (d *Dispatcher) usable(r *row) bool {
 	return r.Epoch != 0 && r.Session && !r.Draining && r.Age <= maxHeartbeatAge && d.policy.inService(r.Domain) &&
@@ -105,6 +113,7 @@
 			r := &d.rows[i]
 			r.free = r.free.Sub(f.size)
 			r.launching++
+			r.excess += d.excess(f.kind, r)
 		}
 	}
 }
--- a/internal/dispatch/size.go
+++ b/internal/dispatch/size.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// From enoughSamples on the learned size replaces the declared one, with a
-	// margin of one part in as many as there are samples on top: the largest of
-	// a few says little about the next. With fewer, but at least someSamples,
-	// the larger of learned and declared counts.
-	enoughSamples = 6
-	someSamples   = 3
+	// From someSamples on the learned size replaces the declared one, with a
+	// margin of 2/n^2 for n samples on top: half as much again after two, a
+	// fiftieth after ten. The largest of a few says little about the next, but a
+	// declared size that is ten times too large would keep a kind from running
+	// often enough to be learned.
+	someSamples = 2
 	// Processors can be shared for a moment and the tasks of a worker peak at
 	// different times, so the typical use is enough; memory cannot be shared,
 	// hence nearly the top plus one part in 16.
@@ -22,8 +22,10 @@
 	leastMemory = 64 * units.MiB
 	// headroomShare of a worker's processors stays free of batch beside an
 	// endpoint, one part in so many: a request that arrives in a burst must not
-	// wait for a throttle to act.
-	headroomShare = 16
+	// wait for a throttle to act. Above busySlots more is left, because the
+	// endpoint is about to exceed what it reserved.
+	headroomShare = 32
+	busySlots     = 0.75
 )
 
 // learnedSize caches the quantiles of a kind until it learns more.
@@ -39,13 +41,13 @@
 		return j.Size
 	}
 	l := d.learnedSize(j.JobKind)
-	switch {
-	case l.samples < someSamples:
+	if l.samples < someSamples {
 		return j.Size
-	case l.samples < enoughSamples || t.Failures > 0:
-		return larger(j.Size, d.cap(l.size, j.Size))
 	}
 	s := d.cap(l.size, j.Size)
+	if t.Failures > 0 { // it may have failed for want of memory
+		s = larger(s, j.Size)
+	}
 	s.Accelerators = j.Size.Accelerators // not learned: a task uses all or none
 	return s
 }
@@ -62,10 +64,12 @@
 	if len(d.learned) > 8192 {
 		clear(d.learned)
 	}
-	memory := units.Bytes(k.Memory.Quantile(memoryPermille)) * units.KiB
+	n := int64(k.Memory.Samples)
+	margin := func(v int64) int64 { return v + 2*v/max(1, n*n) }
+	memory := int64(units.Bytes(k.Memory.Quantile(memoryPermille)) * units.KiB)
 	l = learnedSize{updated: k.Updated, samples: k.Memory.Samples, size: units.Resources{
-		Processors: max(1, units.Millicores(k.Processors.Quantile(processorsPermille))),
-		Memory:     max(leastMemory, memory+memory/memoryMargin+memory/units.Bytes(max(1, k.Memory.Samples)))}}
+		Processors: max(1, units.Millicores(margin(int64(k.Processors.Quantile(processorsPermille))))),
+		Memory:     max(leastMemory, units.Bytes(margin(memory+memory/memoryMargin)))}}
 	d.learned[kind] = l
 	return l
 }
--- a/internal/trial/machine.go
+++ b/internal/trial/machine.go
@@ -228,7 +228,7 @@
 		}
 	}
 	m.seen = dispatch.Worker{ID: m.id, Epoch: m.epoch, Domain: m.domain, Rack: m.rack, Region: "region", Capacity: x.firm.Capacity,
-		Committed: committed, Evictable: evictable, Services: []units.ServiceName{"desk"}, Session: true, Draining: m.leaving}
+		Committed: committed, Evictable: evictable, Services: []units.ServiceName{"desk"}, Busy: x.requests(m), Session: true, Draining: m.leaving}
 	m.seenAt = x.elapsed
 }
 
