--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -59,6 +59,7 @@
 	}
 	defer func() { d.started = d.Stats.Assigned > 0 }()
 	d.watchers()
+	d.serveReservations()
 	if d.Random.IntN(lowFirstChance) == 0 {
 		for p := units.PriorityLow; p < units.PriorityUrgent; p++ {
 			d.missed = units.PriorityUrgent // reserves nothing
@@ -156,7 +157,7 @@
 		return
 	}
 	size := d.size(j, &j.Tasks[index])
-	over := !t.within(size)
+	over := !t.within(size, p)
 	if over != pass.borrowing {
 		// The rest of the job is as large; a smaller one may fit the quota.
 		c.skip()
