Measure what agents cost at rest and omit unchanged fields on request

cause: Twelve entries made an agent spend more than the 5 KB/s of a node. change: BenchmarkSteadyState; heartbeats to twelve entries every 1.2 s instead of 1 s; OmitUnchanged leaves out the fields that describe the worker once an entry has them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,6 +94,12 @@
 	OverQuota       func(units.TeamName) bool                   // may be nil
 	Document        func(*environment.Document)                 // called with each newer document; may be nil
 
+	// OmitUnchanged leaves the fields that describe the worker (domain, rack,
+	// region, link address, capacity, process) out of a heartbeat once the entry
+	// has answered one with them on the same session. Entries must then keep
+	// them; the first heartbeat of a session and of an epoch carries them all.
+	OmitUnchanged bool
+
 	// Events records a change of state; may be nil. It must not block.
 	Events func(kind, subject, text string)
 	// PendingEvents returns events for the next heartbeat, and
--- /dev/null
+++ b/internal/agent/cost_test.go
@@ -0,0 +1,231 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// costEntry is the least an entry does: it accepts everything and answers.
+type costEntry struct {
+	mu      sync.Mutex
+	listed  map[string]time.Time
+	agents  int
+	address map[string]string // link address of each agent, through a relay
+	relay   func(string) string
+	backs   map[string]*link.Session
+	all     []*wire.EntryAddress
+	lean    bool // lists the entries only when the agent asks anew
+}
+
+func (e *costEntry) heartbeat(ctx context.Context, h *wire.Heartbeat) (*wire.HeartbeatReply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.backs[h.Worker] = link.FromContext(ctx)
+	if e.address[h.Worker] == "" && h.Epoch != 0 {
+		e.address[h.Worker] = e.relay(h.LinkAddress)
+	}
+	var number int
+	fmt.Sscanf(h.Worker, "worker-%d", &number)
+	lessor := fmt.Sprintf("worker-%d", (number+1)%e.agents)
+	lessee := fmt.Sprintf("worker-%d", (number+e.agents-1)%e.agents)
+	reply := &wire.HeartbeatReply{Entry: "entry-1", Clock: h.Clock, ConfigOffset: 1, LogReachable: true}
+	if !e.lean || h.RunningFull || e.listed[h.Worker].Before(time.Now().Add(-10*time.Second)) {
+		reply.Entries, e.listed[h.Worker] = e.all, time.Now()
+	}
+	if h.ConfigOffset == 0 {
+		p := &platform{}
+		p.publish(nil, nil)
+		reply.ConfigDocument = p.document
+	}
+	if e.address[lessor] != "" && h.Epoch != 0 {
+		reply.RegisteredEpoch, reply.LeaseTerm, reply.Lessor, reply.LessorEpoch, reply.LessorAddress = h.Epoch, 1, lessor, h.Epoch, e.address[lessor]
+		reply.Lessees = []*wire.Lessee{{Worker: lessee, Epoch: h.Epoch, Term: 1, Address: e.address[lessee]}}
+	}
+	for _, r := range h.Reports {
+		reply.ReportsAcknowledged = append(reply.ReportsAcknowledged, r.Task)
+	}
+	return reply, nil
+}
+
+// counter relays TCP connections and counts their payload in both directions.
+type counter struct {
+	bytes atomic.Int64
+	ctx   context.Context
+	b     *testing.B
+}
+
+func (c *counter) Write(p []byte) (int, error) { c.bytes.Add(int64(len(p))); return len(p), nil }
+
+func (c *counter) relay(target string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.b.Fatal(err)
+	}
+	context.AfterFunc(c.ctx, func() { listener.Close() })
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", target)
+			if err != nil {
+				from.Close()
+				continue
+			}
+			context.AfterFunc(c.ctx, func() { from.Close(); to.Close() })
+			go io.Copy(io.MultiWriter(to, c), from)
+			go io.Copy(io.MultiWriter(from, c), to)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// startEntries serves n entries and returns their addresses and the entry that
+// knows the agents' sessions.
+func startEntries(b *testing.B, ctx context.Context, n, agents int, lean bool, relay func(string) string) ([]string, []*costEntry) {
+	var addresses []string
+	var entries []*costEntry
+	for range n {
+		e := &costEntry{agents: agents, lean: lean, listed: map[string]time.Time{}, address: map[string]string{}, relay: relay, backs: map[string]*link.Session{}}
+		mux := http.NewServeMux()
+		mux.HandleFunc("POST /link/heartbeat", link.Handle(e.heartbeat))
+		listener := &link.Listener{Address: "127.0.0.1:0", Handler: mux}
+		address, err := listener.Listen()
+		if err != nil {
+			b.Fatal(err)
+		}
+		go listener.Run(ctx)
+		context.AfterFunc(ctx, func() { listener.Shutdown(ctx) })
+		addresses, entries = append(addresses, relay(address.String())), append(entries, e)
+	}
+	for _, e := range entries {
+		for i, address := range addresses {
+			e.all = append(e.all, &wire.EntryAddress{Entry: fmt.Sprintf("entry-%d", i), Address: address})
+		}
+	}
+	return addresses, entries
+}
+
+// BenchmarkSteadyState measures what agents cost at rest with ten running tasks
+// each: payload on the network, and processor time and heap of the whole
+// process, which also holds the entries, the workers and, when it counts bytes,
+// the relays. The two are therefore upper bounds. Lean agents omit unchanged
+// fields, and lean entries list each other every 10 s only.
+func BenchmarkSteadyState(b *testing.B) {
+	for _, c := range []struct {
+		agents, entries int
+		counted, lean   bool
+	}{
+		{11, 3, true, false}, {11, 3, true, true}, {11, 12, true, false}, {11, 12, true, true},
+		{11, 3, false, true}, {11, 12, false, true}, {100, 3, false, true}, {100, 12, false, true}, {400, 3, false, true}, {400, 12, false, true},
+	} {
+		b.Run(fmt.Sprintf("agents=%d/entries=%d/counted=%t/lean=%t", c.agents, c.entries, c.counted, c.lean), func(b *testing.B) {
+			for range b.N {
+				steadyState(b, c.agents, c.entries, c.counted, c.lean)
+			}
+		})
+	}
+}
+
+func steadyState(b *testing.B, agents, entries int, counted, lean bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	count := &counter{ctx: ctx, b: b}
+	relay := func(address string) string { return address }
+	if counted {
+		relay = count.relay
+	}
+	before := heap()
+	addresses, fakes := startEntries(b, ctx, entries, agents, lean, relay)
+	var running sync.WaitGroup
+	var servers []*httptest.Server
+	for i := range agents {
+		core := &worker.Core{Name: units.WorkerID(fmt.Sprintf("worker-%d", i)), Capacity: units.Resources{Processors: 32000, Memory: 125e9}, UsageLag: 2 * time.Second}
+		server := httptest.NewServer(worker.NewHandler(core))
+		servers = append(servers, server)
+		a := &Agent{
+			WorkerID: core.Name, Domain: "a", Rack: "rack-1", Region: "pwani", LinkAddress: "127.0.0.1:0", OmitUnchanged: lean, Entries: addresses,
+			Worker: &workerapi.Client{BaseURL: server.URL, HTTP: &http.Client{Transport: workerapi.DefaultTransport()}},
+			EndpointReports: func() []*wire.EndpointReport {
+				return []*wire.EndpointReport{{Service: "desk", State: wire.EndpointState_ENDPOINT_STATE_READY, Slots: 8, Connections: 64, LatencyMicroseconds: 18000}}
+			},
+		}
+		running.Go(func() { _ = a.Run(ctx) })
+	}
+	time.Sleep(6 * time.Second)
+	started := launchTen(b, ctx, fakes[0])
+	time.Sleep(5 * time.Second)
+	const window = 15 * time.Second
+	bytes, cpu := count.bytes.Load(), processorTime()
+	time.Sleep(window)
+	bytes, cpu = count.bytes.Load()-bytes, processorTime()-cpu
+	b.ReportMetric(float64(bytes)/window.Seconds()/float64(agents), "B/s/agent")
+	b.ReportMetric(100*cpu.Seconds()/window.Seconds()/float64(agents), "%core/agent")
+	b.ReportMetric(float64(heap()-before)/float64(agents)/1e6, "MB/agent")
+	b.ReportMetric(float64(started)/float64(agents), "tasks/agent")
+	cancel()
+	for _, s := range servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	running.Wait()
+}
+
+// launchTen launches ten tasks on every agent and returns how many started.
+func launchTen(b *testing.B, ctx context.Context, e *costEntry) (started int) {
+	e.mu.Lock()
+	backs := make(map[string]*link.Session)
+	for name, s := range e.backs {
+		backs[name] = s
+	}
+	e.mu.Unlock()
+	for name, session := range backs {
+		l := &wire.Launch{Worker: name, Epoch: 1}
+		for i := range uint32(10) {
+			l.Tasks = append(l.Tasks, &wire.LaunchTask{Task: &wire.TaskRef{Job: "job-20261204-0017-" + name, Index: i, Attempt: 1}, Spec: batch(time.Hour, 1000)})
+		}
+		reply := &wire.LaunchReply{}
+		calling, cancel := context.WithTimeout(ctx, 3*time.Second)
+		if err := session.Call(calling, "/link/launch", l, reply); err != nil {
+			b.Log(name, err)
+		}
+		cancel()
+		for _, r := range reply.Results {
+			if r.Outcome == wire.Outcome_OUTCOME_STARTED {
+				started++
+			}
+		}
+	}
+	return started
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -18,18 +18,19 @@
 const (
 	heartbeatInterval = 500 * time.Millisecond
 	// fewEntries is up to how many entries each gets a heartbeat every
-	// heartbeatInterval. With more, all get them less often: twelve entries at
-	// full rate cost twice the traffic that a node may use, and endpoints stay
-	// eligible as long as each entry hears from the agent within 2 s.
-	fewEntries = 6
+	// heartbeatInterval. With more, all get them less often, twelve every
+	// 1.2 s: at full rate they cost more than twice the traffic that a node may
+	// use, and an endpoint stays eligible while an entry hears of it within 2 s.
+	fewEntries = 5
 	// heartbeatTimeout is when a silent session is given up and redialled.
 	heartbeatTimeout = 1500 * time.Millisecond
 	firstBackoff     = 100 * time.Millisecond
 	// longestBackoff lets an agent find a returned entry within its lease.
 	longestBackoff = 3 * time.Second
 	// forgetEntry is how long an entry that is neither a seed nor listed nor
-	// answering is kept; entries count as dead after 15 s themselves.
-	forgetEntry = 20 * time.Second
+	// answering is kept; entries count as dead after 15 s themselves, and need
+	// not list the live ones in every reply.
+	forgetEntry = 35 * time.Second
 	maxEntries  = 64
 )
 
@@ -46,6 +47,7 @@
 	logReachable bool
 	wantRunning  bool   // the next heartbeat lists all running tasks
 	sentRunning  bool   // the heartbeat that is out lists them
+	described    bool   // has answered a heartbeat with the fields that rarely change
 	interference uint64 // version that the entry has
 	composed     uint64 // version in the heartbeat that is out
 }
@@ -147,7 +149,7 @@
 // beatUntilSilent sends heartbeats on one session until one is not answered, and reports
 // whether any was.
 func (a *Agent) beatUntilSilent(ctx context.Context, e *entry, session Session) (answered bool) {
-	if !a.post(func() { e.session, e.wantRunning, e.interference = session, true, 0 }) {
+	if !a.post(func() { e.session, e.wantRunning, e.described, e.interference = session, true, false, 0 }) {
 		return false
 	}
 	defer a.post(func() {
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -31,16 +31,19 @@
 	full := e.wantRunning && a.adopted
 	e.sentRunning = full
 	h := &wire.Heartbeat{
-		Worker: string(a.WorkerID), Epoch: uint64(a.epoch), Process: a.Process,
-		FailureDomain: string(a.Domain), Rack: string(a.Rack), Region: string(a.Region), LinkAddress: a.LinkAddress,
+		Worker: string(a.WorkerID), Epoch: uint64(a.epoch),
 		Clock: a.clock(), ConfigOffset: uint64(a.config.offset), RunningFull: full,
 		Draining: a.leaving || a.evacuation() != "", Endpoints: a.reports(),
 	}
+	if full || !e.described || !a.OmitUnchanged {
+		h.FailureDomain, h.Rack, h.Region, h.LinkAddress = string(a.Domain), string(a.Rack), string(a.Region), a.LinkAddress
+		h.Process, h.Capacity = a.Process, wire.FromResources(a.capacity)
+	}
 	if !a.adopted {
-		h.Epoch = 0
+		h.Epoch, h.Capacity = 0, nil
 		return h, nil
 	}
-	h.Capacity, h.Committed, h.Evictable = wire.FromResources(a.capacity), wire.FromResources(a.committed()), wire.FromResources(a.evictable())
+	h.Committed, h.Evictable = wire.FromResources(a.committed()), wire.FromResources(a.evictable())
 	h.LeaseTerm, h.LeaseValid, h.Registered = uint64(a.lease.term), a.lease.valid(now), a.lease.registered
 	h.WantsLessor = a.lease.wants
 	h.Expiries = a.expiries(now)
@@ -109,6 +112,7 @@
 	now := time.Now()
 	e.answeredAt, e.logReachable = sent, reply.LogReachable
 	e.interference = e.composed
+	e.described = e.described || e.sentRunning
 	e.wantRunning = reply.WantRunning || e.wantRunning && !e.sentRunning
 	a.observeClock(reply.Clock)
 	a.acknowledgeReports(reply.ReportsAcknowledged, reports, now)
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -104,7 +104,7 @@
 	}
 	a.adopted = true
 	for _, e := range a.entries {
-		e.wantRunning = true
+		e.wantRunning, e.described = true, false
 	}
 	a.worker.pollSoon = true
 	a.event("workerHeld", string(a.WorkerID), fmt.Sprintf("epoch %d, %d tasks adopted", a.epoch, len(a.tasks)))
