--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/standin/entries"
 	"wasabihill.example/wasabihill/internal/standin/worker"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -25,8 +26,8 @@
 	t        *testing.T
 	mu       sync.Mutex // guards the maps below and events
 	ctx      context.Context
-	network  *network
-	platform *platform
+	network  *entries.Network
+	platform *entries.Platform
 	cores    map[string]*worker.Core
 	gates    map[string]*gate
 	agents   map[string]process
@@ -38,10 +39,10 @@
 var domains = map[string]units.DomainName{"w1": "a", "w2": "b", "w3": "c"}
 
 func newWorld(t *testing.T, ctx context.Context, seed uint64, noise float64) *world {
-	n := &network{random: rand.New(rand.NewPCG(seed, 2)), noise: noise, cut: map[[2]string]bool{}, served: map[string]http.Handler{}, ctx: ctx}
+	n := entries.NewNetwork(ctx, seed, noise)
 	w := &world{t: t, ctx: ctx, network: n, cores: map[string]*worker.Core{}, gates: map[string]*gate{}, agents: map[string]process{},
 		errors: map[string]chan error{}, variant: realAgent}
-	w.platform = newPlatform(seed, n)
+	w.platform = entries.NewPlatform(seed, n)
 	for name := range domains {
 		w.cores[name] = &worker.Core{Name: units.WorkerID(name), Capacity: units.Resources{Processors: 8000, Memory: 16 * units.GiB}, UsageLag: 2 * time.Second}
 	}
@@ -65,27 +66,27 @@
 	if err := g.pass(); err != nil {
 		return nil, err
 	}
-	s := &memorySession{network: w.network, from: name, to: address, done: make(chan struct{})}
-	gated := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if g.pass() == nil {
-			handler.ServeHTTP(rw, r)
-		}
-	})
 	if address == "entry" {
-		s.handler = w.platform.accept(gated)
-		return gatedSession{s, g}, nil
+		return gatedSession{w.network.Connect(name, "entry", w.platform.Accept(gated(g, handler))), g}, nil
 	}
-	w.network.mu.Lock()
-	defer w.network.mu.Unlock()
-	if s.handler = w.network.served[address]; s.handler == nil {
-		return nil, errLost
+	s, err := w.network.Dial(name, strings.TrimPrefix(address, "link/"), address)
+	if err != nil {
+		return nil, err
 	}
-	s.to = address[len("link/"):]
 	return gatedSession{s, g}, nil
 }
 
+// gated serves nothing while the process is paused or dead.
+func gated(g *gate, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.pass() == nil {
+			handler.ServeHTTP(w, r)
+		}
+	})
+}
+
 type gatedSession struct {
-	*memorySession
+	*entries.Session
 	*gate
 }
 
@@ -93,7 +94,7 @@
 	if err := s.pass(); err != nil {
 		return err
 	}
-	if err := s.memorySession.Call(ctx, path, message, reply); err != nil {
+	if err := s.Session.Call(ctx, path, message, reply); err != nil {
 		return err
 	}
 	return s.pass()
@@ -110,13 +111,7 @@
 			return w.dial(name, g, address, handler)
 		},
 		Listen: func(_ context.Context, address string, handler http.Handler) (func(context.Context), error) {
-			w.network.mu.Lock()
-			defer w.network.mu.Unlock()
-			w.network.served[address] = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-				if g.pass() == nil {
-					handler.ServeHTTP(rw, r)
-				}
-			})
+			w.network.Serve(address, gated(g, handler))
 			return func(context.Context) {}, nil
 		},
 	}
@@ -161,28 +156,13 @@
 	for _, c := range w.cores {
 		runs = append(runs, c.Runs()...)
 	}
-	problems := worker.Overlaps(runs)
-	w.platform.mu.Lock()
-	defer w.platform.mu.Unlock()
-	for _, r := range runs {
-		name, _ := units.ParseTask(r.Task)
-		if w.platform.refused[attempt{name, r.Attempt}] {
-			problems = append(problems, fmt.Sprintf("task %s: attempt %d was refused but ran on %s", r.Task, r.Attempt, r.Worker))
-		}
-		domain := string(domains[string(r.Worker)])
-		for _, o := range w.platform.outages {
-			if o.domain == domain && r.Start.After(o.from.Add(3*time.Second)) && (o.to.IsZero() || r.Start.Before(o.to)) {
-				problems = append(problems, fmt.Sprintf("task %s started in domain %s %s after it was taken out", r.Task, domain, r.Start.Sub(o.from)))
-			}
-		}
-	}
-	return append(problems, w.platform.problems...)
+	return w.platform.Check(runs, domains)
 }
 
 // settle waits, at most for limit, until every batch task has ended.
 func (w *world) settle(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		if w.platform.done() {
+		if w.platform.Done() {
 			return true
 		}
 	}
@@ -194,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := newWorld(t, ctx, seed, noise)
-		go w.platform.dispatch(ctx)
+		go w.platform.Dispatch(ctx)
 		scenario(w)
 		problems = w.check()
 		if t.Failed() || len(problems) > 0 {
@@ -220,7 +200,7 @@
 	wantNone(t, simulate(t, 1, 0, func(w *world) {
 		w.start("w1", "w2", "w3")
 		for i := range uint32(12) {
-			w.platform.submit(i, batch(5*time.Second, 2000))
+			w.platform.Submit(i, batch(5*time.Second, 2000))
 		}
 		if !w.settle(time.Minute) {
 			w.t.Error("tasks are unfinished after a minute")
@@ -238,7 +218,7 @@
 func TestSecondAgentFencesTheFirst(t *testing.T) {
 	wantNone(t, simulate(t, 2, 0, func(w *world) {
 		w.start("w1", "w2", "w3")
-		w.platform.submit(0, batch(30*time.Second, 2000))
+		w.platform.Submit(0, batch(30*time.Second, 2000))
 		time.Sleep(5 * time.Second)
 		first := w.errors["w1"]
 		w.start("w1")
--- a/internal/agent/cost_test.go
+++ b/internal/agent/cost_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/standin/entries"
 	"wasabihill.example/wasabihill/internal/standin/worker"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -49,9 +50,7 @@
 		reply.Entries, e.listed[h.Worker] = e.all, time.Now()
 	}
 	if h.ConfigOffset == 0 {
-		p := &platform{}
-		p.publish(nil, nil)
-		reply.ConfigDocument = p.document
+		reply.ConfigDocument = entries.NewPlatform(0, nil).Document()
 	}
 	if e.address[lessor] != "" && h.Epoch != 0 {
 		reply.RegisteredEpoch, reply.LeaseTerm, reply.Lessor, reply.LessorEpoch, reply.LessorAddress = h.Epoch, 1, lessor, h.Epoch, e.address[lessor]
@@ -101,7 +100,7 @@
 // knows the agents' sessions.
 func startEntries(b *testing.B, ctx context.Context, n, agents int, lean bool, relay func(string) string) ([]string, []*costEntry) {
 	var addresses []string
-	var entries []*costEntry
+	var all []*costEntry
 	for range n {
 		e := &costEntry{agents: agents, lean: lean, listed: map[string]time.Time{}, address: map[string]string{}, relay: relay, backs: map[string]*link.Session{}}
 		mux := http.NewServeMux()
@@ -113,14 +112,14 @@
 		}
 		go listener.Run(ctx)
 		context.AfterFunc(ctx, func() { listener.Shutdown(ctx) })
-		addresses, entries = append(addresses, relay(address.String())), append(entries, e)
+		addresses, all = append(addresses, relay(address.String())), append(all, e)
 	}
-	for _, e := range entries {
+	for _, e := range all {
 		for i, address := range addresses {
 			e.all = append(e.all, &wire.EntryAddress{Entry: fmt.Sprintf("entry-%d", i), Address: address})
 		}
 	}
-	return addresses, entries
+	return addresses, all
 }
 
 // BenchmarkSteadyState measures what agents cost at rest with ten running tasks
--- a/internal/agent/history_test.go
+++ b/internal/agent/history_test.go
@@ -63,45 +63,45 @@
 	// double starts a second agent while the first goes on.
 	"double": func(w *world, e event) { w.start(e.name) },
 	"cutFromEntries": func(w *world, e event) {
-		w.network.setCut(e.name, "entry", true)
+		w.network.SetCut(e.name, "entry", true)
 		time.Sleep(e.long)
-		w.network.setCut(e.name, "entry", false)
+		w.network.SetCut(e.name, "entry", false)
 	},
 	"isolate": func(w *world, e event) {
 		others := []string{"w1", "w2", "w3", "entry"}
 		for _, o := range others {
-			w.network.setCut(e.name, o, true)
+			w.network.SetCut(e.name, o, true)
 		}
 		time.Sleep(e.long)
 		for _, o := range others {
-			w.network.setCut(e.name, o, false)
+			w.network.SetCut(e.name, o, false)
 		}
 	},
 	"logDown": func(w *world, e event) {
-		w.platform.setLog(false)
+		w.platform.SetLog(false)
 		time.Sleep(e.long)
-		w.platform.setLog(true)
+		w.platform.SetLog(true)
 	},
 	// domainOut takes a domain out while the entries cannot read it, and lets
 	// new tasks arrive meanwhile.
 	"domainOut": func(w *world, e event) {
-		w.platform.freeze(true)
-		w.platform.publish([]string{string(domains[e.name])}, nil)
+		w.platform.Freeze(true)
+		w.platform.Publish([]string{string(domains[e.name])}, nil)
 		time.Sleep(4 * time.Second)
 		for i := range uint32(6) {
-			w.platform.submit(200+uint32(e.at/time.Millisecond)*10+i, batch(2*time.Second, 1000))
+			w.platform.Submit(200+uint32(e.at/time.Millisecond)*10+i, batch(2*time.Second, 1000))
 		}
 		time.Sleep(e.long)
-		w.platform.freeze(false)
-		w.platform.publish([]string{string(domains[e.name])}, nil)
+		w.platform.Freeze(false)
+		w.platform.Publish([]string{string(domains[e.name])}, nil)
 		time.Sleep(5 * time.Second)
-		w.platform.publish(nil, nil)
+		w.platform.Publish(nil, nil)
 	},
 	// drain empties a worker for a while.
 	"drain": func(w *world, e event) {
-		w.platform.publish(nil, []units.WorkerID{units.WorkerID(e.name)})
+		w.platform.Publish(nil, []units.WorkerID{units.WorkerID(e.name)})
 		time.Sleep(e.long)
-		w.platform.publish(nil, nil)
+		w.platform.Publish(nil, nil)
 	},
 	"loseReplies": func(w *world, e event) {
 		w.cores[e.name].SetFaults(worker.Faults{LoseReplies: 2, LoseOp: e.op})
@@ -133,12 +133,12 @@
 		healed := variant(w)
 		w.start("w1", "w2", "w3")
 		for i := range uint32(10) {
-			w.platform.submit(i, batch(time.Duration(3+i)*time.Second, 2000+500*units.Millicores(i%3)))
+			w.platform.Submit(i, batch(time.Duration(3+i)*time.Second, 2000+500*units.Millicores(i%3)))
 		}
 		for i := range uint32(2) {
 			watcher := batch(0, 500)
 			watcher.Kind = wire.TaskKind_TASK_KIND_WATCHER
-			w.platform.submit(100+i, watcher)
+			w.platform.Submit(100+i, watcher)
 		}
 		ordered := slices.Clone(history)
 		slices.SortFunc(ordered, func(a, b event) int { return int(a.at - b.at) })
@@ -148,9 +148,7 @@
 			go injections[e.kind](w, e)
 		}
 		time.Sleep(70*time.Second - time.Since(start))
-		w.network.mu.Lock()
-		w.network.noise = 0
-		w.network.mu.Unlock()
+		w.network.SetNoise(0)
 		healed(w)
 	})
 }
@@ -165,9 +163,7 @@
 		problems := play(t, history, seed, 0.1, func(*world) func(*world) {
 			return func(w *world) {
 				if !w.settle(2 * time.Minute) {
-					w.platform.mu.Lock()
-					w.platform.problem("tasks are unfinished two minutes after the faults ended")
-					w.platform.mu.Unlock()
+					w.platform.Problem("tasks are unfinished two minutes after the faults ended")
 				}
 			}
 		})
--- a/internal/agent/naive_test.go
+++ b/internal/agent/naive_test.go
@@ -133,7 +133,7 @@
 			wantNone(t, play(t, c.events, 7, 0, func(*world) func(*world) { return func(*world) {} }))
 			problems := play(t, c.events, 7, 0, func(w *world) func(*world) {
 				w.variant = newNaive
-				w.platform.naive = true
+				w.platform.Naive = true
 				return func(*world) {}
 			})
 			all := strings.Join(problems, "\n")
--- a/internal/agent/platform_test.go
+++ b/internal/standin/entries/platform.go
@@ -1,4 +1,4 @@
-package agent
+package entries
 
 import (
 	"context"
@@ -12,14 +12,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/standin/worker"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// platform is a fake of the entries and the log: one folded state that every
-// fake entry shows. It records what the agents under test do wrong.
-type platform struct {
+// Platform is one folded state that every entry shows. It records what the
+// agents do wrong.
+type Platform struct {
 	mu       sync.Mutex
 	random   *rand.Rand
 	workers  map[string]*registration
@@ -30,12 +31,12 @@
 	logDown  bool
 	readAt   time.Time // last read at the tail
 	handlers map[string]http.Handler
-	network  *network
+	network  *Network
 	problems []string
 	refused  map[attempt]bool
 	outages  []outage
 	frozen   bool                 // the entries have lost the stream of configurations
-	naive    bool                 // release tasks of workers that are silent for 5 s
+	Naive    bool                 // release tasks of workers that are silent for 5 s
 	heard    map[string]time.Time // worker
 }
 
@@ -45,6 +46,11 @@
 	from, to time.Time // to is zero while it lasts
 }
 
+type attempt struct {
+	task   units.Task
+	number units.Attempt
+}
+
 type registration struct {
 	epoch, term, lessorEpoch uint64
 	lessor                   string
@@ -59,17 +65,17 @@
 	started, ended bool
 }
 
-func newPlatform(seed uint64, n *network) *platform {
-	p := &platform{
+func NewPlatform(seed uint64, n *Network) *Platform {
+	p := &Platform{
 		random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*registration{}, tasks: map[units.Task]*record{},
 		handlers: map[string]http.Handler{}, network: n, refused: map[attempt]bool{}, heard: map[string]time.Time{}, readAt: time.Now(),
 	}
-	p.publish(nil, nil)
+	p.Publish(nil, nil)
 	return p
 }
 
-// publish replaces the document: domains a, b and c, those in out out of service.
-func (p *platform) publish(out []string, drained []units.WorkerID) {
+// Publish replaces the document: domains a, b and c, those in out out of service.
+func (p *Platform) Publish(out []string, drained []units.WorkerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	document := &environment.Document{
@@ -92,7 +98,7 @@
 	}
 }
 
-func (p *platform) recordOutage(domain string, out bool) {
+func (p *Platform) recordOutage(domain string, out bool) {
 	for i := range p.outages {
 		if o := &p.outages[i]; o.domain == domain && o.to.IsZero() {
 			if out {
@@ -106,7 +112,8 @@
 	}
 }
 
-func (p *platform) submit(index uint32, spec *wire.TaskSpec) {
+// Submit adds a task of job "job".
+func (p *Platform) Submit(index uint32, spec *wire.TaskSpec) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := units.Task{Job: "job", Index: index}
@@ -114,14 +121,15 @@
 	p.order = append(p.order, name)
 }
 
-func (p *platform) problem(format string, args ...any) {
+// Problem records a violated rule.
+func (p *Platform) Problem(format string, args ...any) {
 	if len(p.problems) < 20 {
 		p.problems = append(p.problems, fmt.Sprintf(format, args...))
 	}
 }
 
-// accept serves one session dialled by an agent.
-func (p *platform) accept(back http.Handler) http.Handler {
+// Accept serves one session dialled by an agent.
+func (p *Platform) Accept(back http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /link/heartbeat", link.Handle(func(_ context.Context, h *wire.Heartbeat) (*wire.HeartbeatReply, error) {
 		p.mu.Lock()
@@ -132,7 +140,7 @@
 	return mux
 }
 
-func (p *platform) heartbeat(h *wire.Heartbeat) *wire.HeartbeatReply {
+func (p *Platform) heartbeat(h *wire.Heartbeat) *wire.HeartbeatReply {
 	p.heard[h.Worker] = time.Now()
 	if !p.logDown && !p.frozen {
 		p.readAt = time.Now()
@@ -143,7 +151,7 @@
 		reply.ConfigDocument = p.document
 	}
 	if !h.Committed.Units().Fits(h.Capacity.Units()) {
-		p.problem("worker %s committed %s of %s", h.Worker, h.Committed.Units(), h.Capacity.Units())
+		p.Problem("worker %s committed %s of %s", h.Worker, h.Committed.Units(), h.Capacity.Units())
 	}
 	if h.Epoch != 0 && !p.logDown {
 		p.fold(h, reply)
@@ -162,7 +170,7 @@
 	return reply
 }
 
-func (p *platform) standbysOf(holder string, w *registration) []*wire.Standby {
+func (p *Platform) standbysOf(holder string, w *registration) []*wire.Standby {
 	var out []*wire.Standby
 	for _, name := range p.order {
 		r := p.tasks[name]
@@ -174,7 +182,7 @@
 }
 
 // fold applies what a heartbeat asks to be recorded, by the rules of the log.
-func (p *platform) fold(h *wire.Heartbeat, reply *wire.HeartbeatReply) {
+func (p *Platform) fold(h *wire.Heartbeat, reply *wire.HeartbeatReply) {
 	w := p.workers[h.Worker]
 	if w == nil || h.Epoch > w.epoch {
 		w = &registration{epoch: h.Epoch, term: 1}
@@ -205,7 +213,7 @@
 	}
 }
 
-func (p *platform) chooseLessor(name string, w *registration, not string) {
+func (p *Platform) chooseLessor(name string, w *registration, not string) {
 	best := ""
 	for other, o := range p.workers {
 		if other == name || o.expired {
@@ -222,7 +230,7 @@
 }
 
 // reconcile releases what a new epoch neither runs nor reports.
-func (p *platform) reconcile(h *wire.Heartbeat, w *registration) {
+func (p *Platform) reconcile(h *wire.Heartbeat, w *registration) {
 	kept := map[attempt]bool{}
 	for _, ref := range h.Running {
 		kept[attempt{ref.Task(), units.Attempt(ref.Attempt)}] = true
@@ -242,7 +250,7 @@
 	})
 }
 
-func (p *platform) release(worker string, which func(units.Task, *record) bool) {
+func (p *Platform) release(worker string, which func(units.Task, *record) bool) {
 	for _, name := range p.order {
 		if r := p.tasks[name]; r.worker == worker && !r.ended && which(name, r) {
 			r.worker, r.started = "", false
@@ -252,7 +260,7 @@
 
 // report records a report about the current attempt, or the activation of a
 // standby as the next one.
-func (p *platform) report(worker string, epoch uint64, report *wire.TaskReport) {
+func (p *Platform) report(worker string, epoch uint64, report *wire.TaskReport) {
 	r := p.tasks[report.Task.Task()]
 	isWatcher := r.spec.Kind == wire.TaskKind_TASK_KIND_WATCHER
 	if isWatcher && report.Outcome == wire.Outcome_OUTCOME_STARTED && report.Task.Attempt == r.attempt+1 {
@@ -276,19 +284,19 @@
 	}
 }
 
-// dispatch assigns pending tasks to random workers and launches them until
+// Dispatch assigns pending tasks to random workers and launches them until
 // every task has ended or ctx ends.
-func (p *platform) dispatch(ctx context.Context) {
+func (p *Platform) Dispatch(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.mu.Lock()
 		for name, at := range p.heard {
-			if p.naive && time.Since(at) > 5*time.Second {
+			if p.Naive && time.Since(at) > 5*time.Second {
 				p.release(name, func(units.Task, *record) bool { return true })
 			}
 		}
 		var names []string
 		for _, name := range []string{"w1", "w2", "w3"} {
-			if w := p.workers[name]; w != nil && !w.expired && (!p.naive || time.Since(p.heard[name]) < 5*time.Second) {
+			if w := p.workers[name]; w != nil && !w.expired && (!p.Naive || time.Since(p.heard[name]) < 5*time.Second) {
 				names = append(names, name)
 			}
 		}
@@ -322,7 +330,7 @@
 	}
 }
 
-func (p *platform) launch(ctx context.Context, worker string, handler http.Handler, l *wire.Launch) {
+func (p *Platform) launch(ctx context.Context, worker string, handler http.Handler, l *wire.Launch) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	reply := &wire.LaunchReply{}
@@ -345,8 +353,8 @@
 	}
 }
 
-// done reports whether every batch task has ended.
-func (p *platform) done() bool {
+// Done reports whether every batch task has ended.
+func (p *Platform) Done() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.tasks {
@@ -357,14 +365,60 @@
 	return true
 }
 
-func (p *platform) setLog(reachable bool) {
+// SetLog makes the log reachable or not.
+func (p *Platform) SetLog(reachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.logDown = !reachable
 }
 
-func (p *platform) freeze(frozen bool) {
+// Freeze cuts the entries off from the stream of configurations or joins them
+// to it again.
+func (p *Platform) Freeze(frozen bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.frozen = frozen
 }
+
+// Document returns the newest document as entries send it.
+func (p *Platform) Document() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.document
+}
+
+// Handler returns what the worker's agent serves on its newest session.
+func (p *Platform) Handler(worker string) http.Handler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handlers[worker]
+}
+
+// Attempt returns the current attempt of a task and the worker it is assigned
+// to, "" for none.
+func (p *Platform) Attempt(t units.Task) (units.Attempt, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return units.Attempt(p.tasks[t].attempt), p.tasks[t].worker
+}
+
+// Check returns the recorded problems and those of the runs: a refused attempt
+// that ran, and a start in a domain that was out for more than 3 s.
+func (p *Platform) Check(runs []worker.Run, domains map[string]units.DomainName) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	problems := append(worker.Overlaps(runs), p.problems...)
+	for _, r := range runs {
+		name, err := units.ParseTask(r.Task)
+		if err != nil || p.refused[attempt{name, r.Attempt}] {
+			problems = append(problems, fmt.Sprintf("task %s: attempt %d was refused but ran on %s", r.Task, r.Attempt, r.Worker))
+		}
+		domain := string(domains[string(r.Worker)])
+		for _, o := range p.outages {
+			if o.domain == domain && r.Start.After(o.from.Add(3*time.Second)) && (o.to.IsZero() || r.Start.Before(o.to)) {
+				problems = append(problems, fmt.Sprintf("task %s started in domain %s %s after it was taken out", r.Task, domain, r.Start.Sub(o.from)))
+			}
+		}
+	}
+	return problems
+}
