Test scenarios of the agent and broken replies of workers

cause: Losing all leases at once, log outages, answers to late and repeated messages, evictions, the guard's connection and planned stops had no test of their own, nor had the client's error kinds. change: scenario_test.go; contract cases for broken replies and malformed requests; a counter per kind of event; an entry known by its name is not dialled a second time under another address. measured: go test -race ./internal/agent ./internal/standin/worker ./internal/guard passes (30 s).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/guard"
 	"wasabihill.example/wasabihill/internal/link"
@@ -100,6 +102,9 @@
 	// them; the first heartbeat of a session and of an epoch carries them all.
 	OmitUnchanged bool
 
+	// Metrics gets a counter per kind of event; nil means none.
+	Metrics tally.Scope
+
 	// Events records a change of state; may be nil. It must not block.
 	Events func(kind, subject, text string)
 	// PendingEvents returns events for the next heartbeat, and
@@ -185,6 +190,9 @@
 	if a.Process == "" {
 		a.Process = "agent/" + string(a.WorkerID)
 	}
+	if a.Metrics == nil {
+		a.Metrics = tally.NoopScope
+	}
 	a.handler = a.routes()
 }
 
@@ -293,6 +301,7 @@
 }
 
 func (a *Agent) event(kind, subject, text string) {
+	a.Metrics.Counter(kind).Inc(1)
 	if a.Events != nil {
 		a.Events(kind, subject, text)
 	}
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -37,6 +37,7 @@
 // entry is one entry process that the agent keeps a session with.
 type entry struct {
 	address string
+	name    string // of the entry process, once it has answered
 	seed    bool
 	rank    int // by hash of worker and address, 0 first to get what must be acted on
 	cancel  context.CancelFunc
@@ -91,7 +92,7 @@
 // learnEntries takes in the live entries that a reply lists.
 func (a *Agent) learnEntries(listed []*wire.EntryAddress, now time.Time) {
 	for _, l := range listed {
-		if e := a.entries[l.Address]; e != nil {
+		if e := a.known(l, now); e != nil {
 			e.listedAt = now
 			continue
 		}
@@ -101,6 +102,20 @@
 	}
 }
 
+// known returns the row of a listed entry: by its address, or by its name where
+// a seed address reaches it under another one.
+func (a *Agent) known(l *wire.EntryAddress, now time.Time) *entry {
+	if e := a.entries[l.Address]; e != nil {
+		return e
+	}
+	for _, e := range a.entries {
+		if l.Entry != "" && e.name == l.Entry && now.Sub(e.answeredAt) < recent {
+			return e
+		}
+	}
+	return nil
+}
+
 // dropEntries ends the sessions of entries that are gone.
 func (a *Agent) dropEntries(now time.Time) {
 	for address, e := range a.entries {
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -110,7 +110,7 @@
 // applyReply takes in the answer to a heartbeat sent at the given instant.
 func (a *Agent) applyReply(e *entry, reply *wire.HeartbeatReply, document *environment.Document, parseErr error, sent time.Time, reports []sentReport) {
 	now := time.Now()
-	e.answeredAt, e.logReachable = sent, reply.LogReachable
+	e.name, e.answeredAt, e.logReachable = reply.Entry, sent, reply.LogReachable
 	e.interference = e.composed
 	e.described = e.described || e.sentRunning
 	e.wantRunning = reply.WantRunning || e.wantRunning && !e.sentRunning
--- /dev/null
+++ b/internal/agent/scenario_test.go
@@ -0,0 +1,300 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wasabihill.example/wasabihill/internal/guard"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/standin/entries"
+	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// Guards against leases that can never be granted again once every agent has
+// lost its own, and against agents that restart together.
+func TestAllLeasesLost(t *testing.T) {
+	for name, strike := range map[string]func(*world, string){
+		"isolated": func(w *world, name string) { injections["isolate"](w, event{name: name, long: 15 * time.Second}) },
+		"paused":   func(w *world, name string) { w.pauseLoop(name, 15*time.Second) },
+		"restarted": func(w *world, name string) {
+			_, g := w.current(name)
+			g.kill()
+			time.Sleep(15 * time.Second)
+			w.start(name)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wantNone(t, simulate(t, 3, 0, func(w *world) {
+				w.start("w1", "w2", "w3")
+				time.Sleep(3 * time.Second)
+				for name := range domains {
+					go strike(w, name)
+				}
+				time.Sleep(16 * time.Second)
+				w.platform.Submit(0, batch(20*time.Second, 2000))
+				if !w.settle(45 * time.Second) {
+					w.t.Error("a task of 20 s is unfinished after 45 s")
+				}
+			}))
+		})
+	}
+}
+
+// Guards against a watcher that nobody runs while the log is down, and against
+// one that runs twice when the log returns.
+func TestStandbyTakesOverWhileTheLogIsDown(t *testing.T) {
+	wantNone(t, simulate(t, 4, 0, func(w *world) {
+		watcher := batch(0, 500)
+		watcher.Kind = wire.TaskKind_TASK_KIND_WATCHER
+		w.start("w1", "w2", "w3")
+		w.platform.Submit(0, watcher)
+		time.Sleep(15 * time.Second)
+		_, holder := w.platform.Attempt(units.Task{Job: "job"})
+		w.platform.SetLog(false)
+		time.Sleep(3 * time.Second)
+		w.gates[holder].kill()
+		died := time.Now()
+		for time.Since(died) < 12*time.Second {
+			time.Sleep(200 * time.Millisecond)
+			for name, core := range w.cores {
+				runs := core.Runs()
+				if name == holder || len(runs) == 0 {
+					continue
+				}
+				t.Logf("the standby runs %s after the holder died", runs[0].Start.Sub(died).Round(time.Millisecond))
+				w.platform.SetLog(true)
+				time.Sleep(20 * time.Second)
+				if attempt, now := w.platform.Attempt(units.Task{Job: "job"}); now != name || attempt != runs[0].Attempt {
+					w.t.Errorf("recorded: got attempt %d on %q, want %d on %s", attempt, now, runs[0].Attempt, name)
+				}
+				return
+			}
+		}
+		w.t.Error("nobody watches 12 s after the holder died")
+	}))
+}
+
+// alone is one agent whose messages a test sends by hand.
+func alone(t *testing.T, test func(w *world, send func(path string, message, reply Message) error)) {
+	wantNone(t, simulate(t, 5, 0, func(w *world) {
+		w.start("w1")
+		time.Sleep(3 * time.Second)
+		test(w, func(path string, message, reply Message) error {
+			ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+			defer cancel()
+			return w.network.Connect("entry", "w1", w.platform.Handler("w1")).Call(ctx, path, message, reply)
+		})
+	}))
+}
+
+func launchOf(epoch uint64, mayEvict bool, index, attempt uint32, spec *wire.TaskSpec) *wire.Launch {
+	return &wire.Launch{Worker: "w1", Epoch: epoch, Tasks: []*wire.LaunchTask{
+		{Task: &wire.TaskRef{Job: "x", Index: index, Attempt: attempt}, Spec: spec, MayEvict: mayEvict}}}
+}
+
+// Guards against a message that is late, repeated, reordered or meant for
+// another epoch changing an answer that was given before.
+func TestAnswersStand(t *testing.T) {
+	alone(t, func(w *world, send func(string, Message, Message) error) {
+		stop := &wire.Stop{Worker: "w1", Epoch: 1, Tasks: []*wire.TaskRef{{Job: "x", Index: 2, Attempt: 1}}}
+		if err := send("/link/stop", stop, &wire.StopReply{}); err != nil {
+			t.Fatal(err)
+		}
+		steps := []struct {
+			name   string
+			launch *wire.Launch
+			want   wire.Outcome // UNSPECIFIED for no answer
+		}{
+			{"first", launchOf(1, false, 0, 2, batch(time.Second, 1000)), wire.Outcome_OUTCOME_STARTED},
+			{"repeated", launchOf(1, false, 0, 2, batch(time.Second, 1000)), wire.Outcome_OUTCOME_STARTED},
+			{"lower attempt", launchOf(1, false, 0, 1, batch(time.Second, 1000)), wire.Outcome_OUTCOME_UNSPECIFIED},
+			{"stopped before", launchOf(1, false, 2, 1, batch(time.Second, 1000)), wire.Outcome_OUTCOME_REFUSED},
+			{"too large", launchOf(1, false, 3, 1, batch(time.Second, 9000)), wire.Outcome_OUTCOME_REFUSED},
+			{"too large, now small", launchOf(1, false, 3, 1, batch(time.Second, 1000)), wire.Outcome_OUTCOME_REFUSED},
+			{"older epoch", launchOf(0, false, 4, 1, batch(time.Second, 1000)), wire.Outcome_OUTCOME_REFUSED},
+			{"negative size", launchOf(1, false, 5, 1, batch(time.Second, -1)), wire.Outcome_OUTCOME_REFUSED},
+		}
+		check := func(when string) {
+			for _, s := range steps {
+				reply := &wire.LaunchReply{}
+				err := send("/link/launch", s.launch, reply)
+				got := wire.Outcome_OUTCOME_UNSPECIFIED
+				if len(reply.Results) == 1 {
+					got = reply.Results[0].Outcome
+				}
+				if err != nil || got != s.want {
+					t.Errorf("%s, %s: got %v, %v, want %v", s.name, when, got, err, s.want)
+				}
+			}
+		}
+		check("at once")
+		time.Sleep(5 * time.Second) // the task has ended and is forgotten
+		check("later")
+		if err := send("/link/launch", launchOf(2, false, 6, 1, batch(time.Second, 1000)), &wire.LaunchReply{}); err == nil {
+			t.Error("launch of a newer epoch: got an answer, want an error")
+		}
+		if got := len(w.cores["w1"].Runs()); got != 1 {
+			t.Errorf("got %d runs, want 1", got)
+		}
+	})
+}
+
+// Guards against an eviction that is not needed or hits the wrong task, and
+// against a start before the room is free.
+func TestEvictsLowerPriority(t *testing.T) {
+	alone(t, func(w *world, send func(string, Message, Message) error) {
+		spec := func(p wire.Priority, cores units.Millicores) *wire.TaskSpec {
+			s := batch(time.Hour, cores)
+			s.Priority = p
+			return s
+		}
+		// One core of eight is reserved for the service.
+		launches := []*wire.Launch{
+			launchOf(1, false, 0, 1, spec(wire.Priority_PRIORITY_NORMAL, 3000)),
+			launchOf(1, false, 1, 1, spec(wire.Priority_PRIORITY_LOW, 3000)),
+			launchOf(1, true, 2, 1, spec(wire.Priority_PRIORITY_HIGH, 3000)),
+			launchOf(1, true, 3, 1, spec(wire.Priority_PRIORITY_NORMAL, 3000)),
+			launchOf(1, false, 4, 1, spec(wire.Priority_PRIORITY_URGENT, 2000)),
+		}
+		var got []wire.Outcome
+		for _, l := range launches {
+			reply := &wire.LaunchReply{}
+			if err := send("/link/launch", l, reply); err != nil || len(reply.Results) != 1 {
+				t.Fatalf("launch: got %v, %v", reply, err)
+			}
+			got = append(got, reply.Results[0].Outcome)
+		}
+		started, refused := wire.Outcome_OUTCOME_STARTED, wire.Outcome_OUTCOME_REFUSED
+		if want := []wire.Outcome{started, started, started, refused, refused}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+		for _, r := range w.cores["w1"].Runs() {
+			if evicted := r.State == workerapi.Checkpointed; evicted != (r.Task == "x/1") {
+				t.Errorf("task %s: got %s, want only x/1 checkpointed", r.Task, r.State)
+			}
+		}
+	})
+}
+
+// Guards against a lease on the worker that outlasts the agent's own, however
+// late its readings of the worker's clock arrive.
+func TestWorkerClockIsNeverLate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		origin := time.Unix(5000, 0)
+		w := workerState{origin: origin}
+		ahead := time.Duration(rapid.Int64Range(-1e9, 1e12).Draw(rt, "ahead")) // worker clock - agent clock
+		now := origin
+		for range rapid.IntRange(1, 20).Draw(rt, "readings") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, 5e9).Draw(rt, "pause")))
+			read := workerapi.Clock(now.Sub(origin) + ahead)
+			now = now.Add(time.Duration(rapid.Int64Range(0, 2e9).Draw(rt, "delay")))
+			w.observe(read, now)
+			deadline := now.Add(leaseDuration)
+			if got, latest := w.clockAt(deadline), workerapi.Clock(deadline.Sub(origin)+ahead); got > latest {
+				rt.Fatalf("deadline on the worker: got %v, want at most %v", got, latest)
+			}
+		}
+	})
+}
+
+// Guards against a guard that is not connected to the worker and the endpoint.
+func TestGuardThrottles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, ctx, 6, 0)
+		reports, began := int64(0), time.Now()
+		w.variant = func(w *world, name string, access workerapi.Worker, g *gate) process {
+			a := realAgent(w, name, access, g).(*Agent)
+			a.Guard = &guard.Controller{}
+			a.EndpointReports = func() []*wire.EndpointReport {
+				reports++ // each report is a new measurement
+				latency := 10000 + reports
+				if time.Since(began) > 10*time.Second {
+					latency *= 6
+				}
+				return []*wire.EndpointReport{{Service: "desk", State: wire.EndpointState_ENDPOINT_STATE_READY, LatencyMicroseconds: latency}}
+			}
+			return a
+		}
+		w.platform.EnableGuards()
+		w.start("w1")
+		go w.platform.Dispatch(ctx)
+		time.Sleep(8 * time.Second)
+		w.platform.Submit(0, batch(time.Hour, 2000))
+		time.Sleep(8 * time.Second)
+		table, err := w.cores["w1"].Tasks(ctx)
+		if err != nil || len(table.Tasks) != 1 || table.Tasks[0].Throttle >= 1 {
+			t.Errorf("got %+v, %v, want one throttled task", table.Tasks, err)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a planned stop that cuts off a request in flight or leaves the
+// entry to find out by itself. It uses real sessions.
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	platform := entries.NewPlatform(1, nil)
+	sessions := make(chan *link.Session, 64)
+	accept := platform.Accept(nil)
+	listener := &link.Listener{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case sessions <- link.FromContext(r.Context()):
+		default:
+		}
+		accept.ServeHTTP(w, r)
+	})}
+	address, err := listener.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving, stopServing := context.WithCancel(t.Context())
+	go listener.Run(serving)
+	started, finish := make(chan struct{}), make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	a := &Agent{WorkerID: "w1", Domain: "a", LinkAddress: net.JoinHostPort("127.0.0.1", "0"), Entries: []string{address.String()},
+		Worker: &worker.Core{Name: "w1", Capacity: units.Resources{Processors: 1000}},
+		RequestHandler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-finish
+			fmt.Fprint(w, "complete")
+		})}
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	session := <-sessions
+	answered := make(chan string, 1)
+	go func() {
+		request, _ := http.NewRequest(http.MethodGet, "http://link/services/desk/quote", nil)
+		response, err := session.RoundTrip(request)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		answered <- fmt.Sprint(string(body), err)
+	}()
+	<-started
+	cancel()
+	time.AfterFunc(2*time.Second, func() { close(finish) })
+	if got, want := <-answered, "complete<nil>"; got != want {
+		t.Errorf("request in flight: got %q, want %q", got, want)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("Run: got %v, want nil", err)
+	}
+	stopServing()
+	listener.Shutdown(t.Context())
+}
--- a/internal/standin/entries/platform.go
+++ b/internal/standin/entries/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -35,6 +36,7 @@
 	problems []string
 	refused  map[attempt]bool
 	outages  []outage
+	guards   bool
 	frozen   bool                 // the entries have lost the stream of configurations
 	Naive    bool                 // release tasks of workers that are silent for 5 s
 	heard    map[string]time.Time // worker
@@ -79,7 +81,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	document := &environment.Document{
-		Environment: "trial", DrainedWorkers: drained, Guards: environment.Guards{LatencyRatio: 1.2},
+		Environment: "trial", DrainedWorkers: drained, Guards: environment.Guards{Enabled: p.guards, LatencyRatio: 1.2},
 		Teams:         []environment.Team{{Name: "moulds", Quota: units.Resources{Processors: 64000, Memory: 64 * units.GiB}}},
 		LargestWorker: units.Resources{Processors: 64000, Memory: 64 * units.GiB},
 		Services: []environment.Service{{Name: "desk", Team: "moulds", Priority: units.PriorityUrgent, LatencyTarget: 50 * time.Millisecond,
@@ -213,14 +215,24 @@
 	}
 }
 
+// chooseLessor prefers another lessor than not, and one that is no lessee of the
+// worker: two workers that depend on each other lose their leases together.
 func (p *Platform) chooseLessor(name string, w *registration, not string) {
-	best := ""
-	for other, o := range p.workers {
+	best, lowest := "", 0
+	for _, other := range slices.Sorted(maps.Keys(p.workers)) {
+		o := p.workers[other]
 		if other == name || o.expired {
 			continue
 		}
-		if best == "" || best == not || other != not && other < best {
-			best = other
+		cost := 0
+		if o.lessor == name {
+			cost++
+		}
+		if other == not {
+			cost += 2
+		}
+		if best == "" || cost < lowest {
+			best, lowest = other, cost
 		}
 	}
 	w.lessor = best
@@ -262,6 +274,9 @@
 // standby as the next one.
 func (p *Platform) report(worker string, epoch uint64, report *wire.TaskReport) {
 	r := p.tasks[report.Task.Task()]
+	if r == nil {
+		return // launched by a test itself
+	}
 	isWatcher := r.spec.Kind == wire.TaskKind_TASK_KIND_WATCHER
 	if isWatcher && report.Outcome == wire.Outcome_OUTCOME_STARTED && report.Task.Attempt == r.attempt+1 {
 		r.attempt, r.worker, r.epoch, r.started = report.Task.Attempt, worker, epoch, true
@@ -422,3 +437,11 @@
 	}
 	return problems
 }
+
+// EnableGuards publishes a document with the guards switched on.
+func (p *Platform) EnableGuards() {
+	p.mu.Lock()
+	p.guards = true
+	p.mu.Unlock()
+	p.Publish(nil, nil)
+}
--- a/internal/standin/worker/contract_test.go
+++ b/internal/standin/worker/contract_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -269,3 +270,55 @@
 		}
 	})
 }
+
+// Guards against a client that takes a broken or hostile reply for an answer.
+func TestClientErrorKinds(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		want   workerapi.Kind
+	}{
+		"cut short":           {200, `{"epoch":1,"tasks":[{"ta`, workerapi.Unknown},
+		"not JSON":            {200, "<html>", workerapi.Unknown},
+		"oversized":           {200, `{"epoch":1,"tasks":[]` + strings.Repeat(" ", 9<<20) + "}", workerapi.Unknown},
+		"malformed task":      {200, `{"epoch":1,"tasks":[{"task":"nameless"}]}`, workerapi.Unknown},
+		"server error":        {500, "", workerapi.Unknown},
+		"older epoch, plain":  {409, "", workerapi.Fenced},
+		"conflict, with kind": {409, `{"kind":"conflict"}`, workerapi.Conflict},
+		"no such task":        {404, "", workerapi.NotFound},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			transport := &http.Transport{}
+			defer server.Close()
+			defer transport.CloseIdleConnections()
+			_, err := (&workerapi.Client{BaseURL: server.URL, HTTP: &http.Client{Transport: transport}}).Tasks(t.Context())
+			wantKind(t, "tasks", err, c.want)
+		})
+	}
+}
+
+// Guards against a malformed request that harms the worker or passes.
+func TestMalformedRequests(t *testing.T) {
+	handler := NewHandler(&Core{Name: "worker-1"})
+	for _, r := range []struct{ method, path, body string }{
+		{"POST", "/v1/tasks", `{"epoch":1,"unknown":2}`},
+		{"POST", "/v1/tasks", `{"epoch":1,"task":"nameless"}`},
+		{"POST", "/v1/tasks", strings.Repeat("[", 2<<20)},
+		{"POST", "/v1/holder", `{"holder":""}`},
+		{"POST", "/v1/leases", `{"tasks":["nameless"]}`},
+		{"POST", "/v1/tasks/nameless/stop", `{}`},
+		{"DELETE", "/v1/tasks/job%2F0?attempt=-1&epoch=1", ""},
+		{"POST", "/v1/faults", `{"speed":"fast"}`},
+	} {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(r.method, r.path, strings.NewReader(r.body)))
+		if recorder.Code != http.StatusBadRequest {
+			t.Errorf("%s %s: got status %d, want 400", r.method, r.path, recorder.Code)
+		}
+	}
+}
