Give workers that register at the same time a lessor

cause: three workers registered together, none could name another as lessor, and an agent without lessees never asked for one; the cluster test hung there. A lost registration was ruled out: all three were in the roster with term 1. change: a heartbeat reply says when another worker could be the lessor; the agent then bounds its lease and asks. measured: go test -run TestJobCompletes ./internal/entry: hung before, passes in 6.3 s after. conclusion: kept.

--- a/internal/agent/lessee.go
+++ b/internal/agent/lessee.go
@@ -27,6 +27,7 @@
 	termSince     time.Time
 
 	unbounded bool      // no other worker exists that could take over
+	available bool      // an entry knows a worker that could be the lessor
 	deadline  time.Time // send time of the last granted request + leaseDuration
 	granted   time.Time // send time of the last granted request; zero for none in this term
 	wants     bool      // asked for another lessor; never renews in this term again
@@ -66,6 +67,7 @@
 		l.registered = true
 		a.event("workerRegistered", string(a.WorkerID), "")
 	}
+	l.available = reply.LessorAvailable
 	if term := units.Term(reply.LeaseTerm); term > l.term {
 		a.beginTerm(reply, term, now)
 	}
@@ -107,7 +109,7 @@
 		return
 	}
 	if l.unbounded {
-		if a.hasLessees() && a.logReachable(now) {
+		if (l.available || a.hasLessees()) && a.logReachable(now) {
 			// Another worker exists that can grant. From here on the
 			// lease ends unless a lessor is assigned.
 			l.unbounded, l.deadline = false, now.Add(leaseDuration)
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -112,12 +112,20 @@
 	}
 	b.jobs.View(func(l *ledger.Ledger) {
 		for _, name := range l.Teams() {
-			running[name] = l.Used(name)
+			running[name] = usedBy(l, name)
 		}
 	})
 	return running, nil
 }
 
+// usedBy adds up what the team's open attempts of every priority commit.
+func usedBy(l *ledger.Ledger, name units.TeamName) (sum units.Resources) {
+	for _, used := range l.Used(name) {
+		sum = sum.Add(used)
+	}
+	return sum
+}
+
 // jobID derives the id from the team and the key, so that a repeated submission
 // names the same job.
 func jobID(team units.TeamName, key string) units.JobID {
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -116,6 +116,10 @@
 	}
 	reply.LeaseTerm = uint64(w.Term)
 	reply.Lessor, reply.LessorEpoch = string(w.Lessor.Worker), uint64(w.Lessor.Epoch)
+	if w.Lessor == (roster.Holder{}) {
+		// Workers that register at the same time find no lessor yet.
+		_, reply.LessorAvailable = r.ChooseLessor(id, roster.Place{Domain: w.Domain, Rack: w.Rack, Region: w.Region}, nil)
+	}
 	if lessor, ok := r.Worker(w.Lessor.Worker); ok {
 		reply.LessorAddress = lessor.LinkAddress
 	}
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -188,7 +188,7 @@
 	list := make([]administration.Team, 0, len(document.Teams))
 	b.jobs.View(func(l *ledger.Ledger) {
 		for _, t := range document.Teams {
-			view := administration.Team{Name: t.Name, Quota: administration.Size(t.Quota), MayBorrow: t.MayBorrow, Used: administration.Size(l.Used(t.Name))}
+			view := administration.Team{Name: t.Name, Quota: administration.Size(t.Quota), MayBorrow: t.MayBorrow, Used: administration.Size(usedBy(l, t.Name))}
 			for p := units.PriorityLow; p <= units.PriorityUrgent; p++ {
 				for _, j := range l.WaitingJobs(t.Name, p) {
 					view.Pending += len(j.Waiting())
