--- a/cmd/wasabihill-standin/main.go
+++ b/cmd/wasabihill-standin/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"wasabihill.example/wasabihill/internal/operator"
+	"wasabihill.example/wasabihill/internal/standin/endpoint"
 	"wasabihill.example/wasabihill/internal/standin/logservice"
 	"wasabihill.example/wasabihill/internal/standin/worker"
 )
@@ -24,7 +25,7 @@
 		Usage:                 "stand in for the platform: log service, worker, endpoint",
 		Version:               operator.Version,
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{logservice.Command(), worker.Command()},
+		Commands:              []*cli.Command{logservice.Command(), worker.Command(), endpoint.Command()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "wasabihill-standin:", err)
--- a/cmd/wasabihill/main.go
+++ b/cmd/wasabihill/main.go
@@ -11,5 +11,5 @@
 )
 
 func main() {
-	os.Exit(operator.Main(context.Background(), os.Args, process.Entry()))
+	os.Exit(operator.Main(context.Background(), os.Args, process.Entry(), process.Agent()))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,13 +46,15 @@
 
 // Requests is the path of callers' requests as the entry process needs it.
 type Requests interface {
-	http.Handler
+	// Server returns the server of the callers' listener.
+	Server() *http.Server
 	// Observe takes over an agent's view of its endpoints.
 	Observe(worker units.WorkerID, session *link.Session, beat Beat)
 	// Update takes over a new document.
 	Update(d *environment.Document)
-	// Drain makes the readiness check fail; requests are still served.
-	Drain()
+	// Shutdown turns readiness off, serves for notice, and then stops server
+	// without cutting off a request.
+	Shutdown(ctx context.Context, server *http.Server, notice time.Duration)
 }
 
 // Entry is the entry process. Set the exported fields before Run.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -107,35 +107,30 @@
 }
 
 func (e *Entry) callerServer() *http.Server {
-	handler := http.Handler(http.NotFoundHandler())
 	if e.requests != nil {
-		handler = e.requests
-	}
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
-		MaxHeaderBytes: int(e.Settings.Limits.HeaderBytes),
+		return e.requests.Server()
 	}
+	return &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: 5 * time.Second}
 }
 
 // shutdown ends the process gracefully in the order that Run describes.
 func (e *Entry) shutdown(ctx context.Context, callers, admins *http.Server) {
 	e.draining.Store(true)
 	e.recorder.Record("entry", "draining", string(e.Settings.ID), "", "")
-	if e.requests != nil {
-		e.requests.Drain()
-	}
 	ctx, cancel := context.WithTimeout(ctx, stopWithin)
 	defer cancel()
 	leave, cancelLeave := context.WithTimeout(ctx, e.DrainFor)
 	if _, err := e.writers.members.Append(leave, roster.EncodeEntryLeft(e.Settings.ID)); err != nil {
 		klog.InfoS("the planned stop was not recorded", "err", err)
 	}
-	<-leave.Done()
 	cancelLeave()
-	for _, s := range []*http.Server{callers, admins} {
-		if err := s.Shutdown(ctx); err != nil {
-			klog.InfoS("requests were still in flight at the end of the planned stop", "err", err)
-		}
+	if e.requests != nil {
+		e.requests.Shutdown(ctx, callers, e.DrainFor)
+	} else if err := callers.Shutdown(ctx); err != nil {
+		klog.InfoS("requests were still in flight at the end of the planned stop", "err", err)
+	}
+	if err := admins.Shutdown(ctx); err != nil {
+		klog.InfoS("administration requests were still in flight at the end of the planned stop", "err", err)
 	}
 	e.agents.Shutdown(ctx)
 }
--- /dev/null
+++ b/internal/process/agent.go
@@ -0,0 +1,145 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/administration"
+	"wasabihill.example/wasabihill/internal/agent"
+	"wasabihill.example/wasabihill/internal/forward"
+	"wasabihill.example/wasabihill/internal/guard"
+	"wasabihill.example/wasabihill/internal/settings"
+	"wasabihill.example/wasabihill/internal/timeline"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+const agentDescription = `Runs beside one worker and its endpoint. It is the only process that admits
+work to that worker. SIGTERM stops it gracefully: requests in flight are
+answered, and the worker's tasks go on under their leases until the next agent
+adopts them.
+
+Examples:
+  wasabihill agent /etc/wasabihill/agent.json
+  wasabihill agent --check /etc/wasabihill/agent.json`
+
+// Agent returns the command that runs an agent.
+func Agent() *cli.Command {
+	return &cli.Command{
+		Name: "agent", Usage: "run an agent beside a worker", ArgsUsage: "SETTINGS", Category: category, Description: agentDescription,
+		Flags: []cli.Flag{checkFlag},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			path, err := settingsPath(cmd)
+			if err != nil {
+				return err
+			}
+			s, err := settings.LoadAgent(path)
+			if err != nil || cmd.Bool(checkFlag.Name) {
+				return err
+			}
+			return interruptible(ctx, func(ctx context.Context) error { return runAgent(ctx, s) })
+		},
+	}
+}
+
+const (
+	// workerConnections covers the calls that the agent makes at a time.
+	workerConnections = 8
+	// eventsPerHeartbeat keeps a burst of events within the node's 5 KB/s.
+	eventsPerHeartbeat = 16
+)
+
+func runAgent(ctx context.Context, s *settings.Agent) error {
+	scope, metrics, closer := administration.NewMetrics(string(s.Worker))
+	defer closer.Close()
+	forwarder := forward.New(forward.Options{Scope: scope, Queue: s.Limits.QueuedRequests})
+	defer forwarder.Close()
+	a := newAgent(s, scope, forwarder)
+	announce, err := net.Listen("tcp", s.AnnounceAddress.String())
+	if err != nil {
+		return err
+	}
+	// The listeners outlive ctx, so that the endpoint can announce that it is
+	// leaving while the agent drains.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	group, serving := errgroup.WithContext(serving)
+	serveUntil(serving, group, announce, forwarder.AnnounceHandler())
+	if s.StatusAddress.IsValid() {
+		status, err := net.Listen("tcp", s.StatusAddress.String())
+		if err != nil {
+			stop()
+			return errors.Join(err, group.Wait())
+		}
+		serveUntil(serving, group, status, statusHandler(metrics))
+	}
+	group.Go(func() error {
+		defer stop()
+		klog.InfoS("agent started", "worker", s.Worker, "link", s.LinkAddress)
+		return a.Run(ctx)
+	})
+	err = group.Wait()
+	klog.InfoS("agent stopped", "worker", s.Worker)
+	return err
+}
+
+// newAgent connects the parts of the agent.
+func newAgent(s *settings.Agent, scope tally.Scope, forwarder *forward.Forwarder) *agent.Agent {
+	recorder := timeline.NewRecorder("agent/"+string(s.Worker)+"/"+runID(), s.Limits.TimelineEvents, time.Now)
+	var acknowledged atomic.Uint64
+	changes := scope.Counter("agent_events")
+	a := &agent.Agent{
+		WorkerID: s.Worker, Domain: s.FailureDomain, Rack: s.Rack, Region: s.Region,
+		LinkAddress: s.LinkAddress.String(), Process: recorder.Process(),
+		Worker: &workerapi.Client{
+			BaseURL: "http://" + s.WorkerAddress.String(),
+			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerConnections, IdleConnTimeout: time.Minute}},
+		},
+		RequestHandler: forwarder, EndpointReports: forwarder.Reports, Guard: &guard.Controller{},
+		Events: func(kind, subject, text string) {
+			changes.Inc(1)
+			klog.InfoS("agent event", "kind", kind, "subject", subject, "text", text)
+			recorder.Record("worker", kind, subject, text, "")
+		},
+		PendingEvents: func() []*wire.Event {
+			return timeline.ToWire(recorder.After(acknowledged.Load(), eventsPerHeartbeat))
+		},
+		AcknowledgeEvents: acknowledged.Store,
+		Clock:             recorder.Clock,
+		ObserveClock:      recorder.Observe,
+	}
+	for _, e := range s.Entries {
+		a.Entries = append(a.Entries, e.String())
+	}
+	return a
+}
+
+func statusHandler(metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.Handle("GET /metrics", metrics)
+	return mux
+}
+
+// serveUntil serves a small local API until ctx ends.
+func serveUntil(ctx context.Context, group *errgroup.Group, l net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, MaxHeaderBytes: 16 << 10}
+	group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"os"
 	"os/signal"
 	"syscall"
@@ -35,3 +36,6 @@
 	}()
 	return fn(ctx)
 }
+
+// runID tells runs of one process apart on the time line.
+func runID() string { return rand.Text()[:8] }
--- a/internal/process/requests.go
+++ b/internal/process/requests.go
@@ -1,10 +1,64 @@
 package process
 
 import (
+	"sync"
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"wasabihill.example/wasabihill/internal/entry"
+	"wasabihill.example/wasabihill/internal/gateway"
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/routing"
 	"wasabihill.example/wasabihill/internal/settings"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
 )
 
-func requests(*settings.Entry, tally.Scope) func(*entry.Entry) entry.Requests { return nil }
+// requestPath connects the gateway and its table of endpoints to the entry
+// process.
+type requestPath struct {
+	*gateway.Gateway
+	table *routing.Table
+
+	mu       sync.Mutex
+	sessions map[*link.Session]struct{}
+}
+
+func requests(s *settings.Entry, scope tally.Scope) func(*entry.Entry) entry.Requests {
+	return func(e *entry.Entry) entry.Requests {
+		table := routing.New(routing.Settings{Domain: s.FailureDomain, Region: s.Region})
+		document := func() *environment.Document {
+			d, _ := e.Document()
+			return d
+		}
+		return &requestPath{
+			Gateway: gateway.New(gateway.Options{
+				Table: table, Document: document, Scope: scope,
+				Limit: s.Limits.CallerRequests, BodyBytes: int64(s.Limits.CallerBody), MaxTime: s.Limits.CallerTimeout,
+			}),
+			table: table, sessions: make(map[*link.Session]struct{}),
+		}
+	}
+}
+
+// Observe implements entry.Requests.
+func (p *requestPath) Observe(worker units.WorkerID, session *link.Session, beat entry.Beat) {
+	p.table.Observe(worker, session, beat.Message, beat.At)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.sessions[session]; known {
+		return
+	}
+	p.sessions[session] = struct{}{}
+	go func() {
+		<-session.Done()
+		p.table.Remove(worker, session)
+		p.mu.Lock()
+		delete(p.sessions, session)
+		p.mu.Unlock()
+	}()
+}
+
+// Update implements entry.Requests.
+func (p *requestPath) Update(d *environment.Document) { p.table.SetDocument(d, time.Now()) }
