--- a/internal/acceptance/files.go
+++ b/internal/acceptance/files.go
@@ -160,7 +160,7 @@
 		lines = append(lines, line(agentName(w), "%s agent %s", product, filepath.Join(dir, string(w.ID)+".json")))
 	}
 	for _, w := range f.Workers() {
-		lines = append(lines, line(endpointName(w), "%s endpoint --service %s --address %s --agent %s --slots %d --connections %d",
+		lines = append(lines, line(endpointName(w), "%s endpoint --service %s --address %s --agent http://%s --slots %d --connections %d",
 			standin, f.Service, w.Endpoint, w.Announce, endpointSlots, endpointConns))
 	}
 	return lines
--- /dev/null
+++ b/internal/acceptance/summary.go
@@ -0,0 +1,120 @@
+package acceptance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/standin/worker"
+)
+
+// maxShown bounds the violations printed for one guarantee.
+const maxShown = 3
+
+// summarise prints the verdict of every guarantee and the four measures.
+func (d *day) summarise() (broken int) {
+	fmt.Fprintf(d.Progress, "\n%s\n", d.firm.Name)
+	for i, c := range checks {
+		found, observed := c.judge(d)
+		verdict := "kept"
+		if len(found) > 0 || observed == 0 {
+			verdict = "BROKEN"
+			broken++
+		}
+		fmt.Fprintf(d.Progress, "  %2d %-62s %-6s (%d observations)\n", i+1, c.guarantee, verdict, observed)
+		sort.Strings(found)
+		for _, text := range found[:min(len(found), maxShown)] {
+			fmt.Fprintf(d.Progress, "       %s\n", text)
+		}
+		if len(found) > maxShown {
+			fmt.Fprintf(d.Progress, "       and %d more\n", len(found)-maxShown)
+		}
+	}
+	d.measures()
+	return broken
+}
+
+// measures prints the four things that the users measure.
+func (d *day) measures() {
+	e := &d.evidence
+	q := e.quick.Done
+	fmt.Fprintf(d.Progress, "  latency of %s: p50 %s, p99 %s, p99.9 %s; %d of %d answered\n", d.firm.Quick,
+		q.Median.Round(time.Microsecond), q.P99.Round(time.Microsecond), q.P999.Round(time.Microsecond), q.Count, e.quick.Planned)
+	fmt.Fprintf(d.Progress, "  outcomes: %s; non-idempotent: %s\n", counts(e.quick.Outcomes), counts(e.order.Outcomes))
+	completed, evicted, during := 0, 0, 0
+	for _, r := range e.runs {
+		if r.State == "completed" {
+			completed++
+			if r.End.After(e.domainOut) && r.End.Before(e.domainIn) {
+				during++
+			}
+		}
+		if r.State == "checkpointed" {
+			evicted++
+		}
+	}
+	fmt.Fprintf(d.Progress, "  batch: %d tasks completed, %d evictions, %d tasks completed while a failure domain was out\n", completed, evicted, during)
+	for _, name := range d.firm.Watchers {
+		fmt.Fprintf(d.Progress, "  %s: unwatched for at most %s\n", name, longestGap(e.runs, "watcher/"+name+"/0").Round(time.Millisecond))
+	}
+}
+
+// longestGap is the longest time between two runs of a task.
+func longestGap(runs []worker.Run, task string) (gap time.Duration) {
+	var of []worker.Run
+	for _, r := range runs {
+		if r.Task == task {
+			of = append(of, r)
+		}
+	}
+	sort.Slice(of, func(i, j int) bool { return of[i].Start.Before(of[j].Start) })
+	for i := 1; i < len(of); i++ {
+		gap = max(gap, of[i].Start.Sub(of[i-1].End))
+	}
+	return gap
+}
+
+func counts(m map[string]int) string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, m[name])
+	}
+	return strings.Join(names, ", ")
+}
+
+// saveTimeline writes the time line of the firm as text and as a page.
+func (d *day) saveTimeline(ctx context.Context) error {
+	for format, name := range map[string]string{"text": "timeline.txt", "html": "timeline.html"} {
+		url := "http://" + d.firm.Entries()[0].Admin + "/v1/timeline?limit=10000&format=" + format
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		r.Header.Set("Authorization", "Bearer "+operatorToken)
+		response, err := d.http.Do(r)
+		if err != nil {
+			return err
+		}
+		file, err := os.Create(filepath.Join(d.Dir, d.firm.Name, name))
+		if err == nil {
+			_, err = file.ReadFrom(response.Body)
+			err = errors.Join(err, file.Close())
+		}
+		response.Body.Close()
+		if err != nil {
+			return err
+		}
+	}
+	d.say("%s: the event timeline is in %s", d.firm.Name, filepath.Join(d.Dir, d.firm.Name, "timeline.html"))
+	return nil
+}
--- /dev/null
+++ b/internal/acceptance/work.go
@@ -0,0 +1,217 @@
+package acceptance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/load"
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	batchJobs     = 16
+	tasksPerJob   = 10
+	taskRunTime   = 4 * time.Second
+	cancelledJobs = 10
+	submitters    = 4
+)
+
+// submitJobs submits the firm's batch work. A submission whose outcome is not
+// known is repeated under its key.
+func (d *day) submitJobs(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(submitters)
+	ids := make([]units.JobID, batchJobs)
+	for i := range ids {
+		group.Go(func() error {
+			id, err := d.submit(ctx, fmt.Sprintf("batch-%d", i), taskRunTime)
+			ids[i] = id
+			return err
+		})
+	}
+	err := group.Wait()
+	d.evidence.jobs = append(d.evidence.jobs, ids...)
+	return err
+}
+
+func (d *day) submit(ctx context.Context, key string, runTime time.Duration) (units.JobID, error) {
+	body := administration.EncodeSubmission(administration.Submission{
+		Team: d.firm.BatchTeam, Name: key, Kind: "plan", Priority: units.PriorityNormal, Tasks: tasksPerJob,
+		Size: units.Resources{Processors: 1500, Memory: 2 * units.GiB}, RunTime: runTime,
+	})
+	var id units.JobID
+	err := d.until(ctx, "a job is accepted", func() (bool, error) {
+		job, err := d.client.Submit(ctx, key+".json", body, key)
+		id = job.ID
+		return err == nil, err
+	})
+	return id, err
+}
+
+// cancelBurst submits long jobs and cancels them at once, while they start.
+func (d *day) cancelBurst(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(submitters)
+	ids := make([]units.JobID, cancelledJobs)
+	for i := range ids {
+		group.Go(func() (err error) {
+			if ids[i], err = d.submit(ctx, fmt.Sprintf("cancelled-%d", i), time.Hour); err != nil {
+				return err
+			}
+			return d.until(ctx, "a cancellation is accepted", func() (bool, error) {
+				_, err := d.client.Cancel(ctx, ids[i], "cancelled by the acceptance run", administration.NewKey())
+				return err == nil, err
+			})
+		})
+	}
+	err := group.Wait()
+	d.evidence.cancelled = append(d.evidence.cancelled, ids...)
+	return err
+}
+
+// answer is what a caller learned about one request.
+type answer struct {
+	idempotent bool
+	outcome    string
+	at         time.Duration // planned time since the start
+	latency    time.Duration
+}
+
+// traffic sends the callers' requests to the entry processes that the
+// platform's balancer would choose: those whose readiness check passes.
+func (d *day) traffic(ctx context.Context) error {
+	targets := d.balance(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	for _, class := range []struct {
+		name          string
+		rate          float64
+		nonIdempotent float64
+		into          **load.Report
+	}{
+		{"quick", quickRate, 0, &d.evidence.quick},
+		{"order", orderRate, 1, &d.evidence.order},
+	} {
+		group.Go(func() error {
+			report, err := load.Run(ctx, load.Options{
+				Target: targets, Service: string(d.firm.Service), Rate: class.rate, Time: trafficTime, InFlight: 256,
+				BodyBytes: 200, Deadline: requestLimit, NonIdempotent: class.nonIdempotent, Poisson: true, Seed: 1,
+				Prefix: class.name + "-", Observe: d.observe,
+			})
+			*class.into = report
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+func (d *day) observe(s load.Sample) {
+	d.evidence.mu.Lock()
+	defer d.evidence.mu.Unlock()
+	d.evidence.answers[s.ID] = answer{s.Idempotent, s.Outcome, s.Planned.Sub(d.evidence.start), s.Latency}
+}
+
+// balance follows the readiness of the entry processes like the platform's
+// balancer and returns the choice of the next target.
+func (d *day) balance(ctx context.Context) func(int) string {
+	entries := d.firm.Entries()
+	ready := make([]bool, len(entries))
+	for i, e := range entries {
+		ready[i] = d.entryReady(ctx, e)
+		go func() {
+			ticker := time.NewTicker(250 * time.Millisecond)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+				}
+				ok := d.entryReady(ctx, e)
+				d.evidence.mu.Lock()
+				ready[i] = ok
+				d.evidence.mu.Unlock()
+			}
+		}()
+	}
+	return func(n int) string {
+		d.evidence.mu.Lock()
+		defer d.evidence.mu.Unlock()
+		for k := range entries {
+			if i := (n + k) % len(entries); ready[i] {
+				return "http://" + entries[i].Caller
+			}
+		}
+		return "http://" + entries[n%len(entries)].Caller
+	}
+}
+
+func (d *day) entryReady(ctx context.Context, e Entry) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := d.http.Do(r)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// settle waits until every job has ended.
+func (d *day) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	err := d.until(ctx, "every job ends", func() (bool, error) {
+		open, err := d.openJobs(ctx)
+		if err == nil && open > 0 {
+			err = fmt.Errorf("%d jobs are open", open)
+		}
+		return err == nil, err
+	})
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		d.say("%s: %v", d.firm.Name, err)
+		return nil // the check of completed jobs reports it
+	}
+	return err
+}
+
+func (d *day) openJobs(ctx context.Context) (int, error) {
+	open := 0
+	for _, id := range append(append([]units.JobID(nil), d.evidence.jobs...), d.evidence.cancelled...) {
+		job, err := d.client.Job(ctx, id)
+		if err != nil {
+			return 0, err
+		}
+		if job.State == "pending" || job.State == "running" || job.Tasks.Running > 0 {
+			open++
+		}
+	}
+	return open, nil
+}
+
+func (d *day) post(ctx context.Context, url, body string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := d.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("POST %s: status %s", url, response.Status)
+	}
+	return nil
+}
+
+const notRun = string(headers.NotRun)
