--- a/internal/forward/announce.go
+++ b/internal/forward/announce.go
@@ -104,12 +104,12 @@
 	defer f.mu.Unlock()
 	e := f.endpoints[a.Service]
 	if e != nil && e.address != a.Address {
-		if e.current(now) == wire.EndpointState_ENDPOINT_STATE_READY {
-			return fault.New("announce", Conflict, "%s at %s is ready", a.Service, e.address)
-		}
 		if a.state() == wire.EndpointState_ENDPOINT_STATE_LEAVING {
 			return nil // an earlier endpoint that a successor replaced
 		}
+		if e.current(now) == wire.EndpointState_ENDPOINT_STATE_READY {
+			return fault.New("announce", Conflict, "%s at %s is ready", a.Service, e.address)
+		}
 		e.admission.close()
 		e.currentTransport().CloseIdle()
 		e = nil
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,249 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/headers"
+	runner "wasabihill.example/wasabihill/internal/standin/endpoint"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const ready, leaving, gone = wire.EndpointState_ENDPOINT_STATE_READY, wire.EndpointState_ENDPOINT_STATE_LEAVING, wire.EndpointState_ENDPOINT_STATE_GONE
+
+// Guards against more requests at an endpoint than it has slots, a slot that
+// is lost, and an order other than priority, then deadline.
+func TestAdmissionKeepsSlotsAndOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		a := &admission{slots: rapid.IntRange(1, 3).Draw(t, "slots"), limit: 4}
+		running := 0
+		var queued []*waiter
+		collect := func() {
+			kept := queued[:0]
+			for _, w := range queued {
+				select {
+				case cause := <-w.verdict:
+					if cause == "" {
+						running++
+						for _, o := range queued {
+							if o != w && o.index >= 0 && o.before(w) {
+								t.Fatalf("granted priority %v before %v", w.priority, o.priority)
+							}
+						}
+					}
+				default:
+					kept = append(kept, w)
+				}
+			}
+			queued = kept
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				w, cause := a.enqueue(units.Priority(rapid.IntRange(1, 4).Draw(t, "priority")), time.Now().Add(time.Hour), now)
+				if w != nil {
+					queued = append(queued, w)
+				} else if cause == "" {
+					running++
+				}
+			case 2:
+				if running > 0 {
+					running--
+					a.release(time.Millisecond)
+				}
+			case 3:
+				if len(queued) > 0 {
+					a.abandon(queued[0])
+					queued = queued[1:]
+				}
+			}
+			collect()
+			if running != a.busy || running > a.slots || len(queued) != len(a.queue) || len(queued) > a.limit {
+				t.Fatalf("got %d running, %d busy, %d queued of %d slots", running, a.busy, len(a.queue), a.slots)
+			}
+		}
+	})
+}
+
+// Guards against work for requests that can no longer meet their deadline, and
+// against a refusal that comes only when the deadline is over.
+func TestAdmissionShedsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &admission{slots: 1, limit: 8, service: 100 * time.Millisecond}
+		ctx, start := t.Context(), time.Now()
+		if cause := a.acquire(ctx, units.PriorityNormal, start.Add(time.Second)); cause != "" {
+			t.Fatalf("got %q for a free slot", cause)
+		}
+		if cause := a.acquire(ctx, units.PriorityNormal, start.Add(150*time.Millisecond)); cause != headers.Overload || time.Since(start) != 0 {
+			t.Errorf("got %q after %v, want %q at once", cause, time.Since(start), headers.Overload)
+		}
+		verdict := make(chan headers.Cause)
+		go func() { verdict <- a.acquire(ctx, units.PriorityNormal, start.Add(250*time.Millisecond)) }()
+		synctest.Wait()
+		time.Sleep(200 * time.Millisecond)
+		a.release(200 * time.Millisecond)
+		if cause := <-verdict; cause != headers.Overload {
+			t.Errorf("got %q for a request with 50 ms left, want %q", cause, headers.Overload)
+		}
+		if cause := a.acquire(ctx, units.PriorityNormal, time.Now().Add(time.Millisecond)); cause != "" {
+			t.Errorf("got %q for a free slot; the estimate would never recover", cause)
+		}
+	})
+}
+
+func body(state, address string) []byte {
+	return fmt.Appendf(nil, `{"service":"desk","address":%q,"slots":2,"connections":4,"state":%q}`, address, state)
+}
+
+// Guards against new work for a leaving or silent endpoint, and against two
+// endpoints of one service at an agent.
+func TestStatesOfEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Options{})
+		announce := func(state, address string) error {
+			a, err := parseAnnouncement(body(state, address))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return f.announce(a, time.Now())
+		}
+		state := func() wire.EndpointState { return f.Reports()[0].State }
+		for _, step := range []struct {
+			state, address string
+			wait           time.Duration
+			want           wire.EndpointState
+			conflict       bool
+		}{
+			{"ready", "127.0.0.1:1", 0, ready, false},
+			{"ready", "127.0.0.1:2", 0, ready, true},
+			{"leaving", "127.0.0.1:1", 0, leaving, false},
+			{"ready", "127.0.0.1:2", 0, ready, false},
+			{"leaving", "127.0.0.1:1", 0, ready, false}, // of the replaced endpoint
+			{"ready", "127.0.0.1:2", 3 * time.Second, ready, false},
+			{"ready", "127.0.0.1:2", 4 * time.Second, gone, false},
+			{"ready", "127.0.0.1:3", 0, ready, false},
+		} {
+			if err := announce(step.state, step.address); fault.Is(err, Conflict) != step.conflict {
+				t.Errorf("%s %s: got error %v, want conflict %t", step.state, step.address, err, step.conflict)
+			}
+			time.Sleep(step.wait)
+			if got := state(); got != step.want {
+				t.Errorf("%s %s: got state %v, want %v", step.state, step.address, got, step.want)
+			}
+		}
+	})
+}
+
+// run sends one request through a Forwarder to a substitute endpoint.
+func run(t *testing.T, method string, pairs ...string) (*httptest.ResponseRecorder, *runner.Endpoint) {
+	t.Helper()
+	f := New(Options{})
+	agent := httptest.NewServer(f.AnnounceHandler())
+	e, err := runner.New(runner.Options{Service: "desk", Agent: agent.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = e.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended; agent.Close(); f.Close() })
+	for len(f.Reports()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(method, "/services/desk/path?q=1", strings.NewReader("body"))
+	for i := 0; i < len(pairs); i += 2 {
+		r.Header.Set(pairs[i], pairs[i+1])
+	}
+	f.ServeHTTP(w, r)
+	return w, e
+}
+
+// Guards against waiting for TCP on a connection that went silent while the
+// endpoint lives: an idempotent request is answered on a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	f := New(Options{})
+	agent := httptest.NewServer(f.AnnounceHandler())
+	defer agent.Close()
+	silent := make(chan struct{})
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 1 {
+			<-silent
+		}
+	}))
+	defer server.Close()
+	defer close(silent)
+	a, err := parseAnnouncement(body("ready", strings.TrimPrefix(server.URL, "http://")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			_ = f.announce(a, time.Now())
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	defer func() { cancel(); <-ended; f.Close() }()
+	for len(f.Reports()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest("GET", "/services/desk/", nil)
+	r.Header.Set(headers.Deadline, "20s")
+	f.ServeHTTP(w, r)
+	if w.Code != http.StatusOK || requests.Load() != 2 {
+		t.Errorf("got status %d after %d connections, want 200 after 2", w.Code, requests.Load())
+	}
+}
+
+// Guards against endpoints that speak for the agent: only the agent may say
+// that a request was not run.
+func TestOutcomeOfEndpointIsIgnored(t *testing.T) {
+	w, e := run(t, "POST", runner.RequestID, "1", headers.Deadline, "5s")
+	if got := w.Header().Get(headers.Outcome); w.Code != 200 || got != string(headers.Done) || e.Executed()["1"] != 1 {
+		t.Errorf("got status %d, outcome %q, executed %v", w.Code, got, e.Executed())
+	}
+	h := make(http.Header)
+	headers.Copy(h, http.Header{headers.Outcome: {"notRun"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Kept": {"1"}})
+	if len(h) != 1 || h.Get("X-Kept") != "1" {
+		t.Errorf("got headers %v, want X-Kept only", h)
+	}
+}
+
+func FuzzAnnouncement(f *testing.F) {
+	f.Add(body("ready", "127.0.0.1:80"))
+	f.Add([]byte(`{"service":"","address":"[::1]:0","slots":-1}`))
+	f.Add([]byte(`{"connections":1e99`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, err := parseAnnouncement(data)
+		if err != nil {
+			if !fault.Is(err, Malformed) {
+				t.Fatalf("got error %v, want kind %s", err, Malformed)
+			}
+			return
+		}
+		if a.Slots < 1 || a.Connections < a.Slots || a.Service == "" || !json.Valid(data) {
+			t.Fatalf("accepted %+v", a)
+		}
+	})
+}
--- /dev/null
+++ b/internal/headers/headers_test.go
@@ -0,0 +1,46 @@
+package headers
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func FuzzTarget(f *testing.F) {
+	for _, s := range []string{"/services/desk/a?b", "/services/desk", "/services//", "/services/%2e/x", "http://h/services/a"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, uri string) {
+		name, rest, err := Target(uri)
+		if err != nil {
+			return
+		}
+		if name == "" || strings.ContainsAny(string(name), "/?%") || !strings.HasPrefix(rest, "/") || !strings.HasPrefix(uri, Prefix+string(name)) {
+			t.Fatalf("%q: got service %q, rest %q", uri, name, rest)
+		}
+	})
+}
+
+func FuzzHeaders(f *testing.F) {
+	f.Add("250ms", "true", "4", "close, X-A")
+	f.Add("-1h", "TRUE", "99999999999", "")
+	f.Add("9999999h", "", "", ",,")
+	f.Fuzz(func(t *testing.T, deadline, idempotent, priority, connection string) {
+		h := http.Header{Deadline: {deadline}, Idempotent: {idempotent}, Priority: {priority}, "Connection": {connection}, "X-A": {"1"}}
+		if d, err := TimeLeft(h, time.Second, time.Minute); err == nil && (d <= 0 || d > time.Minute) {
+			t.Fatalf("deadline %q: got %v", deadline, d)
+		}
+		if _, err := IsIdempotent("POST", h); err == nil && idempotent != "true" && idempotent != "false" {
+			t.Fatalf("idempotent %q was accepted", idempotent)
+		}
+		if p := PriorityOf(h); p < 1 || p > 4 {
+			t.Fatalf("priority %q: got %v", priority, p)
+		}
+		c := make(http.Header)
+		Copy(c, h)
+		if c[Deadline] != nil || c["Connection"] != nil {
+			t.Fatalf("got %v, want no headers of this hop", c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,201 @@
+// Package load offers requests at planned times, whatever the responses do,
+// and measures latency from the planned time, so that a stalled system does
+// not hide behind requests that were never sent.
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+
+	"wasabihill.example/wasabihill/internal/headers"
+	"wasabihill.example/wasabihill/internal/standin/endpoint"
+)
+
+// Options configures a run.
+type Options struct {
+	Targets       []string // base URLs of entry processes, used in turn
+	Service       string   // empty sends straight to an endpoint, without outcomes
+	Rate          float64  // planned requests per second
+	Time          time.Duration
+	InFlight      int // most requests at a time; later ones are sent late, not dropped
+	BodyBytes     int
+	Deadline      time.Duration // 0 sends none
+	NonIdempotent float64       // share of requests that must run at most once, 0 to 1
+	Poisson       bool          // exponential gaps between requests instead of constant ones
+	Seed          uint64
+	Prefix        string // of request ids, so that a checker can tell runs apart
+}
+
+// request is one planned request.
+type request struct {
+	number     int
+	planned    time.Time
+	idempotent bool
+}
+
+// result is what one worker counted; workers share nothing while they run.
+type result struct {
+	outcomes map[string]int
+	statuses map[int]int
+	faults   map[string]int
+	done     *hdrhistogram.Histogram // microseconds from the planned time
+	notRun   *hdrhistogram.Histogram
+	late     *hdrhistogram.Histogram // from the planned time until it was sent
+}
+
+// Latencies are recorded from 1 us to 5 minutes with three digits.
+const (
+	longest = int64(5 * time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+func newResult() *result {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, longest, digits) }
+	return &result{outcomes: map[string]int{}, statuses: map[int]int{}, faults: map[string]int{}, done: h(), notRun: h(), late: h()}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(1, d.Microseconds()), longest)) // always in range
+}
+
+// Run offers the load until it is complete or ctx ends.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if len(o.Targets) == 0 || o.Rate <= 0 || o.Time <= 0 || o.InFlight <= 0 {
+		return nil, fmt.Errorf("load: targets, rate, time and in-flight limit must be positive")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: o.InFlight, DisableCompression: true, MaxResponseHeaderBytes: 64 << 10}
+	defer transport.CloseIdleConnections()
+	r := &runner{options: o, client: &http.Client{Transport: transport}, body: bytes.Repeat([]byte("b"), o.BodyBytes)}
+	r.digest = fmt.Sprintf("%016x", xxhash.Sum64(r.body))
+	requests := make(chan request, o.InFlight)
+	results := make([]*result, o.InFlight)
+	var wait sync.WaitGroup
+	for i := range results {
+		results[i] = newResult()
+		wait.Go(func() {
+			for q := range requests {
+				r.send(ctx, q, results[i])
+			}
+		})
+	}
+	start := time.Now()
+	planned := r.plan(ctx, start, requests)
+	close(requests)
+	wait.Wait()
+	return report(o, planned, time.Since(start), results), nil
+}
+
+// runner sends requests.
+type runner struct {
+	options Options
+	client  *http.Client
+	body    []byte
+	digest  string
+}
+
+// plan hands out requests at their planned times and returns how many.
+func (r *runner) plan(ctx context.Context, start time.Time, requests chan<- request) int {
+	random := rand.New(rand.NewPCG(r.options.Seed, 2))
+	gap := float64(time.Second) / r.options.Rate
+	at := 0.0
+	number := 0
+	for ; at < float64(r.options.Time); number++ {
+		q := request{number: number, planned: start.Add(time.Duration(at)), idempotent: random.Float64() >= r.options.NonIdempotent}
+		if d := time.Until(q.planned); d > 0 {
+			select {
+			case <-time.After(d):
+			case <-ctx.Done():
+				return number
+			}
+		}
+		select {
+		case requests <- q:
+		case <-ctx.Done():
+			return number
+		}
+		step := gap
+		if r.options.Poisson {
+			step *= random.ExpFloat64()
+		}
+		at += step
+	}
+	return number
+}
+
+func (r *runner) send(ctx context.Context, q request, into *result) {
+	id := r.options.Prefix + strconv.Itoa(q.number)
+	url := r.options.Targets[q.number%len(r.options.Targets)] + "/"
+	if r.options.Service != "" {
+		url += "services/" + r.options.Service + "/load"
+	}
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(r.body)))
+	if err != nil {
+		into.faults[err.Error()]++
+		return
+	}
+	h.ContentLength = int64(len(r.body))
+	if len(r.body) == 0 {
+		h.Body = http.NoBody
+	}
+	h.Header.Set(endpoint.RequestID, id)
+	h.Header.Set(headers.Idempotent, strconv.FormatBool(q.idempotent))
+	if r.options.Deadline > 0 {
+		h.Header.Set(headers.Deadline, r.options.Deadline.String())
+	}
+	record(into.late, time.Since(q.planned))
+	response, err := r.client.Do(h)
+	if err != nil {
+		into.outcomes["broken"]++
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	latency := time.Since(q.planned)
+	into.statuses[response.StatusCode]++
+	if err != nil {
+		into.outcomes["broken"]++ // cut in the middle, and seen to be
+		return
+	}
+	r.judge(response, body, id, latency, into)
+}
+
+// judge counts the outcome and checks that an answer is the request's own and
+// whole.
+func (r *runner) judge(response *http.Response, body []byte, id string, latency time.Duration, into *result) {
+	outcome := headers.Result(response.Header.Get(headers.Outcome))
+	if outcome == "" && r.options.Service == "" {
+		outcome = headers.Done
+	}
+	into.outcomes[string(outcome)]++
+	switch outcome {
+	case headers.NotRun:
+		record(into.notRun, latency)
+		return
+	case headers.Done:
+	default:
+		return
+	}
+	record(into.done, latency)
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	if response.Header.Get(endpoint.RequestID) != id {
+		into.faults["answer of another request"]++
+	}
+	if response.Header.Get(endpoint.Digest) != r.digest {
+		into.faults["request body changed"]++
+	}
+	if response.Header.Get(endpoint.WholeCheck) != fmt.Sprintf("%016x", xxhash.Sum64(body)) {
+		into.faults["answer not whole"]++
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,70 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wasabihill.example/wasabihill/internal/standin/endpoint"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a checker that accepts wrong answers: the same run against a
+// right endpoint and against wrong ones.
+func TestAnswersAreChecked(t *testing.T) {
+	e, err := endpoint.New(endpoint.Options{ResponseBytes: 300})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = e.Run(ctx) }()
+	defer func() { cancel(); <-ended }()
+	wrong := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(endpoint.RequestID, "other")
+		_, _ = w.Write([]byte("cut"))
+	}))
+	defer wrong.Close()
+	for _, c := range []struct {
+		target string
+		faults int
+	}{{"http://" + e.Address(), 0}, {wrong.URL, 3}} {
+		r, err := Run(t.Context(), Options{Targets: []string{c.target}, Rate: 500, Time: 100 * time.Millisecond, InFlight: 8, BodyBytes: 64, Prefix: "t-"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Planned != 50 || r.Outcomes["done"] != 50 || len(r.Faults) != c.faults {
+			t.Errorf("%s: got %d planned, outcomes %v, faults %v; want 50 done and %d kinds of faults", c.target, r.Planned, r.Outcomes, r.Faults, c.faults)
+		}
+	}
+	if got := len(e.Executed()); got != 50 {
+		t.Errorf("got %d executed request ids, want 50", got)
+	}
+}
+
+// Guards against latency measured from the send time: a server that stalls
+// once must show in the requests planned meanwhile.
+func TestLatencyCountsFromPlannedTime(t *testing.T) {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		select {
+		case <-first:
+			time.Sleep(200 * time.Millisecond)
+		default:
+		}
+	}))
+	defer s.Close()
+	r, err := Run(t.Context(), Options{Targets: []string{s.URL}, Rate: 100, Time: 200 * time.Millisecond, InFlight: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Done.Median < 50*time.Millisecond {
+		t.Errorf("got median %v, want the stall to show in it", r.Done.Median)
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latency summarises a histogram. All values are from the planned send time.
+type Latency struct {
+	Count  int64         `json:"count"`
+	Mean   time.Duration `json:"mean"`
+	Median time.Duration `json:"median"`
+	P90    time.Duration `json:"p90"`
+	P99    time.Duration `json:"p99"`
+	P999   time.Duration `json:"p999"`
+	Max    time.Duration `json:"max"`
+}
+
+// Report is the result of a run. Durations in its JSON form are nanoseconds.
+type Report struct {
+	Rate     float64        `json:"rate"`     // planned
+	Planned  int            `json:"planned"`  // requests
+	Goodput  float64        `json:"goodput"`  // done per second
+	Took     time.Duration  `json:"took"`     // until the last response
+	Outcomes map[string]int `json:"outcomes"` // done, notRun, unknown, broken (no whole response)
+	Statuses map[int]int    `json:"statuses"`
+	Faults   map[string]int `json:"faults"` // violations; empty when every answer was right
+	Done     Latency        `json:"done"`
+	NotRun   Latency        `json:"notRun"`
+	Late     Latency        `json:"late"` // how late this program sent
+}
+
+func report(o Options, planned int, took time.Duration, results []*result) *Report {
+	all := newResult()
+	for _, r := range results {
+		merge(all.outcomes, r.outcomes)
+		merge(all.statuses, r.statuses)
+		merge(all.faults, r.faults)
+		all.done.Merge(r.done)
+		all.notRun.Merge(r.notRun)
+		all.late.Merge(r.late)
+	}
+	return &Report{
+		Rate: o.Rate, Planned: planned, Took: took, Goodput: float64(all.outcomes["done"]) / took.Seconds(),
+		Outcomes: all.outcomes, Statuses: all.statuses, Faults: all.faults,
+		Done: summarise(all.done), NotRun: summarise(all.notRun), Late: summarise(all.late),
+	}
+}
+
+func merge[K comparable](into, from map[K]int) {
+	for k, n := range from {
+		into[k] += n
+	}
+}
+
+func summarise(h *hdrhistogram.Histogram) Latency {
+	if h.TotalCount() == 0 {
+		return Latency{}
+	}
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return Latency{
+		Count: h.TotalCount(), Mean: time.Duration(h.Mean() * float64(time.Microsecond)),
+		Median: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: time.Duration(h.Max()) * time.Microsecond,
+	}
+}
+
+// WriteJSON writes the report as one JSON object.
+func (r *Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(w io.Writer) error {
+	out := fmt.Sprintf("planned   %d requests at %.0f/s, took %v, goodput %.1f/s\n", r.Planned, r.Rate, r.Took.Round(time.Millisecond), r.Goodput)
+	out += "outcomes " + counts(r.Outcomes) + "\nstatuses " + counts(r.Statuses) + "\nfaults   " + counts(r.Faults) + "\n"
+	for _, l := range []struct {
+		name string
+		Latency
+	}{{"done", r.Done}, {"notRun", r.NotRun}, {"late", r.Late}} {
+		if l.Count > 0 {
+			out += fmt.Sprintf("%-9s n=%d mean=%v p50=%v p90=%v p99=%v p99.9=%v max=%v\n", l.name, l.Count, l.Mean.Round(time.Microsecond), l.Median, l.P90, l.P99, l.P999, l.Max)
+		}
+	}
+	_, err := io.WriteString(w, out)
+	return err
+}
+
+func counts[K interface{ ~string | ~int }](m map[K]int) string {
+	if len(m) == 0 {
+		return " none"
+	}
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	out := ""
+	for _, k := range keys {
+		out += fmt.Sprintf(" %v=%d", k, m[k])
+	}
+	return out
+}
