--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -19,7 +19,7 @@
 const (
 	Lost        Kind = "lost"        // certainly not in force: another version replaced the base
 	Invalid     Kind = "invalid"     // certainly not in force: the document or a parameter is wrong
-	Unavailable Kind = "unavailable" // certainly not in force: the log did not take it
+	Unavailable Kind = "unavailable" // this call certainly changed nothing: the log did not take it
 	Unknown     Kind = "unknown"     // may be in force, now or later; repeat with the same key
 )
 
@@ -30,7 +30,7 @@
 	publishAttempts = 5
 	attemptTimeout  = 2 * time.Second
 	publishPause    = 50 * time.Millisecond
-	baseTimeout     = 3 * time.Second
+	readTimeout     = 5 * time.Second
 )
 
 // Publisher appends documents to the config stream and reads back what became
@@ -62,8 +62,12 @@
 	if v, err := p.decide(op, record, false); err != errUndecided {
 		return v, err
 	}
-	if err := p.awaitBase(ctx, base); err != nil {
-		return Version{}, fault.Wrap(op, Unavailable, err)
+	// A base that does not exist yet could become current later, and a late copy
+	// of the record would then win after the operator was told that it lost.
+	if base > 0 {
+		if err := p.await(ctx, base); err != nil {
+			return Version{}, fault.Wrap(op, Unavailable, err)
+		}
 	}
 	payload, err := EncodeRecord(record)
 	if err != nil {
@@ -73,22 +77,17 @@
 	if err != nil {
 		return Version{}, err
 	}
-	if err := p.Follower.Wait(ctx, offset); err != nil {
+	if err := p.await(ctx, offset); err != nil {
 		return Version{}, fault.Wrap(op, Unknown, err)
 	}
 	return p.decide(op, record, true)
 }
 
-// awaitBase waits until the record of the base version has been read here. A
-// base that does not exist yet could become current later, and a late copy of
-// the record would then win after the operator was told that it lost.
-func (p *Publisher) awaitBase(ctx context.Context, base units.Offset) error {
-	if base == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, baseTimeout)
+// await waits for a limited time until the record at offset has been read here.
+func (p *Publisher) await(ctx context.Context, offset units.Offset) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return p.Follower.Wait(ctx, base)
+	return p.Follower.Wait(ctx, offset)
 }
 
 // append repeats the record until the log confirms one copy. Copies do no harm:
--- a/internal/stream/follower.go
+++ b/internal/stream/follower.go
@@ -55,7 +55,8 @@
 	first      units.Offset  // first retained offset at the last read
 	changed    chan struct{} // closed on the next change
 	latest     snapshotMark
-	waiting    time.Time // since when a reload has found no snapshot
+	broken     []units.Offset // snapshots that the state could not restore; used by Run alone
+	waiting    time.Time      // since when a reload has found no snapshot
 	stats      FollowerStats
 }
 
@@ -266,7 +267,7 @@
 }
 
 // View calls see with the state locked against changes. see must neither keep
-// nor modify it.
+// nor modify it, nor call a method of the Follower, which would deadlock.
 func (f *Follower[S]) View(see func(S)) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/pkg/logservice/client.go
+++ b/pkg/logservice/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -15,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -25,13 +27,28 @@
 	DefaultMaxReply  = 64 << 20
 )
 
+// aboveTail is an offset that no stream reaches. Reading there yields the
+// positions of a service whose 410 does not carry them.
+const aboveTail units.Offset = 1 << 62
+
+// defaultHTTP keeps a connection for each stream that a process writes and
+// follows. It follows no redirect, because that could repeat an append.
+var defaultHTTP = &http.Client{
+	Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     30 * time.Second,
+	},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
 // errorBodyLimit bounds what is read of a reply that reports a failure.
 const errorBodyLimit = 4 << 10
 
 // Client is a Service over HTTP. Its fields are set before the first call.
 type Client struct {
 	BaseURL   string       // such as "http://10.0.0.5:7000"; a trailing slash is ignored
-	HTTP      *http.Client // nil means http.DefaultClient
+	HTTP      *http.Client // nil means one that all such Clients share
 	MaxRecord int          // bytes; larger payloads are refused without a request
 	ReadLimit int          // records asked for in one read
 	MaxReply  int64        // bytes of one reply; a longer one is an error
@@ -81,6 +98,16 @@
 
 // Read implements Service.
 func (c *Client) Read(ctx context.Context, stream string, from units.Offset, wait time.Duration) (Batch, error) {
+	batch, err := c.read(ctx, stream, from, wait)
+	if fault.Is(err, Expired) && batch.Next == 0 && from < aboveTail {
+		if ends, endsErr := c.read(ctx, stream, aboveTail, 0); endsErr == nil {
+			batch = Batch{First: ends.First, Next: ends.Next}
+		}
+	}
+	return batch, err
+}
+
+func (c *Client) read(ctx context.Context, stream string, from units.Offset, wait time.Duration) (Batch, error) {
 	const op = "read"
 	query := url.Values{
 		"from":  {strconv.FormatUint(uint64(from), 10)},
@@ -96,10 +123,10 @@
 		return Batch{}, wrap(op, Unavailable, err)
 	}
 	defer discard(response.Body)
-	limit := int64(orDefault(int(c.MaxReply), DefaultMaxReply))
 	if response.StatusCode/100 != 2 && response.StatusCode != http.StatusGone {
 		return Batch{}, statusError(op, readKind(response), response)
 	}
+	limit := int64(orDefault(int(c.MaxReply), DefaultMaxReply))
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return Batch{}, wrap(op, Unavailable, err)
@@ -109,7 +136,6 @@
 	}
 	batch, err := decodeBatch(body, from)
 	if response.StatusCode == http.StatusGone {
-		// A body without positions leaves First and Next zero.
 		return Batch{First: batch.First, Next: batch.Next}, fail(op, Expired, "offset %d of stream %s is no longer kept", from, stream)
 	}
 	if err != nil {
@@ -148,7 +174,7 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return defaultHTTP
 }
 
 // appendKind says what the status of a failed append proves.
