--- a/internal/dispatch/size.go
+++ b/internal/dispatch/size.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// From someSamples on the learned size replaces the declared one, with a
-	// margin of 2/n^2 for n samples on top: half as much again after two, a
-	// fiftieth after ten. The largest of a few says little about the next, but a
-	// declared size that is ten times too large would keep a kind from running
-	// often enough to be learned.
-	someSamples = 2
+	// The declared size counts within a band around the learned one and is cut
+	// to it outside. The band is 2/n^2 wide for n samples: three times the
+	// learned size after one, half as much again after two, a fiftieth after ten.
+	// A declared size that is ten times too large would otherwise keep a kind
+	// from running often enough to be learned.
+	uncertainty = 2
 	// Processors can be shared for a moment and the tasks of a worker peak at
 	// different times, so the typical use is enough; memory cannot be shared,
 	// hence nearly the top plus one part in 16.
@@ -32,7 +32,8 @@
 type learnedSize struct {
 	updated units.Offset
 	samples uint32
-	size    units.Resources
+	least   units.Resources
+	most    units.Resources
 }
 
 // size is what an attempt of the task commits.
@@ -41,13 +42,14 @@
 		return j.Size
 	}
 	l := d.learnedSize(j.JobKind)
-	if l.samples < someSamples {
+	if l.samples == 0 {
 		return j.Size
 	}
-	s := d.cap(l.size, j.Size)
+	s := larger(l.least, smaller(j.Size, l.most))
 	if t.Failures > 0 { // it may have failed for want of memory
 		s = larger(s, j.Size)
 	}
+	s = d.cap(s, j.Size)
 	s.Accelerators = j.Size.Accelerators // not learned: a task uses all or none
 	return s
 }
@@ -64,12 +66,11 @@
 	if len(d.learned) > 8192 {
 		clear(d.learned)
 	}
-	n := int64(k.Memory.Samples)
-	margin := func(v int64) int64 { return v + 2*v/max(1, n*n) }
-	memory := int64(units.Bytes(k.Memory.Quantile(memoryPermille)) * units.KiB)
-	l = learnedSize{updated: k.Updated, samples: k.Memory.Samples, size: units.Resources{
-		Processors: max(1, units.Millicores(margin(int64(k.Processors.Quantile(processorsPermille))))),
-		Memory:     max(leastMemory, units.Bytes(margin(memory+memory/memoryMargin)))}}
+	memory := units.Bytes(k.Memory.Quantile(memoryPermille)) * units.KiB
+	least := units.Resources{Processors: max(1, units.Millicores(k.Processors.Quantile(processorsPermille))),
+		Memory: max(leastMemory, memory+memory/memoryMargin)}
+	n := float64(max(1, k.Memory.Samples))
+	l = learnedSize{updated: k.Updated, samples: k.Memory.Samples, least: least, most: scale(least, 1+uncertainty/(n*n))}
 	d.learned[kind] = l
 	return l
 }
@@ -88,3 +89,7 @@
 func larger(a, b units.Resources) units.Resources {
 	return units.Resources{Processors: max(a.Processors, b.Processors), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators)}
 }
+
+func smaller(a, b units.Resources) units.Resources {
+	return units.Resources{Processors: min(a.Processors, b.Processors), Memory: min(a.Memory, b.Memory), Accelerators: min(a.Accelerators, b.Accelerators)}
+}
