--- /dev/null
+++ b/internal/ledger/history_test.go
@@ -0,0 +1,321 @@
+package ledger
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// TestMain fixes the seed of generated histories.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// checker follows the entries that a fold accepted and knows nothing else of
+// it. It reports what would run or publish a task twice.
+type checker struct {
+	tasks      map[units.Task]*checked
+	violations []violation
+	kinds      map[string]int // accepted entries
+}
+
+// violation is a broken guarantee and where.
+type violation struct{ guarantee, text string }
+
+type checked struct {
+	attempt         units.Attempt
+	open, cancelled bool
+	published       int
+	resumed         map[units.Attempt]int // assignments by attempt
+}
+
+func newChecker() *checker {
+	return &checker{tasks: map[units.Task]*checked{}, kinds: map[string]int{}}
+}
+
+func (c *checker) report(guarantee, format string, args ...any) {
+	c.violations = append(c.violations, violation{guarantee, fmt.Sprintf(format, args...)})
+}
+
+// accepted notes an entry that took effect, with the number of tasks of its job.
+func (c *checker) accepted(kind string, task units.Task, a units.Attempt, tasks uint32) {
+	c.kinds[kind]++
+	if kind == "cancelled" {
+		for i := range tasks {
+			c.task(units.Task{Job: task.Job, Index: i}).cancelled = true
+		}
+		return
+	}
+	t := c.task(task)
+	switch kind {
+	case "assigned":
+		if t.open {
+			c.report("one open attempt", "%v: attempt %d assigned while %d is open", task, a, t.attempt)
+		}
+		if t.cancelled {
+			c.report("no start after cancellation", "%v: attempt %d assigned after the cancellation", task, a)
+		}
+		if t.published > 0 {
+			c.report("ends once", "%v: attempt %d assigned after the end", task, a)
+		}
+		if t.resumed[a]++; t.resumed[a] > 1 || a != t.attempt+1 {
+			c.report("resumes once", "%v: attempt %d assigned %d times, after %d", task, a, t.resumed[a], t.attempt)
+		}
+		t.attempt, t.open = a, true
+	case "ended", "evicted", "released":
+		if !t.open || a != t.attempt {
+			c.report("only the current attempt counts", "%v: attempt %d %s, but %d is current", task, a, kind, t.attempt)
+		}
+		if kind == "ended" && !t.cancelled {
+			if t.published++; t.published > 1 {
+				c.report("ends once", "%v: ended %d times", task, t.published)
+			}
+		}
+		t.open = false
+	case "failed":
+		if t.open {
+			c.report("one open attempt", "%v: failed while attempt %d is open", task, t.attempt)
+		}
+	}
+}
+
+func (c *checker) task(t units.Task) *checked {
+	if c.tasks[t] == nil {
+		c.tasks[t] = &checked{resumed: map[units.Attempt]int{}}
+	}
+	return c.tasks[t]
+}
+
+const (
+	historyJobs  = 3
+	historyTasks = 2
+)
+
+// history draws entries as two dispatchers and several agents would send them
+// with views that are stale by up to the whole history: every kind of entry in
+// every order, with attempts around the newest one, repeated and late.
+func history(t *rapid.T) [][]byte {
+	var entries [][]byte
+	shadow := New() // tells which attempt an up-to-date process would name
+	add := func(e []byte) {
+		entries = append(entries, e)
+		_ = shadow.Apply(units.Offset(len(entries)), e)
+	}
+	for i := range historyJobs {
+		add(EncodeSubmitted(submission(fmt.Sprint("j", i), historyTasks)))
+	}
+	// The index is the kind below; cancellations and failures are rare, because
+	// they end a history early.
+	kinds := rapid.SampledFrom([]int{0, 0, 0, 0, 1, 1, 1, 1, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5, 8, 8, 8, 6, 7})
+	for range rapid.IntRange(20, 150).Draw(t, "length") {
+		task := units.Task{Job: units.JobID(fmt.Sprint("j", rapid.IntRange(0, historyJobs-1).Draw(t, "job"))),
+			Index: uint32(rapid.IntRange(0, historyTasks-1).Draw(t, "index"))}
+		current := 0
+		if row := shadow.Task(task); row != nil {
+			current = int(row.Attempt)
+		}
+		a := units.Attempt(max(1, current+rapid.SampledFrom([]int{0, 0, 0, 0, -1, -2, 1}).Draw(t, "late")))
+		next := units.Attempt(max(1, current+rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "early")))
+		h := Holder{units.WorkerID(fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "worker"))), units.Epoch(rapid.IntRange(1, 3).Draw(t, "epoch"))}
+		outcome := rapid.SampledFrom([]wire.Outcome{wire.Outcome_OUTCOME_COMPLETED, wire.Outcome_OUTCOME_STOPPED}).Draw(t, "outcome")
+		choices := []func() []byte{
+			func() []byte { return EncodeAssigned(task, next, h, units.Resources{}, next%2 == 0) },
+			func() []byte { return EncodeStarted(task, a) },
+			func() []byte { return EncodeReleased(task, a, Release{Reason: "lost", IsFailure: a%3 == 0}) },
+			func() []byte { return EncodeEvicted(task, a, fmt.Sprint("c", a), "noisy") },
+			func() []byte { return EncodeAssigned(task, next, Holder{"w9", 1}, units.Resources{}, false) }, // the other dispatcher
+			func() []byte {
+				return EncodeEnded(task, a, outcome, time.Second, units.Resources{Processors: 500, Memory: units.GiB})
+			},
+			func() []byte { return EncodeCancelled(task.Job, "team") },
+			func() []byte { return EncodeFailed(task, "gave up") },
+			func() []byte { return entries[rapid.IntRange(0, len(entries)-1).Draw(t, "repeated")] },
+		}
+		add(choices[kinds.Draw(t, "kind")]())
+	}
+	return entries
+}
+
+// TestHistories guards the outcome "every job takes effect exactly once":
+// whatever order entries arrive in, a task has one open attempt, ends once,
+// resumes once after an eviction and never starts after a cancellation. It
+// also compares the indexes with the rows, two folds of one log, and a
+// snapshot with its tail.
+func TestHistories(t *testing.T) {
+	total := map[string]int{}
+	defer func() {
+		for _, kind := range []string{"assigned", "started", "released", "evicted", "ended", "cancelled", "failed"} {
+			if total[kind] < 100 {
+				t.Errorf("only %d entries %q were accepted in all histories", total[kind], kind)
+			}
+		}
+	}()
+	rapid.Check(t, func(t *rapid.T) {
+		entries := history(t)
+		full, second, restored := New(), New(), New()
+		c := newChecker()
+		full.Observe = func(ch Change) {
+			if ch.Reason == "" {
+				c.accepted(ch.Kind, ch.Task, ch.Attempt, historyTasks)
+			}
+		}
+		cut := rapid.IntRange(0, len(entries)).Draw(t, "snapshot")
+		for i, e := range entries {
+			if i == cut {
+				snapshot, _ := full.Snapshot()
+				if err := restored.Restore(snapshot); err != nil {
+					t.Fatalf("Restore: %v", err)
+				}
+			}
+			if err := full.Apply(units.Offset(i+1), e); err != nil {
+				t.Fatalf("entry %d: %v", i, err)
+			}
+			_ = second.Apply(units.Offset(i+1), e)
+			if i >= cut {
+				_ = restored.Apply(units.Offset(i+1), e)
+			}
+		}
+		for _, v := range c.violations {
+			t.Errorf("%s: %s", v.guarantee, v.text)
+		}
+		for k, n := range c.kinds {
+			total[k] += n
+		}
+		checkIndexes(t, full)
+		want, _ := full.Snapshot()
+		for name, l := range map[string]*Ledger{"second fold": second, "snapshot and tail": restored} {
+			if got, _ := l.Snapshot(); cut < len(entries) && !bytes.Equal(got, want) {
+				t.Errorf("%s differs from the full replay", name)
+			}
+		}
+	})
+}
+
+// checkIndexes compares every index with what the rows say.
+func checkIndexes(t *rapid.T, l *Ledger) {
+	waiting, open, held, launching := 0, 0, 0, 0
+	var used units.Resources
+	for _, j := range l.jobs {
+		for i := range j.Tasks {
+			switch s := j.Tasks[i].State; {
+			case s.Waiting():
+				waiting++
+			case s.Open():
+				open++
+				used = used.Add(j.Tasks[i].Committed)
+			}
+			if j.Tasks[i].State == Assigned {
+				launching++
+			}
+		}
+	}
+	for h, tasks := range l.holders {
+		held += len(tasks)
+		for _, task := range tasks {
+			if row := l.Task(task); row == nil || row.Worker != h.Worker || row.Epoch != h.Epoch {
+				t.Errorf("%v is listed on %v", task, h)
+			}
+		}
+	}
+	for _, n := range l.launching {
+		launching -= n.Count
+	}
+	queued := 0
+	for _, j := range l.WaitingJobs("moulds", units.PriorityNormal) {
+		queued += len(j.Waiting())
+	}
+	_, gotWaiting, gotOpen := l.Counts()
+	if gotWaiting != waiting || queued != waiting || gotOpen != open || held != open || launching != 0 || l.Used("moulds")[units.PriorityNormal] != used {
+		t.Errorf("rows have %d waiting, %d open; indexes have %d and %d waiting, %d and %d open, %d launching too few",
+			waiting, open, gotWaiting, queued, gotOpen, held, launching)
+	}
+}
+
+// lastWins is a naive fold: the newest entry about a task decides its state.
+type lastWins struct {
+	accepted func(kind string, task units.Task, a units.Attempt, tasks uint32)
+}
+
+func (n lastWins) apply(entry []byte) {
+	var m wire.JobsEntry
+	if proto.Unmarshal(entry, &m) != nil {
+		return
+	}
+	if c := m.GetCancelled(); c != nil {
+		n.accepted("cancelled", units.Task{Job: units.JobID(c.GetJob())}, 0, historyTasks)
+	} else if e, err := decodeEvent(0, &m); err == nil {
+		n.accepted(kindNames[e.kind], e.task, e.attempt, historyTasks)
+	}
+}
+
+// TestNaiveFold guards the checker itself: a fold in which the last record wins
+// must be caught.
+func TestNaiveFold(t *testing.T) {
+	caught, histories := map[string]int{}, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newChecker()
+		n := lastWins{c.accepted}
+		for _, e := range history(rt) {
+			n.apply(e)
+		}
+		histories++
+		broken := map[string]bool{}
+		for _, v := range c.violations {
+			broken[v.guarantee] = true
+		}
+		for guarantee := range broken {
+			caught[guarantee]++
+		}
+	})
+	for _, guarantee := range []string{"one open attempt", "ends once", "resumes once", "no start after cancellation", "only the current attempt counts"} {
+		t.Logf("%q is violated in %d of %d histories under the naive fold", guarantee, caught[guarantee], histories)
+		if caught[guarantee] < histories/10 {
+			t.Errorf("%q is caught in only %d of %d histories", guarantee, caught[guarantee], histories)
+		}
+	}
+}
+
+// FuzzApply guards against input that panics the fold, changes it although it
+// is malformed, or leaves a state that cannot be restored.
+func FuzzApply(f *testing.F) {
+	for _, e := range [][]byte{nil, {0x0a, 0xff}, EncodeSubmitted(submission("j0", 2)), EncodeSubmitted(watcher("w")), assigned(one, 1),
+		EncodeStarted(one, 1), EncodeReleased(one, 1, Release{Reason: "x", IsFailure: true}), EncodeEvicted(one, 1, "c", "r"),
+		EncodeEnded(one, 1, wire.Outcome_OUTCOME_COMPLETED, time.Second, units.Resources{Processors: 1, Memory: 1}),
+		EncodeCancelled("a", ""), EncodeFailed(one, "x")} {
+		f.Add(e)
+	}
+	f.Fuzz(func(t *testing.T, entry []byte) {
+		l := New()
+		for i, e := range [][]byte{EncodeSubmitted(submission("a", 2)), assigned(one, 1)} {
+			_ = l.Apply(units.Offset(i), e)
+		}
+		before, _ := l.Snapshot()
+		err := l.Apply(9, entry)
+		if err != nil {
+			delete(l.rejections, ReasonMalformed)
+		}
+		after, serr := l.Snapshot()
+		if serr != nil || (err != nil && !bytes.Equal(before, after)) {
+			t.Fatalf("Apply: %v, Snapshot: %v", err, serr)
+		}
+		restored := New()
+		if err := restored.Restore(after); err != nil {
+			t.Fatalf("Restore: %v", err)
+		}
+		if again, _ := restored.Snapshot(); !bytes.Equal(after, again) {
+			t.Fatal("a restored state encodes differently")
+		}
+	})
+}
