Refuse only what certainly did not run, and ask late for a first lessor

cause: After the instance of a worker was replaced the agent answered launches of running tasks, and later those of the older epoch, with a rejection although they had run. Workers that register together became each other's lessor and lost their leases together. A worker without a lessor waits 1 to 3 s before it asks for one.

--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -17,11 +17,11 @@
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
-	// fewEntries is up to how many entries each gets a heartbeat every
-	// heartbeatInterval. With more, all get them less often, twelve every
-	// 1.2 s: at full rate they cost more than twice the traffic that a node may
-	// use, and an endpoint stays eligible while an entry hears of it within 2 s.
-	fewEntries = 5
+	// heartbeatSpacing is the least time between two heartbeats of an agent on
+	// average. Above four entries each gets them less often, twelve every 1.3 s:
+	// at full rate they cost more than twice the traffic that a node may use, and
+	// an endpoint stays eligible while an entry hears of it within 2 s.
+	heartbeatSpacing = 110 * time.Millisecond
 	// heartbeatTimeout is when a silent session is given up and redialled.
 	heartbeatTimeout = 1500 * time.Millisecond
 	firstBackoff     = 100 * time.Millisecond
@@ -218,7 +218,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	b, err := ask(ctx, a, func() (beat, error) {
-		b := beat{sent: time.Now(), interval: heartbeatInterval * time.Duration(max(len(a.entries), fewEntries)) / fewEntries}
+		b := beat{sent: time.Now(), interval: max(heartbeatInterval, heartbeatSpacing*time.Duration(len(a.entries)))}
 		b.message, b.reports = a.compose(e, b.sent)
 		return b, nil
 	})
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -97,6 +97,9 @@
 		candidate.answer(s.outcome, s.reason)
 		return
 	}
+	if units.Epoch(l.Epoch) != a.epoch {
+		return // it may have run under the older epoch; the end of that releases it
+	}
 	if a.memory.superseded(name, number) || t != nil && t.attempt > number {
 		return // nothing certain is known about an attempt this old
 	}
@@ -106,7 +109,7 @@
 		a.drive(t, now)
 		return
 	}
-	if reason := a.never(l, candidate); reason != "" {
+	if reason := a.never(candidate); reason != "" {
 		a.refuse(candidate, reason)
 		return
 	}
@@ -136,10 +139,7 @@
 const maxRepeats = 16
 
 // never returns why the attempt will never start here, or "".
-func (a *Agent) never(l *wire.Launch, t *task) string {
-	if units.Epoch(l.Epoch) != a.epoch {
-		return fmt.Sprintf("assigned to epoch %d, the worker is held under %d", l.Epoch, a.epoch)
-	}
+func (a *Agent) never(t *task) string {
 	if t.attempt == 0 || t.size.Processors < 0 || t.size.Memory < 0 || t.size.Accelerators < 0 || t.spec.GetRunMilliseconds() < 0 {
 		return "malformed task"
 	}
--- a/internal/agent/lessee.go
+++ b/internal/agent/lessee.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/wire"
@@ -12,6 +13,12 @@
 	// leaseTimeout bounds one request; a silent session is then redialled
 	// within the same lease.
 	leaseTimeout = 1500 * time.Millisecond
+	// firstLessorWait and firstLessorSpread are how long a worker that registered
+	// when there was no other waits before it asks for a lessor. Until others have
+	// registered and asked one after the other, the entries can only make two
+	// workers each other's lessor, and those lose their leases together.
+	firstLessorWait   = time.Second
+	firstLessorSpread = 2 * time.Second
 	// leaseRetry spaces requests after one that was not granted.
 	leaseRetry = 400 * time.Millisecond
 )
@@ -27,6 +34,7 @@
 	termSince     time.Time
 
 	unbounded bool      // no other worker exists that could take over
+	askAt     time.Time // when to ask for the first lessor; zero while there is none
 	available bool      // an entry knows a worker that could be the lessor
 	deadline  time.Time // send time of the last granted request + leaseDuration
 	granted   time.Time // send time of the last granted request; zero for none in this term
@@ -109,12 +117,7 @@
 		return
 	}
 	if l.unbounded {
-		if (l.available || a.hasLessees()) && a.logReachable(now) {
-			// Another worker exists that can grant. From here on the
-			// lease ends unless a lessor is assigned.
-			l.unbounded, l.deadline = false, now.Add(leaseDuration)
-			a.wantLessor(now)
-		}
+		a.tickUnbounded(now)
 		return
 	}
 	if l.wants {
@@ -133,6 +136,21 @@
 	}
 }
 
+// tickUnbounded asks for a lessor once another worker exists that can grant.
+// From then on the lease ends unless a lessor is assigned.
+func (a *Agent) tickUnbounded(now time.Time) {
+	l := &a.lease
+	switch {
+	case !l.available && !a.hasLessees() || !a.logReachable(now):
+		l.askAt = time.Time{}
+	case l.askAt.IsZero():
+		l.askAt = now.Add(firstLessorWait + rand.N(firstLessorSpread))
+	case !now.Before(l.askAt):
+		l.unbounded, l.deadline = false, now.Add(leaseDuration)
+		a.wantLessor(now)
+	}
+}
+
 // wantLessor stops renewing with the present lessor for good and asks for
 // another one. While the log is unreachable it would only give up the lessor
 // without a chance of another, so it is not called then.
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -69,7 +69,9 @@
 	a.adopted = false
 	a.epoch = 0
 	for _, t := range a.tasks {
-		t.answer(wire.Outcome_OUTCOME_REFUSED, "the agent takes a new epoch")
+		if t.phase == waiting { // of any other, the worker may have run it
+			t.answer(wire.Outcome_OUTCOME_REFUSED, "the agent takes a new epoch")
+		}
 	}
 	a.tasks = make(map[units.Task]*task)
 	a.worker = workerState{origin: a.origin}
