--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
 
 	"wasabihill.example/wasabihill/internal/agent"
 	"wasabihill.example/wasabihill/internal/settings"
@@ -283,3 +284,42 @@
 		})
 	}
 }
+
+// Guards against a control loop that locks a fold twice: with a writer waiting
+// between the two read locks both wait for ever. It was seen in one of three
+// acceptance runs, as an entry process that answered nothing more.
+func TestControlLoopUnderManyRecords(t *testing.T) {
+	c := newCluster(t, 1, 2, "")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var group errgroup.Group
+	for i := range 16 {
+		group.Go(func() error {
+			for n := range 40 {
+				_, err := c.backend().Submit(ctx, administration.Submission{
+					Key: fmt.Sprintf("%d-%d", i, n), Team: "team", Name: "plan", Kind: "plan", Priority: units.PriorityNormal, Tasks: 1,
+					Size: units.Resources{Processors: 100, Memory: units.MiB}, RunTime: time.Millisecond,
+				})
+				if err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	submitted := make(chan error, 1)
+	go func() { submitted <- group.Wait() }()
+	for ticks := 0; ; ticks++ {
+		select {
+		case err := <-submitted:
+			if err != nil {
+				t.Fatalf("submit: %v", err)
+			}
+			return
+		default:
+		}
+		if err := c.entries[0].part.do(ctx, func(c *control) { c.place(time.Now()) }); err != nil {
+			t.Fatalf("the control loop does not answer after %d ticks: %v", ticks, err)
+		}
+	}
+}
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -59,10 +59,13 @@
 	for _, w := range c.workers {
 		c.planner.rows = append(c.planner.rows, c.dispatchRow(w, registered, now))
 	}
+	// Taken before the view: a second read lock inside it would wait for ever
+	// behind a writer that waits for the first.
+	reachableNow := c.logReachable(now) && c.Entry.jobs.Staleness(now) < reachable
 	c.Entry.jobs.View(func(l *ledger.Ledger) {
 		proposals := c.planner.dispatcher.Tick(dispatch.Input{
 			Now: now, Ledger: l, Document: v.document, Workers: c.planner.rows, Interference: c.planner.interference,
-			LogReachable: c.logReachable(now) && c.Entry.jobs.Staleness(now) < reachable,
+			LogReachable: reachableNow,
 			Mine:         func(id units.JobID) bool { return c.owners.Load().owns(string(id)) },
 			Ended: func(h ledger.Holder) bool {
 				w, ok := registered[h.Worker]
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,9 +23,10 @@
 
 // Options configures a run.
 type Options struct {
-	Targets       []string // base URLs of entry processes, used in turn
-	Service       string   // empty sends straight to an endpoint, without outcomes
-	Rate          float64  // planned requests per second
+	Targets       []string                // base URLs of entry processes, used in turn
+	Target        func(number int) string // chooses the base URL instead of Targets; called concurrently
+	Service       string                  // empty sends straight to an endpoint, without outcomes
+	Rate          float64                 // planned requests per second
 	Time          time.Duration
 	InFlight      int // most requests at a time; later ones are sent late, not dropped
 	BodyBytes     int
@@ -33,7 +34,17 @@
 	NonIdempotent float64       // share of requests that must run at most once, 0 to 1
 	Poisson       bool          // exponential gaps between requests instead of constant ones
 	Seed          uint64
-	Prefix        string // of request ids, so that a checker can tell runs apart
+	Prefix        string       // of request ids, so that a checker can tell runs apart
+	Observe       func(Sample) // told of each request when it has ended; called concurrently; may be nil
+}
+
+// Sample is what became of one request.
+type Sample struct {
+	ID         string
+	Idempotent bool
+	Planned    time.Time
+	Latency    time.Duration // from the planned time
+	Outcome    string        // done, notRun, unknown, or broken when no whole response came
 }
 
 // request is one planned request.
@@ -70,6 +81,11 @@
 
 // Run offers the load until it is complete or ctx ends.
 func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Target == nil {
+		o.Target = func(number int) string { return o.Targets[number%len(o.Targets)] }
+	} else if len(o.Targets) == 0 {
+		o.Targets = []string{""}
+	}
 	if len(o.Targets) == 0 || o.Rate <= 0 || o.Time <= 0 || o.InFlight <= 0 {
 		return nil, fmt.Errorf("load: targets, rate, time and in-flight limit must be positive")
 	}
@@ -132,16 +148,32 @@
 	return number
 }
 
+// send sends one request, counts what became of it and tells the observer.
 func (r *runner) send(ctx context.Context, q request, into *result) {
 	id := r.options.Prefix + strconv.Itoa(q.number)
-	url := r.options.Targets[q.number%len(r.options.Targets)] + "/"
+	h, err := r.request(ctx, q, id)
+	if err != nil {
+		into.faults[err.Error()]++
+		return
+	}
+	record(into.late, time.Since(q.planned))
+	outcome, latency := r.exchange(h, q, id, into)
+	into.outcomes[outcome]++
+	if r.options.Observe != nil {
+		r.options.Observe(Sample{ID: id, Idempotent: q.idempotent, Planned: q.planned, Latency: latency, Outcome: outcome})
+	}
+}
+
+// request builds the HTTP request. Its body cannot be read twice, so that
+// net/http never sends it twice.
+func (r *runner) request(ctx context.Context, q request, id string) (*http.Request, error) {
+	url := r.options.Target(q.number) + "/"
 	if r.options.Service != "" {
 		url += "services/" + r.options.Service + "/load"
 	}
 	h, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(r.body)))
 	if err != nil {
-		into.faults[err.Error()]++
-		return
+		return nil, err
 	}
 	h.ContentLength = int64(len(r.body))
 	if len(r.body) == 0 {
@@ -152,42 +184,45 @@
 	if r.options.Deadline > 0 {
 		h.Header.Set(headers.Deadline, r.options.Deadline.String())
 	}
-	record(into.late, time.Since(q.planned))
+	return h, nil
+}
+
+// broken is the outcome of a request that got no whole response.
+const broken = "broken"
+
+func (r *runner) exchange(h *http.Request, q request, id string, into *result) (string, time.Duration) {
 	response, err := r.client.Do(h)
 	if err != nil {
-		into.outcomes["broken"]++
-		return
+		return broken, time.Since(q.planned)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	latency := time.Since(q.planned)
 	into.statuses[response.StatusCode]++
 	if err != nil {
-		into.outcomes["broken"]++ // cut in the middle, and seen to be
-		return
+		return broken, latency // cut in the middle, and seen to be
 	}
-	r.judge(response, body, id, latency, into)
+	return string(r.judge(response, body, id, latency, into)), latency
 }
 
-// judge counts the outcome and checks that an answer is the request's own and
+// judge returns the outcome and checks that an answer is the request's own and
 // whole.
-func (r *runner) judge(response *http.Response, body []byte, id string, latency time.Duration, into *result) {
+func (r *runner) judge(response *http.Response, body []byte, id string, latency time.Duration, into *result) headers.Result {
 	outcome := headers.Result(response.Header.Get(headers.Outcome))
 	if outcome == "" && r.options.Service == "" {
 		outcome = headers.Done
 	}
-	into.outcomes[string(outcome)]++
 	switch outcome {
 	case headers.NotRun:
 		record(into.notRun, latency)
-		return
+		return outcome
 	case headers.Done:
 	default:
-		return
+		return outcome
 	}
 	record(into.done, latency)
 	if response.StatusCode != http.StatusOK {
-		return
+		return outcome
 	}
 	if response.Header.Get(endpoint.RequestID) != id {
 		into.faults["answer of another request"]++
@@ -198,4 +233,5 @@
 	if response.Header.Get(endpoint.WholeCheck) != fmt.Sprintf("%016x", xxhash.Sum64(body)) {
 		into.faults["answer not whole"]++
 	}
+	return outcome
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -21,13 +21,13 @@
   # shellcheck disable=SC2086 # the command is a list of plain words
   ${command[$1]} >>"$dir/logs/$1.log" 2>&1 &
   pid[$1]=$!
+  disown "${pid[$1]}" # or bash reports each kill
   echo "${pid[$1]}" >"$dir/logs/$1.pid"
 }
 
 stop_all() {
   trap - EXIT INT TERM
   for name in "${!pid[@]}"; do kill -KILL "${pid[$name]}" 2>/dev/null; done
-  wait 2>/dev/null
 }
 trap stop_all EXIT INT TERM
 
