--- a/internal/forward/announce.go
+++ b/internal/forward/announce.go
@@ -111,7 +111,6 @@
 			return fault.New("announce", Conflict, "%s at %s is ready", a.Service, e.address)
 		}
 		e.admission.close()
-		e.currentTransport().CloseIdle()
 		e = nil
 	}
 	if e == nil {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -74,11 +74,10 @@
 func (c *call) attempt(ctx context.Context, w http.ResponseWriter) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	transport := c.endpoint.currentTransport()
 	c.endpoint.budget.Deposit()
 	start := time.Now()
-	stopWatch := c.watch(start, transport, cancel)
-	response, err := transport.RoundTrip(c.request(ctx))
+	stopWatch := c.watch(start, cancel)
+	response, err := c.endpoint.transport.RoundTrip(c.request(ctx))
 	stopWatch()
 	if err != nil {
 		return err
@@ -87,11 +86,13 @@
 	return c.pass(w, response, start)
 }
 
-// watch suspects the connection when the response header takes too long. An
-// idempotent request moves to a new connection; another one keeps waiting, as
-// it may have been executed. Later requests avoid the old connections. The
-// returned function ends the watch.
-func (c *call) watch(start time.Time, transport *link.Transport, cancel context.CancelCauseFunc) (stop func()) {
+// watch suspects the connection when the response header takes too long while
+// the endpoint announces itself, and cancels the attempt; the retry opens a new
+// connection. The returned function ends the watch.
+func (c *call) watch(start time.Time, cancel context.CancelCauseFunc) (stop func()) {
+	if !c.idempotent {
+		return func() {} // it may have been executed: its answer is worth waiting for
+	}
 	_, _, service := c.endpoint.admission.load()
 	var mu sync.Mutex
 	var timer *time.Timer
@@ -108,10 +109,7 @@
 			return
 		}
 		c.forwarder.silent.Inc(1)
-		c.endpoint.renew(transport)
-		if c.idempotent {
-			cancel(errSilent)
-		}
+		cancel(errSilent)
 	})
 	return func() {
 		mu.Lock()
--- a/internal/forward/endpoint.go
+++ b/internal/forward/endpoint.go
@@ -14,10 +14,7 @@
 
 const (
 	// goneAfter is three announcements, one a second, and some slack.
-	goneAfter = 3200 * time.Millisecond
-	// idleTimeout is below the idle timeouts of usual HTTP servers (5 s and
-	// more), so that no request meets a connection that the endpoint closes.
-	idleTimeout = time.Second
+	goneAfter   = 3200 * time.Millisecond
 	dialTimeout = time.Second
 	// maxHeader bounds the response header of an endpoint.
 	maxHeader = 64 << 10
@@ -28,13 +25,13 @@
 	service   units.ServiceName
 	address   string
 	admission admission
+	transport *link.Transport
 	budget    *routing.Budget
 
 	mu          sync.Mutex // guards the rest
 	state       wire.EndpointState
 	announced   time.Time
 	connections int
-	transport   *link.Transport
 }
 
 func newEndpoint(a announcement, queue int) *endpoint {
@@ -47,14 +44,16 @@
 	return e
 }
 
+// newTransport opens a connection for each request. On a reused one a late
+// duplicate of an earlier response would pass for the response of the next
+// request, and a connection that went silent while idle would show only after
+// the request was sent; both matter more than a connect to the same machine.
 func (e *endpoint) newTransport() *link.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	address := e.address
 	return link.NewTransport(link.Options{
 		Dial:        func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) },
 		Connections: e.connections,
-		Idle:        e.connections,
-		IdleTimeout: idleTimeout,
 		HeaderBytes: maxHeader,
 	})
 }
@@ -91,23 +90,6 @@
 	return e.announced.After(t)
 }
 
-func (e *endpoint) currentTransport() *link.Transport {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.transport
-}
-
-// renew makes later requests use new connections; requests in flight on old
-// ones go on. It does nothing when another request has renewed already.
-func (e *endpoint) renew(old *link.Transport) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.transport == old {
-		e.transport = e.newTransport()
-	}
-	old.CloseIdle()
-}
-
 func (e *endpoint) report(draining bool, now time.Time) *wire.EndpointReport {
 	busy, queued, service := e.admission.load()
 	state := e.current(now)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -162,7 +162,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = e.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended; agent.Close(); f.Close() })
+	t.Cleanup(func() { cancel(); <-ended; agent.Close() })
 	for len(f.Reports()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -203,7 +203,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}()
-	defer func() { cancel(); <-ended; f.Close() }()
+	defer func() { cancel(); <-ended }()
 	for len(f.Reports()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -75,7 +75,6 @@
 		if r.State == wire.EndpointState_ENDPOINT_STATE_GONE {
 			e.admission.close()
 			if now.Sub(e.announced) > time.Minute && r.Busy == 0 {
-				e.currentTransport().CloseIdle()
 				delete(f.endpoints, name)
 			}
 		}
@@ -103,15 +102,6 @@
 	}
 }
 
-// Close drops idle connections to endpoints.
-func (f *Forwarder) Close() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, e := range f.endpoints {
-		e.currentTransport().CloseIdle()
-	}
-}
-
 // enter finds the endpoint for a request and counts the request as in flight.
 func (f *Forwarder) enter(service units.ServiceName) (*endpoint, headers.Cause) {
 	f.mu.Lock()
--- a/internal/gateway/system_test.go
+++ b/internal/gateway/system_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +84,11 @@
 }
 
 func newAgent(t testing.TB, index int, o endpoint.Options, entries ...*entryProcess) *agentProcess {
+	return newAgentVia(t, index, o, "", entries...)
+}
+
+// newAgentVia dials via, when given, instead of the entry processes.
+func newAgentVia(t testing.TB, index int, o endpoint.Options, via string, entries ...*entryProcess) *agentProcess {
 	t.Helper()
 	a := &agentProcess{forwarder: forward.New(forward.Options{})}
 	announcements, err := net.Listen("tcp", "127.0.0.1:0")
@@ -109,7 +115,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s, err := link.Dial(ctx, address.String(), mux)
+		target := address.String()
+		if via != "" {
+			target = via
+		}
+		s, err := link.Dial(ctx, target, mux)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -128,12 +138,12 @@
 		a.leave()
 		server.Close()
 		wait.Wait()
-		a.forwarder.Close()
 	})
 	t.Cleanup(a.stop)
 	for _, e := range entries {
+		before := e.table.Eligible("desk", time.Now())
 		deadline := time.Now().Add(5 * time.Second)
-		for e.table.Eligible("desk", time.Now()) == 0 && time.Now().Before(deadline) {
+		for e.table.Eligible("desk", time.Now()) == before && time.Now().Before(deadline) {
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -152,3 +162,75 @@
 		}
 	}
 }
+
+// hop is the connection between an agent and an entry process, with faults.
+type hop struct {
+	address string
+	silent  atomic.Bool
+	mu      sync.Mutex
+	conns   []net.Conn
+}
+
+func newHop(t *testing.T, e *entryProcess) *hop {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &hop{address: l.Addr().String()}
+	entry, err := e.links.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for range 16 {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", entry.String())
+			if err != nil {
+				near.Close()
+				return
+			}
+			h.mu.Lock()
+			h.conns = append(h.conns, near, far)
+			h.mu.Unlock()
+			wait.Go(func() { h.copy(near, far) })
+			wait.Go(func() { h.copy(far, near) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		h.inject("closed")
+		wait.Wait()
+	})
+	return h
+}
+
+func (h *hop) copy(to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if !h.silent.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+// inject makes the connections silent or closes them.
+func (h *hop) inject(fault string) {
+	if fault == "silent" {
+		h.silent.Store(true)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		c.Close()
+	}
+}
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -25,7 +25,7 @@
 type Options struct {
 	Dial        func(ctx context.Context) (net.Conn, error)
 	Connections int           // most connections at a time; 0 means no limit
-	Idle        int           // most idle connections kept
+	Idle        int           // most idle connections kept; 0 opens a connection for each request
 	IdleTimeout time.Duration // must be below the peer's, or a request meets a closing connection
 	HeaderBytes int64         // most bytes of a response header block
 }
@@ -40,6 +40,7 @@
 			}
 			return &sentConn{Conn: conn}, nil
 		},
+		DisableKeepAlives:      o.Idle == 0,
 		MaxConnsPerHost:        o.Connections,
 		MaxIdleConnsPerHost:    o.Idle,
 		IdleConnTimeout:        o.IdleTimeout,
--- a/internal/standin/endpoint/command.go
+++ b/internal/standin/endpoint/command.go
@@ -15,7 +15,7 @@
 it announces that, finishes its requests and exits.
 
 Faults: resetBefore, resetAfter (the execution), silentBefore, silent, slow,
-truncated, error; by header "Fault" for one request, or for a share of them.
+truncated, duplicate, error; by header "Fault" for one request, or for a share of them.
 
 Examples:
   # A runner of mouldDesk beside the agent that listens on 127.0.0.1:7201
--- a/internal/standin/endpoint/faults.go
+++ b/internal/standin/endpoint/faults.go
@@ -1,8 +1,11 @@
 package endpoint
 
 import (
+	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // moment tells a fault whether the request has been executed.
@@ -54,6 +57,27 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	},
+	"duplicate": func(e *Endpoint, w http.ResponseWriter, r *http.Request, m moment) bool {
+		if m == before {
+			return false
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		body := e.answer(r, nil)
+		for range 2 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %016x\r\nContent-Length: %d\r\n\r\n%s",
+				RequestID, r.Header.Get(RequestID), WholeCheck, xxhash.Sum64(body), len(body), body)
+			// The duplicate arrives late: when the next request is on the connection.
+			_ = conn.SetReadDeadline(time.Now().Add(slowTime))
+			if _, err := conn.Read(make([]byte, 1)); err != nil {
+				break
+			}
+		}
+		return true
+	},
 	"error": func(_ *Endpoint, w http.ResponseWriter, _ *http.Request, m moment) bool {
 		if m == after {
 			http.Error(w, "injected error", http.StatusInternalServerError)
