Refuse queued requests in time and keep times on the monotonic clock

cause: a request that waited at the agent until its deadline was reported as unknown by the entry process, which gives up at the same moment; heartbeat ages followed the wall clock; an unused stream could be closed by the peer's header timeout just when a request was sent on it. change: refuse a queued request one service time before its deadline; keep times relative to the table's origin; close idle streams after 5 s; do not retry at an endpoint that refused for overload. measured: go test -race ./internal/routing ./internal/forward ./internal/link ./internal/gateway passes; no figures were taken for this change. conclusion: refusals are known to be such.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -38,6 +38,9 @@
 	return w.deadline.Before(o.deadline)
 }
 
+// minimumMargin stands for a service time that is not known yet.
+const minimumMargin = time.Millisecond
+
 // acquire waits for a slot. An empty cause means that the caller holds one and
 // must release it; any other cause means that the request must not be sent.
 func (a *admission) acquire(ctx context.Context, priority units.Priority, deadline time.Time) headers.Cause {
@@ -45,13 +48,19 @@
 	if w == nil {
 		return cause
 	}
+	// Past this moment a slot comes too late. Refusing then, rather than at the
+	// deadline, lets the refusal reach the caller in time.
+	_, _, service := a.load()
+	timer := time.NewTimer(time.Until(deadline) - max(service, minimumMargin))
+	defer timer.Stop()
 	select {
 	case cause := <-w.verdict:
 		return cause
+	case <-timer.C:
 	case <-ctx.Done():
-		a.abandon(w)
-		return headers.TooLate
 	}
+	a.abandon(w)
+	return headers.Overload
 }
 
 // enqueue decides at once where it can; else it returns the queued waiter.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,6 +55,10 @@
 		if choice == nil {
 			break
 		}
+		if cause == headers.Overload && slices.Contains(tried, choice.Endpoint) {
+			choice.End(routing.Cancelled, time.Now())
+			break // every endpoint has refused
+		}
 		tried = append(tried, choice.Endpoint)
 		a := g.attempt(ctx, in, choice, &tried)
 		if a.outcome == headers.Done {
@@ -127,18 +132,13 @@
 
 // hedge chooses a second endpoint when the budget allows one and there is one.
 func (g *Gateway) hedge(in *inbound, tried []*routing.Endpoint) *routing.Choice {
-	if !g.budget.Withdraw() {
-		return nil
-	}
 	second := g.choose(in, tried)
 	if second == nil {
 		return nil
 	}
-	for _, e := range tried {
-		if e == second.Endpoint {
-			second.End(routing.Cancelled, time.Now())
-			return nil
-		}
+	if slices.Contains(tried, second.Endpoint) || !g.budget.Withdraw() {
+		second.End(routing.Cancelled, time.Now())
+		return nil
 	}
 	g.counters.hedges.Inc(1)
 	return second
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -44,10 +44,12 @@
 	acceptBacklog = 1024
 	// maxIdleStreams bounds the memory of idle streams, about 20 KiB each with
 	// their buffers on both sides.
-	maxIdleStreams    = 64
-	idleStreamTimeout = 30 * time.Second
-	// headerTimeout frees a stream whose request header never completes.
-	headerTimeout = 10 * time.Second
+	maxIdleStreams = 64
+	// headerTimeout frees a stream whose request header never completes. It
+	// also runs on a stream that was opened and not used yet, so idle streams
+	// must be closed by their opener well before.
+	headerTimeout     = 10 * time.Second
+	idleStreamTimeout = 5 * time.Second
 	// goAwayPath carries the announcement that a peer is about to close the
 	// session. It is answered when the receiver has no request under way.
 	goAwayPath = "/link/goaway"
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -42,12 +42,12 @@
 	table       *Table
 	usable      atomic.Bool
 	state       atomic.Int32
-	seen        atomic.Int64 // time of the last heartbeat, Unix nanoseconds
+	seen        atomic.Int64 // time of the last heartbeat, since the table's origin
 	distance    atomic.Int64
 	outstanding atomic.Int64
 	others      atomic.Int64 // requests there that other entry processes sent
 	slots       atomic.Int64
-	slowFrom    atomic.Int64 // start of slow start, Unix nanoseconds; 0 for never
+	slowFrom    atomic.Int64 // start of slow start, since the table's origin
 	ejected     atomic.Bool
 
 	mu        sync.Mutex // guards the rest
@@ -66,7 +66,7 @@
 
 func (e *Endpoint) observe(r *wire.EndpointReport, session Session, distance time.Duration, now time.Time) {
 	e.state.Store(int32(r.State))
-	e.seen.Store(now.UnixNano())
+	e.seen.Store(e.table.since(now))
 	e.distance.Store(int64(distance))
 	e.slots.Store(int64(r.Slots))
 	// What is reported includes the requests sent from here.
@@ -77,20 +77,16 @@
 	e.mu.Unlock()
 }
 
-func (e *Endpoint) startSlowly(now time.Time) { e.slowFrom.Store(now.UnixNano()) }
+func (e *Endpoint) startSlowly(now time.Time) { e.slowFrom.Store(e.table.since(now)) }
 
 func (e *Endpoint) eligible(now time.Time) bool {
-	return e.usable.Load() && now.UnixNano()-e.seen.Load() <= int64(e.table.settings.Fresh)
+	return e.usable.Load() && e.table.since(now)-e.seen.Load() <= int64(e.table.settings.Fresh)
 }
 
 // share is the part of its full traffic that the endpoint takes, 0.1 to 1.
 func (e *Endpoint) share(now time.Time) float64 {
-	from := e.slowFrom.Load()
-	elapsed := float64(now.UnixNano()-from) / float64(e.table.settings.SlowStart)
-	if from == 0 || elapsed >= 1 {
-		return 1
-	}
-	return max(minimumShare, elapsed)
+	elapsed := float64(e.table.since(now)-e.slowFrom.Load()) / float64(e.table.settings.SlowStart)
+	return min(1, max(minimumShare, elapsed))
 }
 
 // expected is the decayed latency; it approaches the reported one while
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -57,6 +57,7 @@
 // Table holds the endpoints of every service. It is safe for concurrent use.
 type Table struct {
 	settings Settings
+	origin   time.Time // times are kept relative to it, on the monotonic clock
 	sets     atomic.Pointer[map[units.ServiceName]*set]
 
 	mu       sync.Mutex // guards changes of membership, document and ejections
@@ -79,7 +80,7 @@
 // New returns an empty table.
 func New(s Settings) *Table {
 	s.defaults()
-	t := &Table{settings: s, workers: make(map[units.WorkerID]*worker)}
+	t := &Table{settings: s, origin: time.Now(), workers: make(map[units.WorkerID]*worker)}
 	t.sets.Store(&map[units.ServiceName]*set{})
 	return t
 }
@@ -184,6 +185,8 @@
 	t.sets.Store(&sets)
 }
 
+func (t *Table) since(now time.Time) int64 { return int64(now.Sub(t.origin)) }
+
 func (t *Table) endpoints(service units.ServiceName) []*Endpoint {
 	if s := (*t.sets.Load())[service]; s != nil {
 		return s.endpoints
