--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -230,6 +230,31 @@
 	}
 }
 
+// Contract of POST /v1/announce.
+func TestAnnouncementContract(t *testing.T) {
+	h := New(Options{}).AnnounceHandler()
+	for _, c := range []struct {
+		name, method, body string
+		status             int
+	}{
+		{"ready", "POST", string(body("ready", "127.0.0.1:80")), 204},
+		{"repeated", "POST", string(body("ready", "127.0.0.1:80")), 204},
+		{"second endpoint", "POST", string(body("ready", "127.0.0.1:81")), 409},
+		{"leaving", "POST", string(body("leaving", "127.0.0.1:80")), 204},
+		{"unknown state", "POST", string(body("asleep", "127.0.0.1:80")), 400},
+		{"no address", "POST", string(body("ready", "localhost")), 400},
+		{"truncated", "POST", `{"service":"desk"`, 400},
+		{"too large", "POST", strings.Repeat(" ", maxAnnouncement+1), 413},
+		{"other method", "GET", "", 405},
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, "/v1/announce", strings.NewReader(c.body)))
+		if w.Code != c.status {
+			t.Errorf("%s: got status %d, want %d", c.name, w.Code, c.status)
+		}
+	}
+}
+
 func FuzzAnnouncement(f *testing.F) {
 	f.Add(body("ready", "127.0.0.1:80"))
 	f.Add([]byte(`{"service":"","address":"[::1]:0","slots":-1}`))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
 	"wasabihill.example/wasabihill/internal/gateway"
@@ -212,3 +214,100 @@
 		})
 	}
 }
+
+// Guards against a large response that is cut in the middle and ends normally
+// for the caller, and against large responses that arrive changed.
+func TestLargeResponses(t *testing.T) {
+	e := newEntry(t, gateway.Options{})
+	newAgent(t, 1, endpoint.Options{ResponseBytes: 5 << 20}, e)
+	c := newClient(t)
+	if r := send(c, "GET", e.url+"/services/desk/", nil, endpoint.RequestID, "1"); r.outcome != headers.Done || r.check("1") != "" {
+		t.Errorf("whole response: got outcome %q, %s", r.outcome, r.check("1"))
+	}
+	for _, method := range []string{"GET", "POST"} {
+		if r := send(c, method, e.url+"/services/desk/", nil, endpoint.FaultName, "truncated"); r.err == nil {
+			t.Errorf("%s: got a normal end after %d bytes of a truncated response", method, len(r.body))
+		}
+	}
+}
+
+// Guards against answers of a hedge that lost reaching a caller, and against
+// hedges of requests that must run at most once.
+func TestHedges(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	e := newEntry(t, gateway.Options{Scope: scope})
+	a := newAgent(t, 1, endpoint.Options{}, e)
+	b := newAgent(t, 2, endpoint.Options{ServiceTime: 30 * time.Millisecond}, e)
+	c := newClient(t)
+	for _, idempotent := range []string{"true", "false"} {
+		for i := range 60 {
+			id := fmt.Sprint(idempotent, i)
+			r := send(c, "POST", e.url+"/services/desk/", nil, endpoint.RequestID, id, headers.Idempotent, idempotent)
+			if r.outcome != headers.Done || r.check(id) != "" {
+				t.Errorf("%s: got outcome %q, %s", id, r.outcome, r.check(id))
+			}
+			if n := a.endpoint.Executed()[id] + b.endpoint.Executed()[id]; idempotent == "false" && n != 1 {
+				t.Errorf("%s: executed %d times, want 1", id, n)
+			}
+		}
+	}
+	counters := scope.Snapshot().Counters()
+	if hedges := counters["hedges+"].Value(); hedges < 1 || hedges > 10+60/10 {
+		t.Errorf("got %d hedges of 60 idempotent requests, want 1 to 16", hedges)
+	}
+}
+
+// Guards against slots that stay taken for callers that have left.
+func TestDisconnectedCallerFreesItsSlot(t *testing.T) {
+	e := newEntry(t, gateway.Options{})
+	a := newAgent(t, 1, endpoint.Options{ServiceTime: time.Hour}, e)
+	busy := func() int32 { return a.forwarder.Reports()[0].Busy }
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, "POST", e.url+"/services/desk/", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClient(t)
+	ended := make(chan error, 1)
+	go func() { _, err := c.Do(r); ended <- err }()
+	for busy() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("got a response for a cancelled request")
+	}
+	for tries := 0; busy() > 0; tries++ {
+		if tries == 10_000 {
+			t.Fatal("the slot is still taken")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against limits that do not hold, and against refusals that take as
+// long as the work: with one slot taken, what cannot end in time is refused.
+func TestLimitsRefuse(t *testing.T) {
+	e := newEntry(t, gateway.Options{ServiceLimit: 6})
+	a := newAgent(t, 1, endpoint.Options{ServiceTime: 100 * time.Millisecond, Slots: 1}, e)
+	c := newClient(t)
+	send(c, "POST", e.url+"/services/desk/", nil, endpoint.RequestID, "first") // teaches the service time
+	var wait sync.WaitGroup
+	var done, refused atomic.Int64
+	for i := range 12 {
+		wait.Go(func() {
+			id := fmt.Sprint(i)
+			r := send(c, "POST", e.url+"/services/desk/", nil, endpoint.RequestID, id, headers.Deadline, "250ms")
+			switch {
+			case r.outcome == headers.Done:
+				done.Add(1)
+			case r.outcome == headers.NotRun && r.status == http.StatusServiceUnavailable && a.endpoint.Executed()[id] == 0:
+				refused.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	if done.Load() < 1 || refused.Load() < 6 || done.Load()+refused.Load() < 11 {
+		t.Errorf("got %d done, %d truly refused of 12; want at least 1, 6 and nearly all", done.Load(), refused.Load())
+	}
+}
