--- /dev/null
+++ b/internal/roster/history_test.go
@@ -0,0 +1,123 @@
+package roster
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// TestMain fixes the seed of generated histories.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// history draws entries of restarted agents, lessors of earlier terms, and
+// instances that come and go.
+func history(t *rapid.T) [][]byte {
+	var entries [][]byte
+	holders := rapid.Custom(func(t *rapid.T) Holder {
+		return Holder{units.WorkerID(fmt.Sprint("w", rapid.IntRange(0, 4).Draw(t, "worker"))), units.Epoch(rapid.IntRange(1, 4).Draw(t, "epoch"))}
+	})
+	for range rapid.IntRange(10, 120).Draw(t, "length") {
+		w, lessor := holders.Draw(t, "holder"), holders.Draw(t, "lessor")
+		term := units.Term(rapid.IntRange(1, 4).Draw(t, "term"))
+		row := worker(string(w.Worker), w.Epoch, fmt.Sprint("d", w.Epoch%3), "r", lessor)
+		if rapid.IntRange(0, 2).Draw(t, "alone") == 0 {
+			row.Lessor = Holder{}
+		}
+		entries = append(entries, rapid.SampledFrom([][]byte{EncodeRegistered(row), EncodeRegistered(row), EncodeLessorChanged(w, term, lessor),
+			EncodeLeaseExpired(w, term), EncodeLeft(w), EncodeEntryAnnounced(Entry{ID: units.EntryID(w.Worker)}),
+			EncodeEntryLeft(units.EntryID(w.Worker))}).Draw(t, "entry"))
+	}
+	return entries
+}
+
+// TestHistories guards the release of tasks: an ended epoch stays ended, an
+// epoch in force is the newest one and its lessor another worker, terms only
+// rise within an epoch, and a restored roster goes on like the folded one.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := history(t)
+		r, restored := New(), New()
+		ended, terms := map[Holder]bool{}, map[Holder]units.Term{}
+		cut := rapid.IntRange(0, len(entries)-1).Draw(t, "snapshot")
+		for i, e := range entries {
+			if i == cut {
+				snapshot, _ := r.Snapshot()
+				if err := restored.Restore(snapshot); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := r.Apply(units.Offset(i+1), e); err != nil {
+				t.Fatal(err)
+			}
+			if i >= cut {
+				_ = restored.Apply(units.Offset(i+1), e)
+			}
+			for h := range ended {
+				if !r.EndedEpoch(h.Worker, h.Epoch) {
+					t.Errorf("entry %d: epoch %v is no longer ended", i, h)
+				}
+			}
+			lessees := 0
+			for _, w := range r.Workers() {
+				for epoch := units.Epoch(1); epoch <= 4; epoch++ {
+					if r.EndedEpoch(w.ID, epoch) {
+						ended[Holder{w.ID, epoch}] = true
+					}
+				}
+				if w.Holds() == r.EndedEpoch(w.ID, w.Epoch) || w.Lessor.Worker == w.ID || w.Term < terms[w.Holder()] {
+					t.Errorf("entry %d: row %+v after term %d", i, w, terms[w.Holder()])
+				}
+				terms[w.Holder()] = w.Term
+				if w.Holds() && w.Lessor != (Holder{}) {
+					lessees++
+				}
+			}
+			for _, of := range r.lessees {
+				lessees -= len(of)
+			}
+			if lessees != 0 {
+				t.Errorf("entry %d: the index of lessees misses %d", i, lessees)
+			}
+		}
+		want, _ := r.Snapshot()
+		if got, _ := restored.Snapshot(); !bytes.Equal(got, want) {
+			t.Error("snapshot and tail differ from the full replay")
+		}
+	})
+}
+
+// FuzzApply guards against input that panics the fold or leaves a state that
+// cannot be restored.
+func FuzzApply(f *testing.F) {
+	for _, e := range [][]byte{nil, {0x1a, 0xff}, EncodeEntryAnnounced(Entry{ID: "e"}), EncodeEntryLeft("e"), EncodeLeft(Holder{"a", 1}),
+		EncodeRegistered(worker("b", 2, "d1", "r1", Holder{"a", 1})), EncodeLessorChanged(Holder{"b", 1}, 2, Holder{"a", 1}), EncodeLeaseExpired(Holder{"a", 1}, 1)} {
+		f.Add(e)
+	}
+	f.Fuzz(func(t *testing.T, entry []byte) {
+		r, restored := New(), New()
+		_ = r.Apply(1, EncodeRegistered(worker("a", 1, "d1", "r1", Holder{})))
+		_ = r.Apply(2, EncodeRegistered(worker("b", 1, "d2", "r2", Holder{"a", 1})))
+		_ = r.Apply(3, entry)
+		state, err := r.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := restored.Restore(state); err != nil {
+			t.Fatal(err)
+		}
+		if again, _ := restored.Snapshot(); !bytes.Equal(state, again) {
+			t.Fatal("a restored state encodes differently")
+		}
+	})
+}
