--- /dev/null
+++ b/internal/dispatch/scale_test.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// TestUrgentAtScale guards urgent work against 10,000 waiting tasks and the
+// limit of starts: with 49 starts in every tick, 980 a second, an urgent task
+// must be proposed within five ticks, a sixth of the 1.4 s it has.
+func TestUrgentAtScale(t *testing.T) {
+	f := newFixture(t, 1000)
+	for i := range 18_000 {
+		f.submit(fmt.Sprint("j", i), "a", normal, 1, cores(4))
+	}
+	var running []Proposal
+	for range 200 {
+		running = append(running, f.tick()...)
+	}
+	for i := range f.in.Workers {
+		f.in.Workers[i].Evictable = f.in.Workers[i].Committed
+	}
+	started, worst := 0, 0
+	submitted := map[units.JobID]int{}
+	for n := range 100 {
+		f.finish(running[:49], func(p Proposal) []byte { return ledger.EncodeReleased(p.Task, p.Attempt, ledger.Release{}) })
+		running = running[49:]
+		if n%5 == 0 && n < 90 {
+			id := fmt.Sprint("u", n)
+			f.submit(id, "b", urgent, 2, cores(8))
+			submitted[units.JobID(id)] = n
+		}
+		for _, p := range f.tick() {
+			if at, ok := submitted[p.Task.Job]; ok {
+				started++
+				worst = max(worst, n-at)
+			} else {
+				running = append(running, p)
+			}
+		}
+	}
+	if started != 2*len(submitted) || worst > 5 {
+		t.Errorf("got %d of %d urgent starts, the slowest after %d ticks", started, 2*len(submitted), worst)
+	}
+}
+
+// TestTwoDispatchers guards the fold against two processes that both dispatch
+// everything: proposals of each other's tasks lose, and nothing runs twice.
+func TestTwoDispatchers(t *testing.T) {
+	f := newFixture(t, 12)
+	other := New(rand.New(rand.NewPCG(7, 7)))
+	open := map[units.Task]units.Attempt{}
+	f.l.Observe = func(c ledger.Change) {
+		switch {
+		case c.Reason != "":
+		case c.Kind == "assigned":
+			if open[c.Task] != 0 {
+				t.Errorf("%v: attempt %d assigned while %d is open", c.Task, c.Attempt, open[c.Task])
+			}
+			open[c.Task] = c.Attempt
+		case c.Kind == "ended":
+			delete(open, c.Task)
+		}
+	}
+	f.submit("j", "a", normal, 300, cores(4))
+	f.submit("k", "b", high, 100, cores(2))
+	for range 400 {
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.in.Now = f.now
+		proposals := append(append([]Proposal(nil), f.d.Tick(f.in)...), other.Tick(f.in)...)
+		for _, p := range proposals {
+			f.apply(p.Encode())
+			if row := f.l.Task(p.Task); row != nil && row.State == ledger.Assigned && row.Worker == p.Holder.Worker && row.Attempt == p.Attempt {
+				f.apply(ledger.EncodeEnded(p.Task, p.Attempt, wire.Outcome_OUTCOME_COMPLETED, time.Second, cores(4)))
+			}
+		}
+	}
+	if f.l.Job("j").Ended == 0 || f.l.Job("k").Ended == 0 {
+		t.Error("the jobs have not ended")
+	}
+	if f.l.Rejections()[ledger.ReasonAttempt]+f.l.Rejections()[ledger.ReasonNotWaiting]+f.l.Rejections()[ledger.ReasonNotOpen]+f.l.Rejections()[ledger.ReasonJobEnded] == 0 {
+		t.Error("the dispatchers never collided, so the test shows nothing")
+	}
+}
+
+// TestAccelerators guards accelerators against tasks that do not ask for them.
+func TestAccelerators(t *testing.T) {
+	f := newFixture(t, 40)
+	for i := range 4 {
+		f.in.Workers[i].Capacity.Accelerators = 8
+	}
+	f.doc.Teams[0].Quota.Accelerators, f.doc.LargestWorker.Accelerators = 32, 8
+	f.submit("plain", "a", normal, 200, cores(4))
+	want := cores(1)
+	want.Accelerators = 2
+	f.submit("learning", "a", normal, 16, want)
+	plain, learning := 0, 0
+	for _, p := range f.run(5 * time.Second) {
+		w := f.worker(p.Holder.Worker)
+		switch {
+		case p.Task.Job == "learning":
+			learning++
+		case w.Capacity.Accelerators > 0:
+			plain++
+		}
+	}
+	if learning != 16 || plain != 0 {
+		t.Errorf("got %d of 16 tasks with accelerators, %d plain tasks on their workers", learning, plain)
+	}
+}
+
+// TestHeadroom guards an endpoint whose slots fill up against batch that takes
+// the last processors of its worker, but not against urgent work.
+func TestHeadroom(t *testing.T) {
+	f := newFixture(t, 1)
+	w := &f.in.Workers[0]
+	w.Services, w.Committed, w.Busy = []units.ServiceName{"desk"}, cores(8), 1.25
+	f.submit("batch", "a", normal, 40, cores(1))
+	if got := len(f.run(5 * time.Second)); got != 24-5 {
+		t.Errorf("got %d tasks beside a busy endpoint, want 19: an extra half of 8 reserved cores and one stay free", got)
+	}
+	f.submit("urgent", "a", urgent, 2, cores(1))
+	if got := len(f.run(time.Second)); got != 2 {
+		t.Errorf("got %d urgent tasks, want 2", got)
+	}
+}
