--- a/internal/trial/guard.go
+++ b/internal/trial/guard.go
@@ -17,6 +17,14 @@
 
 const learningRate = 0.25
 
+// suspicion is the slowdown below which a task is not held responsible: what
+// is left may be due to urgent work, which is not throttled.
+const suspicion = 0.02
+
+func (i *interference) slowdown(a *attempt) float64 {
+	return i.estimate[units.JobKind(a.spec.kind.name)]
+}
+
 // setpoint is the share of the tolerated slowdown that the guard aims at; the
 // rest is for tasks that start before their effect is seen.
 const setpoint = 0.8
@@ -85,13 +93,16 @@
 		m.actedAt = x.elapsed
 		m.relieve(x, max(0.5, setpoint*(ratio-1)/(seen-1)))
 	case seen < 1+(ratio-1)*setpoint*0.75:
+		var least *attempt
 		for _, a := range m.running {
-			if a.throttle < 1 {
-				a.throttle = min(1, a.throttle*1.25)
-				m.actedAt = x.elapsed
-				return
+			if a.throttle < 1 && (least == nil || x.learned.slowdown(a) < x.learned.slowdown(least)) {
+				least = a
 			}
 		}
+		if least != nil {
+			least.throttle = min(1, least.throttle*1.25)
+			m.actedAt = x.elapsed
+		}
 	}
 }
 
@@ -99,12 +110,15 @@
 // in proportion to the excess, or evicts it when it is throttled already.
 func (m *machine) relieve(x *fixture, by float64) {
 	var worst *attempt
-	most := -1.0
+	most := suspicion
+	if m.load > calm {
+		most = 0 // processors are short, so any task contributes
+	}
 	for _, a := range m.running {
 		if a.spec.kind == nil || a.priority >= units.PriorityUrgent {
 			continue
 		}
-		if e := x.learned.estimate[units.JobKind(a.spec.kind.name)] * a.throttle; e >= most {
+		if e := x.learned.slowdown(a) * a.throttle; e >= most {
 			worst, most = a, e
 		}
 	}
--- a/internal/trial/machine.go
+++ b/internal/trial/machine.go
@@ -27,6 +27,7 @@
 	lagged  [3]float64
 	actedAt time.Duration
 	memory  float64 // share in use
+	load    float64 // processors in use, over capacity
 }
 
 // attempt is a running attempt of a task.
@@ -112,7 +113,8 @@
 	}
 	capacity := float64(x.firm.Capacity.Processors) / 1000
 	m.memory = memory / float64(x.firm.Capacity.Memory)
-	m.factor = 1 + noise + contention*max(0, min(1, cores/capacity)-calm)
+	m.load = cores / capacity
+	m.factor = 1 + noise + contention*max(0, min(1, m.load)-calm)
 	speed := 1.0
 	if x.version == Ideal {
 		m.factor = 1
