--- a/internal/stream/snapshotter.go
+++ b/internal/stream/snapshotter.go
@@ -23,11 +23,13 @@
 // Snapshotter appends snapshots of a Follower's state while Owner says that
 // this process is responsible for the stream. Two owners at once do no harm.
 type Snapshotter[S State] struct {
-	Follower  *Follower[S]
-	Writer    *Writer
-	Owner     func() bool   // nil means always
-	Every     int           // entries between snapshots
-	Retention time.Duration // of the log; a snapshot is repeated after half of it; 0 means not by time
+	Follower *Follower[S]
+	Writer   *Writer
+	Owner    func() bool // nil means always
+	Every    int         // entries between snapshots
+	// Retention is that of the log; a snapshot is repeated after half of it. With
+	// 0 nothing is repeated by time, and an idle stream loses its state.
+	Retention time.Duration
 	PartSize  int           // bytes of one part; below the service's largest record
 	Tick      time.Duration // between checks
 }
--- a/pkg/logservice/client.go
+++ b/pkg/logservice/client.go
@@ -31,6 +31,9 @@
 // positions of a service whose 410 does not carry them.
 const aboveTail units.Offset = 1 << 62
 
+// errReplyTooLong makes Read ask for fewer records.
+var errReplyTooLong = errors.New("reply too long")
+
 // defaultHTTP keeps a connection for each stream that a process writes and
 // follows. It follows no redirect, because that could repeat an append.
 var defaultHTTP = &http.Client{
@@ -98,20 +101,25 @@
 
 // Read implements Service.
 func (c *Client) Read(ctx context.Context, stream string, from units.Offset, wait time.Duration) (Batch, error) {
-	batch, err := c.read(ctx, stream, from, wait)
+	limit := orDefault(c.ReadLimit, DefaultReadLimit)
+	batch, err := c.read(ctx, stream, from, limit, wait)
+	for errors.Is(err, errReplyTooLong) && limit > 1 {
+		limit = max(1, limit/8) // large records, as those of a snapshot are
+		batch, err = c.read(ctx, stream, from, limit, wait)
+	}
 	if fault.Is(err, Expired) && batch.Next == 0 && from < aboveTail {
-		if ends, endsErr := c.read(ctx, stream, aboveTail, 0); endsErr == nil {
+		if ends, endsErr := c.read(ctx, stream, aboveTail, 1, 0); endsErr == nil {
 			batch = Batch{First: ends.First, Next: ends.Next}
 		}
 	}
 	return batch, err
 }
 
-func (c *Client) read(ctx context.Context, stream string, from units.Offset, wait time.Duration) (Batch, error) {
+func (c *Client) read(ctx context.Context, stream string, from units.Offset, limit int, wait time.Duration) (Batch, error) {
 	const op = "read"
 	query := url.Values{
 		"from":  {strconv.FormatUint(uint64(from), 10)},
-		"limit": {strconv.Itoa(orDefault(c.ReadLimit, DefaultReadLimit))},
+		"limit": {strconv.Itoa(limit)},
 		"wait":  {max(wait, 0).String()},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.records(stream)+"?"+query.Encode(), nil)
@@ -126,13 +134,13 @@
 	if response.StatusCode/100 != 2 && response.StatusCode != http.StatusGone {
 		return Batch{}, statusError(op, readKind(response), response)
 	}
-	limit := int64(orDefault(int(c.MaxReply), DefaultMaxReply))
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	most := int64(orDefault(int(c.MaxReply), DefaultMaxReply))
+	body, err := io.ReadAll(io.LimitReader(response.Body, most+1))
 	if err != nil {
 		return Batch{}, wrap(op, Unavailable, err)
 	}
-	if int64(len(body)) > limit {
-		return Batch{}, fail(op, Unavailable, "reply exceeds %d bytes", limit)
+	if int64(len(body)) > most {
+		return Batch{}, fail(op, Unavailable, "%w: more than %d bytes", errReplyTooLong, most)
 	}
 	batch, err := decodeBatch(body, from)
 	if response.StatusCode == http.StatusGone {
--- a/pkg/logservice/client_test.go
+++ b/pkg/logservice/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -16,57 +17,66 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// answer serves one fixed reply; a negative status closes the connection.
-func answer(t *testing.T, status int, retryAfter, body string) *logservice.Client {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		if status < 0 {
-			panic(http.ErrAbortHandler)
-		}
-		if retryAfter != "" {
-			w.Header().Set("Retry-After", retryAfter)
-		}
-		if status == http.StatusGone && r.URL.Query().Get("from") == "4611686018427387904" {
-			status, body = http.StatusOK, `{"first":7,"next":9}`
-		}
-		w.WriteHeader(status)
-		_, _ = io.WriteString(w, body)
-	}))
-	t.Cleanup(server.Close)
-	return &logservice.Client{BaseURL: server.URL, HTTP: server.Client(), MaxReply: 100}
+// answer is a fixed reply; a negative status closes the connection.
+type answer struct {
+	status           int
+	retryAfter, body string
 }
 
+func (a answer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	query := r.URL.Query()
+	switch {
+	case a.status < 0:
+		panic(http.ErrAbortHandler)
+	case a.status == http.StatusGone && query.Get("from") == "4611686018427387904":
+		a = answer{status: 200, body: `{"first":7,"next":9}`}
+	case a.body == "by limit" && query.Get("limit") != "1":
+		a.body = strings.Repeat(" ", 101)
+	case a.body == "by limit":
+		a.body = record + `2,"payload":"eA=="}]}`
+	}
+	if a.retryAfter != "" {
+		w.Header().Set("Retry-After", a.retryAfter)
+	}
+	w.WriteHeader(a.status)
+	_, _ = io.WriteString(w, a.body)
+}
+
+const record = `{"first":1,"next":3,"records":[{"offset":`
+
 // TestReplies guards against a reply that is taken as proof of more than it
 // proves, and against a batch with a gap.
 func TestReplies(t *testing.T) {
-	const record = `{"first":1,"next":3,"records":[{"offset":`
 	cases := map[string]struct {
-		status             int
-		retryAfter, body   string
-		appendWant, read   logservice.Kind
-		records, next, off int
+		answer
+		append, read        logservice.Kind
+		records, next, want int
 	}{
-		"appended":                   {status: 200, body: `{"offset":5}`, off: 5, read: logservice.Unavailable},
-		"offset missing":             {status: 200, body: `{}`, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"body truncated":             {status: 200, body: `{"offs`, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"connection closed":          {status: -1, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"gateway failed":             {status: 502, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"unavailable, cause unknown": {status: 503, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"unavailable, try later":     {status: 503, retryAfter: "1", appendWant: logservice.Unavailable, read: logservice.Unavailable},
-		"rate exceeded":              {status: 429, appendWant: logservice.Unavailable, read: logservice.Unavailable},
-		"request timed out":          {status: 408, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"too large":                  {status: 413, appendWant: logservice.Refused, read: logservice.Refused},
-		"expired, no positions":      {status: 410, body: "gone", appendWant: logservice.Refused, read: logservice.Expired, next: 9},
-		"record":                     {status: 200, body: record + `2,"payload":"eA=="}]}`, appendWant: logservice.Unknown, records: 1, next: 3},
-		"record with a gap":          {status: 200, body: record + `1,"payload":"eA=="}]}`, appendWant: logservice.Unknown, read: logservice.Unavailable},
-		"reply too long":             {status: 200, body: record + `2,"payload":"` + string(make([]byte, 100)), appendWant: logservice.Unknown, read: logservice.Unavailable},
+		"appended":                   {answer{200, "", `{"offset":5}`}, "", logservice.Unavailable, 0, 0, 5},
+		"offset missing":             {answer{200, "", `{}`}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"body truncated":             {answer{200, "", `{"offs`}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"connection closed":          {answer{-1, "", ""}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"gateway failed":             {answer{502, "", ""}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"unavailable, cause unknown": {answer{503, "", ""}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"unavailable, try later":     {answer{503, "1", ""}, logservice.Unavailable, logservice.Unavailable, 0, 0, 0},
+		"rate exceeded":              {answer{429, "", ""}, logservice.Unavailable, logservice.Unavailable, 0, 0, 0},
+		"request timed out":          {answer{408, "", ""}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"too large":                  {answer{413, "", ""}, logservice.Refused, logservice.Refused, 0, 0, 0},
+		"expired, no positions":      {answer{410, "", "gone"}, logservice.Refused, logservice.Expired, 0, 9, 0},
+		"record":                     {answer{200, "", record + `2,"payload":"eA=="}]}`}, logservice.Unknown, "", 1, 3, 0},
+		"record with a gap":          {answer{200, "", record + `1,"payload":"eA=="}]}`}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"reply too long":             {answer{200, "", record + strings.Repeat(" ", 100)}, logservice.Unknown, logservice.Unavailable, 0, 0, 0},
+		"many records too long":      {answer{200, "", "by limit"}, logservice.Unknown, "", 1, 3, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			client := answer(t, c.status, c.retryAfter, c.body)
+			server := httptest.NewServer(c.answer)
+			defer server.Close()
+			client := &logservice.Client{BaseURL: server.URL, HTTP: server.Client(), MaxReply: 100}
 			offset, err := client.Append(t.Context(), "s", []byte("x"))
-			if int(offset) != c.off || c.appendWant == "" && err != nil || c.appendWant != "" && !fault.Is(err, c.appendWant) {
-				t.Errorf("append: got %d, %v, want %d, kind %q", offset, err, c.off, c.appendWant)
+			if int(offset) != c.want || c.append == "" && err != nil || c.append != "" && !fault.Is(err, c.append) {
+				t.Errorf("append: got %d, %v, want %d, kind %q", offset, err, c.want, c.append)
 			}
 			batch, err := client.Read(t.Context(), "s", 2, 0)
 			if len(batch.Records) != c.records || int(batch.Next) != c.next || c.read == "" && err != nil || c.read != "" && !fault.Is(err, c.read) {
@@ -105,7 +115,13 @@
 		if status < 200 || status > 599 {
 			return
 		}
-		client := &logservice.Client{BaseURL: "http://log", HTTP: &http.Client{Transport: fixed{status, body}}}
+		transport := roundTrip(func() *http.Response {
+			recorder := httptest.NewRecorder()
+			recorder.WriteHeader(status)
+			_, _ = recorder.Write(body)
+			return recorder.Result()
+		})
+		client := &logservice.Client{BaseURL: "http://log", HTTP: &http.Client{Transport: transport}}
 		batch, err := client.Read(t.Context(), "s", 2, 0)
 		for i, r := range batch.Records {
 			if err != nil || int(r.Offset) != 2+i {
@@ -115,15 +131,6 @@
 	})
 }
 
-// fixed answers every request without a connection.
-type fixed struct {
-	status int
-	body   []byte
-}
+type roundTrip func() *http.Response
 
-func (f fixed) RoundTrip(*http.Request) (*http.Response, error) {
-	recorder := httptest.NewRecorder()
-	recorder.WriteHeader(f.status)
-	_, _ = recorder.Write(f.body)
-	return recorder.Result(), nil
-}
+func (r roundTrip) RoundTrip(*http.Request) (*http.Response, error) { return r(), nil }
