--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -62,7 +62,6 @@
 	scope, metrics, closer := administration.NewMetrics(string(s.Worker))
 	defer closer.Close()
 	forwarder := forward.New(forward.Options{Scope: scope, Queue: s.Limits.QueuedRequests})
-	defer forwarder.Close()
 	a := newAgent(s, scope, forwarder)
 	announce, err := net.Listen("tcp", s.AnnounceAddress.String())
 	if err != nil {
