--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -32,6 +32,11 @@
 	if r.probe && (q.job.IsWatcher() || q.job.Priority >= units.PriorityHigh || q.row().Failures > 0) {
 		return 0, false // a probe is a task that can afford to fail
 	}
+	if !q.rated {
+		if q.rated = true; q.spread == nil {
+			q.spread = d.placedTasks(q.job)
+		}
+	}
 	cost += q.spread.cost(r)
 	slow, ok := d.interferes(r, q)
 	return cost + slow, ok
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -20,8 +20,9 @@
 	size     units.Resources
 	borrowed bool
 	preempt  bool
-	spread   *placed // nil to compute it from the job
-	noRoom   bool    // no worker had room, whatever else spoke against it
+	spread   *placed // read when a worker with room is first rated
+	rated    bool
+	noRoom   bool // no worker had room, whatever else spoke against it
 }
 
 func (q *request) task() units.Task       { return units.Task{Job: q.job.ID, Index: q.index} }
@@ -38,9 +39,6 @@
 
 // place proposes the best worker for the task and reports whether there is one.
 func (d *Dispatcher) place(q request) bool {
-	if q.spread == nil {
-		q.spread = d.placedTasks(q.job)
-	}
 	if best := d.sample(&q); best != nil {
 		d.assign(&q, best, nil)
 		return true
--- a/internal/trial/measure.go
+++ b/internal/trial/measure.go
@@ -22,7 +22,7 @@
 	watched        map[units.JobID]time.Duration // last seen running, from the first start on
 	unwatched      time.Duration
 	marks          map[time.Duration]float64 // work done at that time
-	before         float64                   // cores at work in the domain before its absence
+	before         float64                   // cores committed in the domain before its absence
 	samples        int
 	back           time.Duration
 }
@@ -66,8 +66,10 @@
 	}
 }
 
-// sampleDomain watches the domain that leaves: the cores at work there in the
-// minute before, and after its return until five seconds hold that level.
+// sampleDomain watches the domain that leaves: the processors committed to
+// batch there in the minute before, and when they first reach 95% of that after
+// its return. What throttles leave idle is not counted, because it depends on
+// which tasks happen to run.
 func (m *measures) sampleDomain(x *fixture) {
 	cores := 0.0
 	for _, c := range x.machines {
@@ -76,7 +78,7 @@
 		}
 		for _, a := range c.running {
 			if a.spec.kind != nil {
-				cores += a.spec.cores * a.throttle
+				cores += float64(a.committed.Processors) / 1000
 			}
 		}
 	}
