--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// Guards against requests to an agent that was paused and has been replaced.
+func TestOlderEpochIsIgnored(t *testing.T) {
+	table := New(Settings{Domain: "a", Region: "r"})
+	replaced, current := &fakeSession{"replaced"}, &fakeSession{"current"}
+	observe := func(s Session, epoch uint64, now time.Time) Session {
+		h := beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0)
+		h.Epoch = epoch
+		table.Observe(name(0), s, h, now)
+		return table.Choose(request, now).session
+	}
+	observe(current, 2, start)
+	if got := observe(replaced, 1, start.Add(time.Second)); got != current {
+		t.Errorf("got the session of the older epoch")
+	}
+	if got := observe(replaced, 1, start.Add(3*time.Second)); got != replaced {
+		t.Errorf("got the silent session of a newer epoch, want the one that sends heartbeats")
+	}
+}
+
 // Guards against a choice that ignores load, latency or distance.
 func TestChoicePrefersLessLoadedAndNearer(t *testing.T) {
 	table, s := newTable(2)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -67,6 +67,8 @@
 
 // worker groups the endpoints that one agent reports.
 type worker struct {
+	epoch     uint64
+	seen      time.Time
 	session   Session
 	domain    units.DomainName
 	region    units.RegionName
@@ -97,7 +99,9 @@
 	}
 }
 
-// Observe records a heartbeat that arrived over session.
+// Observe records a heartbeat that arrived over session. While a newer epoch of
+// the worker sends heartbeats, those of an older one are ignored: they come from
+// an agent that was paused and has been replaced.
 func (t *Table) Observe(id units.WorkerID, session Session, h *wire.Heartbeat, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -106,6 +110,10 @@
 		w = &worker{endpoints: make(map[units.ServiceName]*Endpoint)}
 		t.workers[id] = w
 	}
+	if h.Epoch < w.epoch && session != w.session && now.Sub(w.seen) <= t.settings.Fresh {
+		return
+	}
+	w.epoch, w.seen = h.Epoch, now
 	w.session, w.domain, w.region = session, units.DomainName(h.FailureDomain), units.RegionName(h.Region)
 	w.draining = h.Draining
 	changed := false
