--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -57,6 +57,7 @@
 // Table holds the endpoints of every service. It is safe for concurrent use.
 type Table struct {
 	settings Settings
+	origin   time.Time // times are kept relative to it, on the monotonic clock
 	sets     atomic.Pointer[map[units.ServiceName]*set]
 
 	mu       sync.Mutex // guards changes of membership, document and ejections
@@ -66,6 +67,8 @@
 
 // worker groups the endpoints that one agent reports.
 type worker struct {
+	epoch     uint64
+	seen      time.Time
 	session   Session
 	domain    units.DomainName
 	region    units.RegionName
@@ -79,7 +82,7 @@
 // New returns an empty table.
 func New(s Settings) *Table {
 	s.defaults()
-	t := &Table{settings: s, workers: make(map[units.WorkerID]*worker)}
+	t := &Table{settings: s, origin: time.Now(), workers: make(map[units.WorkerID]*worker)}
 	t.sets.Store(&map[units.ServiceName]*set{})
 	return t
 }
@@ -96,7 +99,9 @@
 	}
 }
 
-// Observe records a heartbeat that arrived over session.
+// Observe records a heartbeat that arrived over session. While a newer epoch of
+// the worker sends heartbeats, those of an older one are ignored: they come from
+// an agent that was paused and has been replaced.
 func (t *Table) Observe(id units.WorkerID, session Session, h *wire.Heartbeat, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,6 +110,10 @@
 		w = &worker{endpoints: make(map[units.ServiceName]*Endpoint)}
 		t.workers[id] = w
 	}
+	if h.Epoch < w.epoch && session != w.session && now.Sub(w.seen) <= t.settings.Fresh {
+		return
+	}
+	w.epoch, w.seen = h.Epoch, now
 	w.session, w.domain, w.region = session, units.DomainName(h.FailureDomain), units.RegionName(h.Region)
 	w.draining = h.Draining
 	changed := false
@@ -184,6 +193,8 @@
 	t.sets.Store(&sets)
 }
 
+func (t *Table) since(now time.Time) int64 { return int64(now.Sub(t.origin)) }
+
 func (t *Table) endpoints(service units.ServiceName) []*Endpoint {
 	if s := (*t.sets.Load())[service]; s != nil {
 		return s.endpoints
--- a/internal/stream/snapshotter.go
+++ b/internal/stream/snapshotter.go
@@ -23,11 +23,13 @@
 // Snapshotter appends snapshots of a Follower's state while Owner says that
 // this process is responsible for the stream. Two owners at once do no harm.
 type Snapshotter[S State] struct {
-	Follower  *Follower[S]
-	Writer    *Writer
-	Owner     func() bool   // nil means always
-	Every     int           // entries between snapshots
-	Retention time.Duration // of the log; a snapshot is repeated after half of it; 0 means not by time
+	Follower *Follower[S]
+	Writer   *Writer
+	Owner    func() bool // nil means always
+	Every    int         // entries between snapshots
+	// Retention is that of the log; a snapshot is repeated after half of it. With
+	// 0 nothing is repeated by time, and an idle stream loses its state.
+	Retention time.Duration
 	PartSize  int           // bytes of one part; below the service's largest record
 	Tick      time.Duration // between checks
 }
@@ -119,9 +121,10 @@
 }
 
 // patience returns how old the newest snapshot may be as seen here. Half as
-// much is allowed for one that was loaded, because its real age is unknown.
+// much is allowed when there is none or its real age is unknown, so that
+// processes that are replaced often still append one in time.
 func (p progress) patience(half time.Duration) time.Duration {
-	if p.inherited {
+	if p.inherited || p.seen.IsZero() {
 		return half / 2
 	}
 	return half
