Sample only workers that are not full

cause: in a nearly full cluster most probes hit full workers, and each start read some 230 rows. change: a list of the workers with room, built once a tick. measured: go test -bench Tick -benchtime 300x at 1,000 workers and 49 starts a tick: 1,649 rows instead of 11,450; 1.09 ms instead of 1.24 ms on a machine under load from others. conclusion: kept.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,6 +117,7 @@
 	rows      []row
 	byWorker  map[units.WorkerID]int32
 	eligible  []int32
+	roomy     []int32           // of eligible, those that are not full
 	sizes     []units.Resources // distinct capacities
 	noRoom    []shortage
 	proposals []Proposal
@@ -178,6 +179,7 @@
 	d.policy.update(in.Document)
 	d.buildRows()
 	d.settleInFlight()
+	d.findRoom()
 	d.budget = d.startBudget()
 	d.releaseEnded()
 	if !d.anythingWaiting() {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -60,8 +60,9 @@
 		}
 	}
 	d.scans++
-	n := len(d.eligible)
+	n := len(d.roomy)
 	if n == 0 {
+		q.noRoom = true
 		return nil
 	}
 	var best *row
@@ -82,7 +83,7 @@
 	}
 	if n > 2*maxProbes {
 		for range maxProbes {
-			consider(&d.rows[d.eligible[d.Random.IntN(n)]])
+			consider(&d.rows[d.roomy[d.Random.IntN(n)]])
 			if found == candidates {
 				return best
 			}
@@ -93,7 +94,7 @@
 	}
 	start, roomy := d.Random.IntN(n), false
 	for i := range n {
-		r := &d.rows[d.eligible[(start+i)%n]]
+		r := &d.rows[d.roomy[(start+i)%n]]
 		roomy = roomy || d.fits(r, q)
 		consider(r)
 		if n > 2*maxProbes && found >= candidates && least < costAvoid {
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -100,6 +100,17 @@
 	d.sizes = append(d.sizes, c)
 }
 
+// findRoom lists the workers that are not full, so that a full cluster costs
+// no scans.
+func (d *Dispatcher) findRoom() {
+	d.roomy = d.roomy[:0]
+	for _, i := range d.eligible {
+		if r := &d.rows[i]; r.free.Processors > 0 && r.free.Memory > 0 && r.launching < r.mayLaunch {
+			d.roomy = append(d.roomy, i)
+		}
+	}
+}
+
 // settleInFlight drops the proposals that the fold has decided or that were
 // lost, and takes the rest out of the room.
 func (d *Dispatcher) settleInFlight() {
