--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -132,7 +132,8 @@
 	spreadJob *ledger.Job
 	spread    *placed // of spreadJob
 	scans     int
-	visits    int                // of jobs, that the tick may make
+	visits    int                // of jobs, that a walk may make
+	perTeam   int                // tasks of a team that may find no worker
 	started   bool               // the last tick assigned something
 	windows   [2]units.Resources // smallest batch assigned, this window and the last
 	windowAt  time.Time
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -8,17 +8,18 @@
 )
 
 const (
-	// maxVisits bounds the jobs read in one tick; queues are read from the
-	// oldest, so what is left out is younger.
-	maxVisits = 1024
+	// maxVisits bounds the waiting jobs read in one walk. It is divided among
+	// the teams, so that each of 150 is reached in every tick: a team whose
+	// tasks find no worker must not hide the others. The last of a team's
+	// visits is drawn from the rest of its queue, so that small tasks behind
+	// many large ones get their turn.
+	maxVisits      = 512
+	leastPerTeam   = 3
+	foreignPerCost = 8  // jobs of other dispatchers that cost one visit
+	tasksPerCost   = 64 // tasks of one job that cost another visit
 	// After a tick without a start a quarter is read, but the whole every
 	// fourth tick: a full cluster costs little while it stays full.
 	idleShare = 4
-	// maxTeamMisses leaves visits to other teams when one has a long queue of
-	// tasks that find no worker. deeperProbes more jobs are drawn from the rest
-	// of its queue, so that small tasks behind many large ones get their turn.
-	maxTeamMisses = 12
-	deeperProbes  = 2
 	// maxMisses bounds the scans of one pass that find no worker. A size that
 	// is no smaller than one missed before needs no scan.
 	maxMisses = 96
@@ -46,7 +47,8 @@
 	borrowing bool
 	preempt   bool
 	starts    int // left
-	misses    int // left
+	misses    int // left, of scans
+	visits    int // left, of jobs
 }
 
 // order walks the queues: watchers first, because a monitor is small and must
@@ -98,17 +100,19 @@
 // walk serves one priority: repeatedly the oldest task of the team with the
 // least share.
 func (d *Dispatcher) walk(p units.Priority, pass *pass) {
+	pass.visits = d.visits
+	d.perTeam = max(leastPerTeam, maxVisits/max(1, len(d.teams)))
 	for i := range d.teams {
 		d.teams[i].next[p] = cursor{}
 	}
-	for pass.starts > 0 && d.budget > 0 && pass.misses > 0 && d.Stats.JobsVisited < d.visits {
+	for pass.starts > 0 && d.budget > 0 && pass.misses > 0 && pass.visits > 0 {
 		t := d.leastShare(p, pass)
 		if t == nil {
 			return
 		}
 		// Without a start no share has changed, so the team is still first.
 		starts := pass.starts
-		for starts == pass.starts && !d.atEnd(t, p) && pass.misses > 0 && d.Stats.JobsVisited < d.visits {
+		for starts == pass.starts && !d.atEnd(t, p) && pass.misses > 0 && pass.visits > 0 {
 			d.serve(t, p, pass)
 		}
 	}
@@ -134,7 +138,7 @@
 // atEnd reports whether the walk is through with the team's queue.
 func (d *Dispatcher) atEnd(t *teamRow, p units.Priority) bool {
 	c := &t.next[p]
-	return c.misses >= maxTeamMisses+deeperProbes || c.job >= len(d.in.Ledger.WaitingJobs(t.name, p))
+	return c.misses >= d.perTeam || c.job >= len(d.in.Ledger.WaitingJobs(t.name, p))
 }
 
 // skip moves to the next job of the queue.
@@ -146,13 +150,22 @@
 	j := d.in.Ledger.WaitingJobs(t.name, p)[c.job]
 	if c.task == 0 {
 		d.Stats.JobsVisited++
+		if !d.mine(j.ID) {
+			if c.skip(); c.job%foreignPerCost == 0 {
+				pass.visits--
+			}
+			return
+		}
+		pass.visits--
 	}
-	if j.IsWatcher() || c.task >= len(j.Waiting()) || (c.task == 0 && !d.mine(j.ID)) {
+	if j.IsWatcher() || c.task >= len(j.Waiting()) {
 		c.skip()
 		return
 	}
 	index := j.Waiting()[c.task]
-	c.task++
+	if c.task++; c.task%tasksPerCost == 0 {
+		pass.visits-- // most of a large job may be proposed or delayed already
+	}
 	if !d.ready(j, index) || d.giveUp(j, index) {
 		return
 	}
@@ -171,7 +184,7 @@
 	pass.misses -= d.scans - scans
 	d.Stats.Unplaced++
 	c.skip()
-	if c.misses++; c.misses >= maxTeamMisses {
+	if c.misses++; c.misses == d.perTeam-1 {
 		if left := len(d.in.Ledger.WaitingJobs(t.name, p)) - c.job; left > 0 {
 			c.job += d.Random.IntN(left)
 		}
--- a/internal/dispatch/scale_test.go
+++ b/internal/dispatch/scale_test.go
@@ -8,6 +8,7 @@
 
 	"wasabihill.example/wasabihill/internal/ledger"
 	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -130,3 +131,31 @@
 		t.Errorf("got %d urgent tasks, want 2", got)
 	}
 }
+
+// TestTeamsBehindMisses guards a team with a large share against many teams
+// whose tasks find no worker: it must still be reached in every tick.
+func TestTeamsBehindMisses(t *testing.T) {
+	f := newFixture(t, 40)
+	f.in.Workers[0].Capacity.Accelerators, f.in.Workers[0].Committed = 1, units.Resources{Accelerators: 1}
+	for i := range 149 {
+		name := fmt.Sprint("t", i)
+		quota := cores(1e5)
+		quota.Accelerators = 8
+		f.doc.Teams = append(f.doc.Teams, environment.Team{Name: units.TeamName(name), Quota: quota})
+		for n := range 20 {
+			size := cores(1 + int64(n))
+			size.Accelerators = 1
+			f.submit(fmt.Sprint("big-", i, "-", n), name, normal, 1, size)
+		}
+	}
+	f.submit("first", "a", normal, 1, cores(30))
+	f.tick()
+	f.submit("small", "a", normal, 1, cores(1))
+	got := 0
+	for range 8 {
+		got += count(f.tick(), func(p Proposal) bool { return p.Task.Job == "small" })
+	}
+	if got != 1 || f.l.Job("first").Tasks[0].State != ledger.Running {
+		t.Errorf("got %d starts of the small task in eight ticks, want 1", got)
+	}
+}
