Preempt also where only the agent knows the victims

cause: a restarted agent adopts tasks under its earlier epoch, so dispatch found no victims on its worker and gave up on urgent work. change: urgent work may evict wherever the heartbeat says that enough is evictable; the named victims are a preference. measured: TestUrgent fails before and passes after; go test -race ./internal/dispatch passes. conclusion: kept; interference of adopted tasks is still not seen by placement.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -331,6 +331,13 @@
 	if len(got) != 3 || got[0].Task.Job != "u" || len(got[0].Victims) != 2 || !got[0].MayEvict {
 		t.Errorf("got %+v, want three urgent starts with two victims each", got)
 	}
+	for i := range f.in.Workers { // restarted agents adopt what runs under the earlier epoch
+		f.in.Workers[i].Epoch = 2
+	}
+	f.submit("v", "b", urgent, 1, cores(8))
+	if got := f.tick(); len(got) != 1 || got[0].Task.Job != "v" || !got[0].MayEvict {
+		t.Errorf("got %+v, want an urgent start on a worker whose tasks were adopted", got)
+	}
 }
 
 // TestInterference guards an endpoint against kinds that slow it.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -40,7 +40,7 @@
 // place proposes the best worker for the task and reports whether there is one.
 func (d *Dispatcher) place(q request) bool {
 	if best := d.sample(&q); best != nil {
-		d.assign(&q, best, nil)
+		d.assign(&q, best, false, nil)
 		return true
 	}
 	if q.preempt && d.preempt(&q) {
@@ -123,10 +123,10 @@
 }
 
 // assign proposes the task for the worker and takes it out of the room.
-func (d *Dispatcher) assign(q *request, r *row, victims []Victim) {
+func (d *Dispatcher) assign(q *request, r *row, mayEvict bool, victims []Victim) {
 	task, attempt := q.task(), q.row().Attempt+1
 	d.proposals = append(d.proposals, Proposal{Action: Assign, Task: task, Attempt: attempt, Holder: r.holder,
-		Committed: q.size, Borrowed: q.borrowed, MayEvict: len(victims) > 0, Victims: victims})
+		Committed: q.size, Borrowed: q.borrowed, MayEvict: mayEvict, Victims: victims})
 	f := flight{attempt: attempt, holder: r.holder, size: q.size, at: d.in.Now, team: q.job.Team, priority: q.job.Priority, kind: q.job.JobKind}
 	if q.team != nil {
 		q.team.charge(q.size, q.job.Priority)
--- a/internal/dispatch/preemption.go
+++ b/internal/dispatch/preemption.go
@@ -45,7 +45,9 @@
 	victims := d.victims(best, missing(q.size, best.free), func(j *ledger.Job, t *ledger.Task) bool {
 		return t.Borrowed || j.Priority < q.job.Priority
 	})
-	if victims == nil {
+	// Tasks that a restarted agent adopted are listed under its earlier epoch,
+	// so the agent may know of victims that are not found here.
+	if victims == nil && q.job.Priority < units.PriorityUrgent {
 		return false
 	}
 	d.evict(q, best, victims)
@@ -82,8 +84,12 @@
 func (d *Dispatcher) evict(q *request, r *row, victims []Victim) {
 	d.preempts++
 	d.Stats.Preempting++
-	r.evictable = r.evictable.Sub(missing(q.size, r.free))
-	d.assign(q, r, victims)
+	need := missing(q.size, r.free)
+	r.evictable = r.evictable.Sub(need)
+	d.assign(q, r, true, victims)
+	if victims == nil {
+		r.free = r.free.Add(need)
+	}
 	for _, v := range victims {
 		if t := d.in.Ledger.Task(v.Task); t != nil {
 			r.free = r.free.Add(t.Committed)
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -121,7 +121,7 @@
 		case !ok || (q.borrowed && !t.borrows):
 			delete(d.reserved, r.ID) // room is no longer all that it lacks
 		case d.fits(r, &q):
-			d.assign(&q, r, nil)
+			d.assign(&q, r, false, nil)
 		}
 	}
 }
