--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,6 +117,7 @@
 	rows      []row
 	byWorker  map[units.WorkerID]int32
 	eligible  []int32
+	roomy     []int32           // of eligible, those that are not full
 	sizes     []units.Resources // distinct capacities
 	noRoom    []shortage
 	proposals []Proposal
@@ -131,7 +132,8 @@
 	spreadJob *ledger.Job
 	spread    *placed // of spreadJob
 	scans     int
-	visits    int                // of jobs, that the tick may make
+	visits    int                // of jobs, that a walk may make
+	perTeam   int                // tasks of a team that may find no worker
 	started   bool               // the last tick assigned something
 	windows   [2]units.Resources // smallest batch assigned, this window and the last
 	windowAt  time.Time
@@ -178,6 +180,7 @@
 	d.policy.update(in.Document)
 	d.buildRows()
 	d.settleInFlight()
+	d.findRoom()
 	d.budget = d.startBudget()
 	d.releaseEnded()
 	if !d.anythingWaiting() {
