Apply a changed connection limit of an endpoint

cause: the limit of an endpoint's first announcement stayed in force. change: an announcement with another limit takes effect for later requests. measured: go test -race ./internal/link ./internal/forward ./internal/gateway ./internal/headers ./internal/routing ./internal/load passes; no test changes the limit yet. conclusion: slots and connections follow the endpoint's last announcement.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -77,7 +77,7 @@
 	c.endpoint.budget.Deposit()
 	start := time.Now()
 	stopWatch := c.watch(start, cancel)
-	response, err := c.endpoint.transport.RoundTrip(c.request(ctx))
+	response, err := c.endpoint.transport.Load().RoundTrip(c.request(ctx))
 	stopWatch()
 	if err != nil {
 		return err
--- a/internal/forward/endpoint.go
+++ b/internal/forward/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/link"
@@ -25,7 +26,7 @@
 	service   units.ServiceName
 	address   string
 	admission admission
-	transport *link.Transport
+	transport atomic.Pointer[link.Transport]
 	budget    *routing.Budget
 
 	mu          sync.Mutex // guards the rest
@@ -40,7 +41,7 @@
 	e.admission.slots = a.Slots
 	e.admission.closed = true
 	e.connections = a.Connections
-	e.transport = e.newTransport()
+	e.transport.Store(e.newTransport())
 	return e
 }
 
@@ -63,6 +64,10 @@
 	e.mu.Lock()
 	e.announced = now
 	e.state = a.state()
+	if e.connections != a.Connections {
+		e.connections = a.Connections
+		e.transport.Store(e.newTransport())
+	}
 	e.mu.Unlock()
 	if e.state == wire.EndpointState_ENDPOINT_STATE_READY && !draining {
 		e.admission.open(a.Slots)
