Acknowledge reports only for what the ledger holds

cause: an acceptance run left two tasks open for ever: the restarted entry process had an empty ledger, took the reported completion for recorded and acknowledged it, and the agent forgot it. The same hole stood in the acknowledgement of expiries. A lost append was ruled out: the agent's log shows both outcomes, and the worker's table no longer held them. change: a report or expiry is acknowledged only when the fold holds it or a later fact.

--- a/internal/acceptance/checks.go
+++ b/internal/acceptance/checks.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		observed++
-		if out[r.Worker] && r.Start.After(d.evidence.domainOut.Add(fewSeconds)) {
+		if out[r.Worker] && r.Start.After(d.evidence.domainOut.Add(obeyWithin)) {
 			broken = append(broken, fmt.Sprintf("task %s started on %s %s after the domain was taken out", r.Task, r.Worker, r.Start.Sub(d.evidence.domainOut)))
 		}
 	}
@@ -162,7 +162,7 @@
 			}
 			highest = max(highest, s.version)
 			for _, a := range d.evidence.accepted {
-				if s.version < a.version && s.at.Sub(a.at) > fewSeconds {
+				if s.version < a.version && s.at.Sub(a.at) > obeyWithin {
 					broken = append(broken, fmt.Sprintf("%s had version %d in force %s after %d was accepted", name, s.version, s.at.Sub(a.at).Round(time.Millisecond), a.version))
 				}
 			}
--- a/internal/acceptance/drive.go
+++ b/internal/acceptance/drive.go
@@ -1,10 +1,12 @@
 package acceptance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,15 +30,22 @@
 
 // The times of the day, from the moment when everything is ready.
 const (
-	readyWithin   = 30 * time.Second
-	settleWithin  = 60 * time.Second // for jobs to end after the traffic
-	trafficTime   = 58 * time.Second
-	domainOutAt   = 6 * time.Second
-	domainInAt    = 16 * time.Second
-	killAt        = 20 * time.Second
-	restartAt     = 23 * time.Second
-	logCutAt      = 30 * time.Second
-	logBackAt     = 38 * time.Second
+	readyWithin  = 30 * time.Second
+	settleWithin = 60 * time.Second // for jobs to end after the traffic
+	trafficTime  = 58 * time.Second
+	domainOutAt  = 6 * time.Second
+	domainInAt   = 16 * time.Second
+	pauseAt      = 8 * time.Second
+	urgentAt     = 12 * time.Second
+	resumeAt     = 20 * time.Second // 12 s later: past the lease of 8 s
+	killAt       = 20 * time.Second
+	restartAt    = 23 * time.Second
+	// The lease of the instance that is lost ends while the log is cut, so its
+	// watcher has to continue without the log.
+	loseAt        = 25 * time.Second
+	logCutAt      = 29 * time.Second
+	logBackAt     = 39 * time.Second
+	returnAt      = 42 * time.Second
 	plannedStopAt = 44 * time.Second
 	replaceAt     = 52 * time.Second
 	quickRate     = 120.0 // requests a second of each firm
@@ -57,12 +66,17 @@
 	{2 * time.Second, "cancel a burst of jobs", (*day).cancelBurst},
 	{domainOutAt, "take a failure domain out", func(d *day, ctx context.Context) error { return d.setDomain(ctx, environment.DomainOut) }},
 	{domainInAt, "bring the failure domain back", func(d *day, ctx context.Context) error { return d.setDomain(ctx, environment.DomainIn) }},
+	{pauseAt, "pause an agent", func(d *day, _ context.Context) error { return d.actions("STOP", d.paused()) }},
+	{urgentAt, "submit an urgent job", (*day).submitUrgent},
+	{resumeAt, "resume the agent, past its lease", func(d *day, _ context.Context) error { return d.actions("CONT", d.paused()) }},
 	{killAt, "kill an entry process and an agent", func(d *day, _ context.Context) error {
 		return d.actions("KILL", d.victims()...)
 	}},
 	{restartAt, "start them again", func(d *day, _ context.Context) error { return d.actions("start", d.victims()...) }},
+	{loseAt, "lose the instance of a watcher: its worker and its agent", (*day).loseInstance},
 	{logCutAt, "cut the log service", func(d *day, ctx context.Context) error { return d.setOutage(ctx, true) }},
 	{logBackAt, "bring the log service back", func(d *day, ctx context.Context) error { return d.setOutage(ctx, false) }},
+	{returnAt, "return the instance and submit more batch jobs", (*day).returnInstance},
 	{plannedStopAt, "stop an entry process, an agent and an endpoint gracefully", (*day).plannedStop},
 	{replaceAt, "start them again", func(d *day, _ context.Context) error { return d.actions("start", d.stopped()...) }},
 }
@@ -141,7 +155,8 @@
 
 // follow carries out the timetable.
 func (d *day) follow(ctx context.Context) error {
-	for _, s := range steps {
+	ordered := slices.SortedStableFunc(slices.Values(steps), func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	for _, s := range ordered {
 		select {
 		case <-time.After(time.Until(d.evidence.start.Add(s.at))):
 		case <-ctx.Done():
@@ -230,6 +245,39 @@
 	return []string{string(d.firm.Entries()[1].ID), agentName(d.firm.Workers()[1])}
 }
 
+// paused is the agent that is paused past its lease and resumed.
+func (d *day) paused() string { return agentName(d.firm.Workers()[3]) }
+
+// loseInstance makes the worker that runs the first watcher unreachable and
+// kills its agent.
+func (d *day) loseInstance(ctx context.Context) error {
+	job, err := d.client.Job(ctx, units.JobID("watcher/"+d.firm.Watchers[0]))
+	if err != nil {
+		return err
+	}
+	for _, w := range d.firm.Workers() {
+		if len(job.Details) == 1 && w.ID == job.Details[0].Worker {
+			d.evidence.lost = w
+			if err := d.post(ctx, "http://"+w.Worker+"/v1/faults", `{"unreachable":true}`); err != nil {
+				return err
+			}
+			return d.actions("KILL", agentName(w))
+		}
+	}
+	return fmt.Errorf("no worker runs %s: %+v", job.ID, job.Details)
+}
+
+func (d *day) returnInstance(ctx context.Context) error {
+	w := d.evidence.lost
+	if err := d.post(ctx, "http://"+w.Worker+"/v1/faults", `{}`); err != nil {
+		return err
+	}
+	if err := d.actions("start", agentName(w)); err != nil {
+		return err
+	}
+	return d.submitBatch(ctx, "late", lateJobs)
+}
+
 // stopped are stopped gracefully: the third entry process, the agent of the
 // last worker and the endpoint of the first.
 func (d *day) stopped() []string {
--- a/internal/acceptance/evidence.go
+++ b/internal/acceptance/evidence.go
@@ -24,6 +24,9 @@
 	domainIn  time.Time
 	logCut    time.Time
 	logBack   time.Time
+	lost      Worker // the instance that is lost for a while
+	urgent    units.JobID
+	urgentAt  time.Time // when its submission was accepted
 	jobs      []units.JobID
 	cancelled []units.JobID
 	states    map[units.JobID]administration.Job
@@ -62,9 +65,9 @@
 
 const (
 	sampleEvery = 250 * time.Millisecond
-	// fewSeconds is what "a few seconds" and "within seconds" of the
+	// obeyWithin is what "a few seconds" and "within seconds" of the
 	// guarantees mean here; the target says 3 s.
-	fewSeconds = 3 * time.Second
+	obeyWithin = 3 * time.Second
 )
 
 // sample watches workers, endpoints and documents until ctx ends.
@@ -148,7 +151,7 @@
 		if n > seen[id] {
 			seen[id] = n
 			for _, l := range d.evidence.leaving {
-				if l.worker.ID == w.ID && now.Sub(l.at) > fewSeconds+sampleEvery && now.Before(d.evidence.start.Add(replaceAt)) {
+				if l.worker.ID == w.ID && now.Sub(l.at) > obeyWithin+sampleEvery && now.Before(d.evidence.start.Add(replaceAt)) {
 					d.evidence.lateStarts[id]++
 				}
 			}
--- a/internal/acceptance/files.go
+++ b/internal/acceptance/files.go
@@ -108,7 +108,7 @@
 // Document returns the firm's document for an environment.
 func (f Firm) Document(environment string) []byte {
 	zero := 0
-	quota := resources{fmt.Sprint(f.Capacity.Processors / 1000 * workersPerFirm / 2), "600GB", &zero}
+	quota := resources{(f.Capacity.Processors * workersPerFirm / 2).String(), "600GB", &zero}
 	d := struct {
 		Environment    string    `json:"environment"`
 		FailureDomains []domain  `json:"failureDomains"`
--- a/internal/acceptance/summary.go
+++ b/internal/acceptance/summary.go
@@ -60,9 +60,33 @@
 		}
 	}
 	fmt.Fprintf(d.Progress, "  batch: %d tasks completed, %d evictions, %d tasks completed while a failure domain was out\n", completed, evicted, during)
-	for _, name := range d.firm.Watchers {
-		fmt.Fprintf(d.Progress, "  %s: unwatched for at most %s\n", name, longestGap(e.runs, "watcher/"+name+"/0").Round(time.Millisecond))
+	fmt.Fprintf(d.Progress, "  urgent job: %d of %d tasks started, the last %s after its acceptance (target 1.4s)\n",
+		len(d.urgentStarts()), urgentTasks, longest(d.urgentStarts()).Round(time.Millisecond))
+	for i, name := range d.firm.Watchers {
+		note := ""
+		if i == 0 {
+			note = " (its instance was lost while the log was cut)"
+		}
+		fmt.Fprintf(d.Progress, "  %s: unwatched for at most %s%s\n", name, longestGap(e.runs, "watcher/"+name+"/0").Round(time.Millisecond), note)
+	}
+}
+
+// urgentStarts returns how long after the acceptance of the urgent job each of
+// its tasks started.
+func (d *day) urgentStarts() (after []time.Duration) {
+	for _, r := range d.evidence.runs {
+		if r.Attempt == 1 && strings.HasPrefix(r.Task, string(d.evidence.urgent)+"/") {
+			after = append(after, r.Start.Sub(d.evidence.urgentAt))
+		}
+	}
+	return after
+}
+
+func longest(list []time.Duration) (most time.Duration) {
+	for _, v := range list {
+		most = max(most, v)
 	}
+	return most
 }
 
 // longestGap is the longest time between two runs of a task.
--- a/internal/acceptance/work.go
+++ b/internal/acceptance/work.go
@@ -17,22 +17,27 @@
 )
 
 const (
-	batchJobs     = 16
+	batchJobs     = 24
+	lateJobs      = 12
+	urgentTasks   = 4
 	tasksPerJob   = 10
 	taskRunTime   = 4 * time.Second
 	cancelledJobs = 10
 	submitters    = 4
 )
 
-// submitJobs submits the firm's batch work. A submission whose outcome is not
-// known is repeated under its key.
-func (d *day) submitJobs(ctx context.Context) error {
+// submitJobs submits the firm's batch work.
+func (d *day) submitJobs(ctx context.Context) error { return d.submitBatch(ctx, "batch", batchJobs) }
+
+// submitBatch submits jobs at once. A submission whose outcome is not known is
+// repeated under its key.
+func (d *day) submitBatch(ctx context.Context, prefix string, n int) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(submitters)
-	ids := make([]units.JobID, batchJobs)
+	ids := make([]units.JobID, n)
 	for i := range ids {
 		group.Go(func() error {
-			id, err := d.submit(ctx, fmt.Sprintf("batch-%d", i), taskRunTime)
+			id, err := d.submit(ctx, d.batchJob(fmt.Sprintf("%s-%d", prefix, i), taskRunTime))
 			ids[i] = id
 			return err
 		})
@@ -42,18 +47,36 @@
 	return err
 }
 
-func (d *day) submit(ctx context.Context, key string, runTime time.Duration) (units.JobID, error) {
-	body := administration.EncodeSubmission(administration.Submission{
-		Team: d.firm.BatchTeam, Name: key, Kind: "plan", Priority: units.PriorityNormal, Tasks: tasksPerJob,
+func (d *day) batchJob(name string, runTime time.Duration) administration.Submission {
+	return administration.Submission{
+		Key: name, Team: d.firm.BatchTeam, Name: name, Kind: "plan", Priority: units.PriorityNormal, Tasks: tasksPerJob,
 		Size: units.Resources{Processors: 1500, Memory: 2 * units.GiB}, RunTime: runTime,
-	})
+	}
+}
+
+// submitUrgent submits a job that has to start within 1.4 s of its acceptance.
+func (d *day) submitUrgent(ctx context.Context) error {
+	job := d.batchJob("urgent", taskRunTime)
+	job.Team, job.Priority, job.Tasks, job.Kind = d.firm.ServiceTeam, units.PriorityUrgent, urgentTasks, "rush"
+	id, err := d.submit(ctx, job)
+	d.evidence.urgent, d.evidence.urgentAt = id, time.Now()
+	return err
+}
+
+func (d *day) submit(ctx context.Context, s administration.Submission) (units.JobID, error) {
+	body := administration.EncodeSubmission(s)
 	var id units.JobID
+	var refused error
 	err := d.until(ctx, "a job is accepted", func() (bool, error) {
-		job, err := d.client.Submit(ctx, key+".json", body, key)
+		job, err := d.client.Submit(ctx, s.Name+".json", body, s.Key)
 		id = job.ID
+		if administration.KindOf(err) == administration.KindInvalid {
+			refused = err
+			return true, nil
+		}
 		return err == nil, err
 	})
-	return id, err
+	return id, errors.Join(err, refused)
 }
 
 // cancelBurst submits long jobs and cancels them at once, while they start.
@@ -63,7 +86,7 @@
 	ids := make([]units.JobID, cancelledJobs)
 	for i := range ids {
 		group.Go(func() (err error) {
-			if ids[i], err = d.submit(ctx, fmt.Sprintf("cancelled-%d", i), time.Hour); err != nil {
+			if ids[i], err = d.submit(ctx, d.batchJob(fmt.Sprintf("cancelled-%d", i), time.Hour)); err != nil {
 				return err
 			}
 			return d.until(ctx, "a cancellation is accepted", func() (bool, error) {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -62,6 +62,7 @@
 	watchers time.Time // next comparison of the document's watchers with the ledger
 	chain    map[roster.Holder]time.Time
 	orphans  map[roster.Holder]time.Time // unregistered epochs, first seen
+	unknown  map[units.JobID]time.Time   // jobs in reports that the ledger does not hold, first seen
 	planner  planner
 	counters controlCounters
 	logUp    bool
@@ -81,6 +82,7 @@
 		jobs:    newOutbox(e.writers.jobs),
 		chain:   make(map[roster.Holder]time.Time),
 		orphans: make(map[roster.Holder]time.Time),
+		unknown: make(map[units.JobID]time.Time),
 		planner: newPlanner(),
 		logUp:   true,
 		counters: controlCounters{
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -96,9 +96,15 @@
 }
 
 // settled reports whether the expiry is recorded or can no longer take effect.
+// It is false for an epoch that the roster does not hold yet: this process may
+// be behind.
 func settled(r *roster.Roster, x *wire.LeaseExpiry) bool {
 	w, ok := r.Worker(units.WorkerID(x.GetWorker()))
-	return !ok || w.Epoch != units.Epoch(x.GetEpoch()) || w.Term != units.Term(x.GetTerm()) || !w.Holds()
+	epoch, term := units.Epoch(x.GetEpoch()), units.Term(x.GetTerm())
+	if !ok || w.Epoch < epoch {
+		return false
+	}
+	return w.Epoch > epoch || w.Term > term || !w.Holds()
 }
 
 // acceptExpiries records the expiries that the agent attests as lessor. A
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -53,16 +53,20 @@
 	return ledger.EncodeReleased(t, a, why)
 }
 
-// recorded reports whether the ledger already reflects a report, or whether
-// the report can no longer have an effect.
+// recorded reports whether the ledger reflects a report, or holds a later fact
+// that makes it void. It is false for a job or an attempt that the ledger does
+// not hold: this process may be behind, and an agent forgets what is
+// acknowledged.
 func recorded(l *ledger.Ledger, worker units.WorkerID, r *wire.TaskReport) bool {
 	task, attempt := reported(r)
-	row := l.Task(task)
+	job, row := l.Job(task.Job), l.Task(task)
 	switch {
-	case row == nil || row.Attempt > attempt:
+	case job == nil:
+		return false
+	case row == nil: // the job has ended
 		return true
-	case row.Attempt < attempt:
-		return !activation(l, r)
+	case row.Attempt != attempt:
+		return row.Attempt > attempt
 	case !row.State.Open() || row.Worker != worker:
 		return true
 	}
@@ -104,11 +108,11 @@
 		c.recordActivation(l, w, r, key, now)
 		return
 	}
-	encode := encodeReport[r.GetOutcome()]
-	if encode == nil {
-		return
+	encode, row := encodeReport[r.GetOutcome()], l.Task(task)
+	if encode == nil || row == nil || row.Attempt != attempt {
+		return // unknown, or not reached yet
 	}
-	if entry := encode(r, l.Task(task)); entry != nil && c.jobs.add(key, now, entry) {
+	if entry := encode(r, row); entry != nil && c.jobs.add(key, now, entry) {
 		c.recorder.Record("job", outcomeNames[r.GetOutcome()], task.String(),
 			fmt.Sprintf("attempt %d on %s %s", attempt, w.id, r.GetReason()), "")
 	}
@@ -161,14 +165,39 @@
 	return !now.Before(since)
 }
 
+// forgottenAfter is how long a report about an unknown job is repeated while
+// the tail of the stream is followed, before the job counts as ended and
+// dropped: the assignment was recorded before the report was sent.
+const forgottenAfter = 30 * time.Second
+
+// unknownFor returns how long reports about the job have come in.
+func (c *control) unknownFor(r *wire.TaskReport, now time.Time) time.Duration {
+	job := units.JobID(r.GetTask().GetJob())
+	since, ok := c.unknown[job]
+	if !ok {
+		if len(c.unknown) >= maxUnknown {
+			clear(c.unknown)
+		}
+		c.unknown[job] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// maxUnknown bounds the table of unknown jobs.
+const maxUnknown = 4096
+
 // answerReports acknowledges the reports that the ledger reflects.
 func (c *control) answerReports(m *wire.Heartbeat, reply *wire.HeartbeatReply) {
 	if len(m.GetReports()) == 0 {
 		return
 	}
+	now := time.Now()
+	current := c.Entry.jobs.Staleness(now) < reachable
 	c.Entry.jobs.View(func(l *ledger.Ledger) {
 		for _, r := range m.GetReports() {
-			if recorded(l, units.WorkerID(m.GetWorker()), r) {
+			forgotten := current && l.Job(r.GetTask().Task().Job) == nil && c.unknownFor(r, now) > forgottenAfter
+			if forgotten || recorded(l, units.WorkerID(m.GetWorker()), r) {
 				reply.ReportsAcknowledged = append(reply.ReportsAcknowledged, r.GetTask())
 			}
 		}
