--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -139,18 +139,20 @@
 	leaving  bool // a planned stop is under way
 	failure  error
 
-	tasks     map[units.Task]*task
-	memory    memory
-	services  map[units.ServiceName]units.Resources // reservations that count as committed
-	endpoints []*wire.EndpointReport
-	failures  failures
-	worker    workerState
-	config    config
-	lease     lease
-	lessees   map[units.WorkerID]*lessee
-	entries   map[string]*entry
-	logSince  time.Time // the log has been reachable since; zero while it is not
-	guarded   guardState
+	tasks    map[units.Task]*task
+	memory   memory
+	services map[units.ServiceName]units.Resources // reservations that count as committed
+	// serviceSeen holds when the endpoint of each service last announced itself.
+	serviceSeen map[units.ServiceName]time.Time
+	endpoints   []*wire.EndpointReport
+	failures    failures
+	worker      workerState
+	config      config
+	lease       lease
+	lessees     map[units.WorkerID]*lessee
+	entries     map[string]*entry
+	logSince    time.Time // the log has been reachable since; zero while it is not
+	guarded     guardState
 }
 
 // Run acquires the worker and acts until ctx ends or a newer epoch holds the
@@ -181,11 +183,12 @@
 	a.inbox = make(chan func(), 64)
 	a.done = make(chan struct{})
 	a.state = state{
-		origin:   time.Now(),
-		tasks:    make(map[units.Task]*task),
-		services: make(map[units.ServiceName]units.Resources),
-		lessees:  make(map[units.WorkerID]*lessee),
-		entries:  make(map[string]*entry),
+		origin:      time.Now(),
+		tasks:       make(map[units.Task]*task),
+		services:    make(map[units.ServiceName]units.Resources),
+		serviceSeen: make(map[units.ServiceName]time.Time),
+		lessees:     make(map[units.WorkerID]*lessee),
+		entries:     make(map[string]*entry),
 	}
 	if a.Process == "" {
 		a.Process = "agent/" + string(a.WorkerID)
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -200,6 +200,8 @@
 		return "the epoch is not registered"
 	case a.lease.deadlineAt(now).Sub(now) < leaseReserve:
 		return "no valid lease"
+	case a.awaitsEndpoint(now):
+		return "the endpoint has not announced itself yet"
 	case !a.config.freshUntil.After(now):
 		return "no fresh evidence of the configuration"
 	}
--- a/internal/agent/reservation.go
+++ b/internal/agent/reservation.go
@@ -8,6 +8,16 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
+const (
+	// keepReservation holds the room of an endpoint that has gone for the next
+	// one, which takes its processors when it starts, whoever has them then. A
+	// replaced endpoint is back within minutes.
+	keepReservation = 5 * time.Minute
+	// announceGrace is how long a new agent admits nothing while no endpoint
+	// has announced itself: an endpoint beside it does so every second.
+	announceGrace = 2 * time.Second
+)
+
 // pollEndpoints reads the endpoints beside the agent and keeps their
 // reservations. An endpoint without a reservation is left out of heartbeats,
 // so that the worker is never committed beyond its capacity: batch makes room
@@ -17,11 +27,10 @@
 		return
 	}
 	var offered []*wire.EndpointReport
-	present := make(map[units.ServiceName]bool)
 	for _, report := range a.EndpointReports() {
 		name := units.ServiceName(report.GetService())
 		if report.GetState() != wire.EndpointState_ENDPOINT_STATE_GONE {
-			present[name] = true
+			a.serviceSeen[name] = now
 			if !a.reserve(name, now) {
 				continue
 			}
@@ -33,8 +42,9 @@
 	}
 	a.endpoints = offered
 	for name := range a.services {
-		if !present[name] {
+		if now.Sub(a.serviceSeen[name]) > keepReservation {
 			delete(a.services, name)
+			delete(a.serviceSeen, name)
 		}
 	}
 }
@@ -45,6 +55,12 @@
 	})
 }
 
+// awaitsEndpoint reports whether an endpoint beside a new agent may not have
+// announced itself yet, so that its room must not be given away.
+func (a *Agent) awaitsEndpoint(now time.Time) bool {
+	return a.EndpointReports != nil && len(a.services) == 0 && now.Sub(a.origin) < announceGrace
+}
+
 // reserve commits the resources of the service's endpoint, or changes them
 // after the document has changed, once they fit.
 func (a *Agent) reserve(name units.ServiceName, now time.Time) bool {
--- /dev/null
+++ b/internal/agent/reservation_test.go
@@ -0,0 +1,49 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Guards against batch that takes the room of an endpoint that restarts: the
+// endpoint takes its processors when it is back, and the worker is committed
+// beyond its capacity. The acceptance run saw 40 of 32 cores.
+func TestReservationOutlivesItsEndpoint(t *testing.T) {
+	var reports []*wire.EndpointReport
+	a := &Agent{EndpointReports: func() []*wire.EndpointReport { return reports }}
+	a.init()
+	a.adopted, a.capacity = true, units.Resources{Processors: 32000, Memory: 64 * units.GiB}
+	size := units.Resources{Processors: 8000, Memory: 8 * units.GiB}
+	a.config.document = &environment.Document{Services: []environment.Service{{Name: "desk", PerEndpoint: size}}}
+	start := a.origin
+	for _, c := range []struct {
+		name  string
+		at    time.Duration
+		state wire.EndpointState
+		want  units.Resources
+		waits bool
+	}{
+		{"new agent, no announcement yet", time.Second, 0, units.Resources{}, true},
+		{"ready", 1500 * time.Millisecond, wire.EndpointState_ENDPOINT_STATE_READY, size, false},
+		{"gone for a minute", time.Minute, wire.EndpointState_ENDPOINT_STATE_GONE, size, false},
+		{"back", 2 * time.Minute, wire.EndpointState_ENDPOINT_STATE_READY, size, false},
+		{"gone for good", 2*time.Minute + keepReservation + time.Second, wire.EndpointState_ENDPOINT_STATE_GONE, units.Resources{}, false},
+	} {
+		reports = nil
+		if c.state != 0 {
+			reports = []*wire.EndpointReport{{Service: "desk", State: c.state}}
+		}
+		now := start.Add(c.at)
+		a.pollEndpoints(now)
+		if got := a.committed(); got != c.want {
+			t.Errorf("%s: committed: got %s, want %s", c.name, got, c.want)
+		}
+		if got := a.awaitsEndpoint(now); got != c.waits {
+			t.Errorf("%s: waits: got %v, want %v", c.name, got, c.waits)
+		}
+	}
+}
