--- a/internal/trial/measure.go
+++ b/internal/trial/measure.go
@@ -107,10 +107,11 @@
 				remaining++
 			}
 		}
-		// The worker that crashed returns as the domain leaves; the rate before
-		// is taken from ahead of the crash.
-		rate := (x.m.marks[crashAt] - x.m.marks[crashAt-2*time.Minute]) / 120
-		share := rate * float64(remaining) / float64(len(x.machines)) * (absentTo - absentFrom).Seconds()
+		// The worker that crashed is missing in the two minutes before the
+		// absence and back during it. Earlier minutes would flatter, because
+		// sizes are not learned yet.
+		perWorker := (x.m.marks[absentFrom] - x.m.marks[absentFrom-2*time.Minute]) / 120 / float64(len(x.machines)-1)
+		share := perWorker * float64(remaining) * (absentTo - absentFrom).Seconds()
 		r.AbsentShare = (x.m.marks[absentTo] - x.m.marks[absentFrom]) / share
 	}
 	return r
