--- /dev/null
+++ b/internal/capacity/agents.go
@@ -0,0 +1,84 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/agent"
+	"wasabihill.example/wasabihill/internal/guard"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/environment"
+	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
+)
+
+// agentsSettings are those of the role that holds all agents.
+type agentsSettings struct {
+	Count   int
+	Workers string   // address that serves every worker under its name
+	Entries []string // seed addresses
+}
+
+// workerConnections is what the agent's main uses.
+const workerConnections = 8
+
+func startAgents(ctx context.Context, s agentsSettings) (any, func(bool) Sample, func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	var documents, last atomic.Int64
+	for i := range s.Count {
+		a := newAgent(i, s)
+		a.Document = func(*environment.Document) {
+			documents.Add(1)
+			last.Store(time.Now().UnixNano())
+		}
+		running.Go(func() {
+			if err := a.Run(ctx); err != nil {
+				fmt.Println("agent ended:", err)
+			}
+		})
+	}
+	workers := int(netip.MustParseAddrPort(s.Workers).Port())
+	var entries []int
+	for _, address := range s.Entries {
+		entries = append(entries, int(netip.MustParseAddrPort(address).Port()))
+	}
+	classify := func(_, remote int) string {
+		switch {
+		case remote == workers:
+			return "worker"
+		case slices.Contains(entries, remote):
+			return "entries"
+		}
+		return "leases"
+	}
+	return struct{}{}, func(collect bool) Sample {
+		sample := Take(classify, collect)
+		sample.Counters = map[string]int64{"documents": documents.Load()}
+		sample.LastDocument = time.Unix(0, last.Load())
+		return sample
+	}, func() { cancel(); running.Wait() }, nil
+}
+
+// newAgent builds agent i as the agent's main does, with an endpoint of eight
+// slots beside it.
+func newAgent(i int, s agentsSettings) *agent.Agent {
+	name := workerName(i)
+	return &agent.Agent{
+		WorkerID: name, Domain: domains[i%len(domains)], Rack: units.RackName(fmt.Sprintf("rack-%03d", i/3)), Region: region(i),
+		LinkAddress: "127.0.0.1:0", Entries: s.Entries, Guard: &guard.Controller{},
+		Worker: &workerapi.Client{BaseURL: "http://" + s.Workers + "/" + string(name), HTTP: &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: workerConnections, IdleConnTimeout: time.Minute}}},
+		EndpointReports: func() []*wire.EndpointReport {
+			return []*wire.EndpointReport{{Service: "mouldDesk", State: wire.EndpointState_ENDPOINT_STATE_READY, Slots: 8, Connections: 64, Busy: 3, LatencyMicroseconds: 18000}}
+		},
+	}
+}
+
+func workerName(i int) units.WorkerID { return units.WorkerID(fmt.Sprintf("worker-%04d", i+1)) }
--- /dev/null
+++ b/internal/capacity/child.go
@@ -0,0 +1,112 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"time"
+)
+
+// A child is a process of the measurement that holds one role, so that the
+// operating system accounts for the role alone. The parent writes a line to ask
+// for a sample and closes the pipe to end the child.
+
+// stopTimeout ends a child that does not stop by itself.
+const stopTimeout = 20 * time.Second
+
+type child struct {
+	command *exec.Cmd
+	input   io.WriteCloser
+	output  *bufio.Scanner
+}
+
+// startChild starts this program again in a role, hands it its settings, and
+// decodes its first line into ready.
+func startChild(ctx context.Context, role string, settings, ready any) (*child, error) {
+	encoded, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	c := &child{command: exec.CommandContext(ctx, program, "role", role)}
+	c.command.Stderr = os.Stderr
+	c.command.Env = append(os.Environ(), "GOMAXPROCS=4")
+	if c.input, err = c.command.StdinPipe(); err != nil {
+		return nil, err
+	}
+	output, err := c.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	c.output = bufio.NewScanner(output)
+	c.output.Buffer(nil, 1<<20)
+	if err := c.command.Start(); err != nil {
+		return nil, err
+	}
+	if _, err := c.input.Write(append(encoded, '\n')); err != nil {
+		return nil, err
+	}
+	return c, c.read(ready)
+}
+
+func (c *child) read(into any) error {
+	if !c.output.Scan() {
+		return fmt.Errorf("the child process ended: %w", c.output.Err())
+	}
+	return json.Unmarshal(c.output.Bytes(), into)
+}
+
+func (c *child) sample(collect bool) (s Sample, err error) {
+	line := "sample\n"
+	if collect {
+		line = "collect\n"
+	}
+	if _, err := io.WriteString(c.input, line); err != nil {
+		return s, err
+	}
+	err = c.read(&s)
+	return s, err
+}
+
+func (c *child) stop() {
+	c.input.Close()
+	kill := time.AfterFunc(stopTimeout, func() { _ = c.command.Process.Kill() })
+	defer kill.Stop()
+	_ = c.command.Wait()
+}
+
+// serveChild is the child's side: it reads the settings, starts the role, says
+// that it is ready, and answers until the parent closes the pipe.
+func serveChild[S any](ctx context.Context, start func(context.Context, S) (ready any, sample func(collect bool) Sample, stop func(), err error)) error {
+	input := bufio.NewScanner(os.Stdin)
+	input.Buffer(nil, 1<<20)
+	if !input.Scan() {
+		return fmt.Errorf("no settings: %w", input.Err())
+	}
+	var settings S
+	if err := json.Unmarshal(input.Bytes(), &settings); err != nil {
+		return err
+	}
+	ready, sample, stop, err := start(ctx, settings)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	output := json.NewEncoder(os.Stdout)
+	if err := output.Encode(ready); err != nil {
+		return err
+	}
+	for input.Scan() {
+		if err := output.Encode(sample(input.Text() == "collect")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/cluster.go
@@ -0,0 +1,335 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Options says how large a cluster is measured.
+type Options struct {
+	Workers, Entries int
+	Tasks            int     // long tasks per worker
+	Starts           float64 // short tasks submitted per second during the loaded window
+	JobTasks         int     // tasks of each job submitted for Starts
+	Rate             float64 // appends per second that the log takes
+	Window           time.Duration
+	Changes          int // documents published one after the other
+}
+
+const (
+	// settle lets sessions, learned addresses and snapshots come to rest.
+	settle = 5 * time.Second
+	// readyTimeout bounds each wait for a state of the cluster.
+	readyTimeout = 2 * time.Minute
+	pollInterval = 50 * time.Millisecond
+	shortRun     = 2 * time.Second
+)
+
+// Phase is what each role used during one window.
+type Phase struct {
+	Name            string
+	Agents, Entries Difference
+	Appends, Bytes  float64 // per second, at the log
+	Limited         float64 // appends per second that the log turned away
+	Started         float64 // tasks per second that workers began
+}
+
+// Result is what the measurement of one cluster found.
+type Result struct {
+	Options
+	Phases      []Phase
+	AgentsEnd   Sample // after a collection, with the long tasks running
+	EntriesEnd  Sample
+	EntriesIdle Sample          // after a collection, before any task
+	InForce     []time.Duration // from the publication to the last agent
+	Urgent      []time.Duration // from submission to the start on a worker
+}
+
+// cluster is a running cluster: stand-ins here, each role in its own process.
+type cluster struct {
+	Options
+	platform        *platform
+	agents, entries *child
+	client          *administration.Client
+	base            units.Offset
+	documents       int
+}
+
+// Measure runs a cluster through an idle, a loaded and a starting window.
+func Measure(ctx context.Context, o Options) (Result, error) {
+	c, err := startCluster(ctx, o)
+	if err != nil {
+		return Result{}, err
+	}
+	defer c.stop()
+	r := Result{Options: o}
+	if err := c.awaitWorkers(ctx); err != nil {
+		return r, err
+	}
+	if r.EntriesIdle, err = c.entries.sample(true); err != nil {
+		return r, err
+	}
+	if err := c.phase(ctx, &r, "idle", nil); err != nil {
+		return r, err
+	}
+	if err := c.measureChanges(ctx, &r); err != nil {
+		return r, err
+	}
+	if o.Tasks > 0 {
+		if err := c.startLongTasks(ctx); err != nil {
+			return r, err
+		}
+		if err := c.phase(ctx, &r, fmt.Sprintf("%d tasks", o.Tasks), nil); err != nil {
+			return r, err
+		}
+	}
+	if r.AgentsEnd, err = c.agents.sample(true); err != nil {
+		return r, err
+	}
+	if r.EntriesEnd, err = c.entries.sample(true); err != nil {
+		return r, err
+	}
+	if o.Starts > 0 {
+		err = c.phase(ctx, &r, fmt.Sprintf("%g starts/s", o.Starts), func(ctx context.Context) error { return c.submitSteadily(ctx, &r) })
+	}
+	return r, err
+}
+
+func startCluster(ctx context.Context, o Options) (*cluster, error) {
+	p, err := startPlatform(ctx, o.Workers, o.Rate)
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{Options: o, platform: p}
+	var ready entriesReady
+	if c.entries, err = startChild(ctx, "entries", entriesSettings{o.Entries, p.logAt}, &ready); err != nil {
+		c.stop()
+		return nil, err
+	}
+	c.client = &administration.Client{Servers: ready.Administrations, Token: token, Timeout: 5 * time.Second}
+	if err := await(ctx, "the first document", func() bool { return c.publish(ctx) == nil }); err != nil {
+		c.stop()
+		return nil, err
+	}
+	var none struct{}
+	if c.agents, err = startChild(ctx, "agents", agentsSettings{o.Workers, p.workers, ready.Links}, &none); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) stop() {
+	for _, part := range []*child{c.agents, c.entries} {
+		if part != nil {
+			part.stop()
+		}
+	}
+	c.platform.close()
+}
+
+// publish publishes the next document.
+func (c *cluster) publish(ctx context.Context) error {
+	published, err := c.client.Publish(ctx, administration.Publication{
+		Environment: environmentName, Key: fmt.Sprint("capacity-", c.documents), Base: c.base, Author: "capacity", Text: document(c.documents)}, "document")
+	if err != nil {
+		return err
+	}
+	c.base = published.Version
+	c.documents++
+	return nil
+}
+
+// await polls a condition; an error names what never happened.
+func await(ctx context.Context, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w", what, ctx.Err())
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *cluster) awaitWorkers(ctx context.Context) error {
+	err := await(ctx, "every worker is registered and has a lessor", func() bool {
+		list, err := c.client.Workers(ctx)
+		ready := 0
+		for _, w := range list {
+			if w.State == "ready" && w.Lessor != "" {
+				ready++
+			}
+		}
+		return err == nil && ready == c.Workers
+	})
+	if err != nil {
+		return err
+	}
+	return pause(ctx, settle)
+}
+
+// phase measures one window while load runs; load ends with its context.
+func (c *cluster) phase(ctx context.Context, r *Result, name string, load func(context.Context) error) error {
+	loading, end := context.WithCancel(ctx)
+	defer end()
+	var group errgroup.Group
+	if load != nil {
+		group.Go(func() error { return load(loading) })
+		if err := pause(ctx, settle); err != nil {
+			return err
+		}
+	}
+	var agents, entries [2]Sample
+	log, runs := c.platform.log.Counts(), c.runs()
+	var err error
+	for i := range 2 {
+		if agents[i], err = c.agents.sample(false); err != nil {
+			return err
+		}
+		if entries[i], err = c.entries.sample(false); err != nil {
+			return err
+		}
+		if i == 0 {
+			if err := pause(ctx, c.Window); err != nil {
+				return err
+			}
+		}
+	}
+	p := Phase{Name: name, Agents: Between(agents[0], agents[1]), Entries: Between(entries[0], entries[1])}
+	after, seconds := c.platform.log.Counts(), p.Entries.Seconds
+	p.Appends, p.Bytes = float64(after.Appends-log.Appends)/seconds, float64(after.Bytes-log.Bytes)/seconds
+	p.Limited, p.Started = float64(after.Limited-log.Limited)/seconds, float64(c.runs()-runs)/seconds
+	r.Phases = append(r.Phases, p)
+	end()
+	return group.Wait()
+}
+
+func (c *cluster) runs() (n int) {
+	for _, core := range c.platform.cores {
+		n += len(core.Runs())
+	}
+	return n
+}
+
+// measureChanges publishes documents and waits until each is in force in every
+// agent.
+func (c *cluster) measureChanges(ctx context.Context, r *Result) error {
+	for range c.Changes {
+		before, err := c.agents.sample(false)
+		if err != nil {
+			return err
+		}
+		published := time.Now()
+		if err := c.publish(ctx); err != nil {
+			return err
+		}
+		var last time.Time
+		err = await(ctx, "the document is in force in every agent", func() bool {
+			s, err := c.agents.sample(false)
+			last = s.LastDocument
+			return err == nil && s.Counters["documents"]-before.Counters["documents"] >= int64(c.Workers)
+		})
+		if err != nil {
+			return err
+		}
+		r.InForce = append(r.InForce, last.Sub(published))
+	}
+	return nil
+}
+
+func (c *cluster) submit(ctx context.Context, key string, tasks int, p units.Priority, run time.Duration) (administration.Job, error) {
+	s := administration.Submission{
+		Team: units.TeamName(teamName(len(key) + tasks)), Name: "plan", Kind: "plan", Priority: p, Tasks: tasks, RunTime: run,
+		Size: units.Resources{Processors: 100, Memory: 100 * units.MiB},
+	}
+	return c.client.Submit(ctx, "job", administration.EncodeSubmission(s), key)
+}
+
+// longJobTasks is the size of the jobs that run throughout.
+const longJobTasks = 10
+
+func (c *cluster) startLongTasks(ctx context.Context) error {
+	var group errgroup.Group
+	group.SetLimit(16)
+	for i := range c.Workers * c.Tasks / longJobTasks {
+		group.Go(func() error {
+			_, err := c.submit(ctx, fmt.Sprint("long-", i), longJobTasks, units.PriorityNormal, time.Hour)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	want := c.Workers * c.Tasks / longJobTasks * longJobTasks
+	if err := await(ctx, "all long tasks run", func() bool { return c.runs() >= want }); err != nil {
+		return err
+	}
+	return pause(ctx, settle)
+}
+
+// submitSteadily submits jobs of short tasks at the rate of Starts, and an
+// urgent one every second.
+func (c *cluster) submitSteadily(ctx context.Context, r *Result) error {
+	var group errgroup.Group
+	group.SetLimit(256)
+	interval := time.Duration(float64(c.JobTasks) / c.Starts * float64(time.Second))
+	begin := time.Now()
+	urgent := make(map[string]time.Time)
+	for i, next := 0, begin; ctx.Err() == nil && i < 1_000_000; i, next = i+1, next.Add(interval) {
+		if pause(ctx, time.Until(next)) != nil {
+			break
+		}
+		group.Go(func() error {
+			_, _ = c.submit(context.WithoutCancel(ctx), fmt.Sprint("short-", i), c.JobTasks, units.PriorityNormal, shortRun)
+			return nil
+		})
+		if time.Since(begin) > time.Duration(len(urgent)+1)*time.Second {
+			sent := time.Now()
+			if job, err := c.submit(ctx, fmt.Sprint("urgent-", i), 1, units.PriorityUrgent, shortRun); err == nil {
+				urgent[string(job.ID)] = sent
+			}
+		}
+	}
+	_ = group.Wait()
+	r.Urgent = c.urgentStarts(urgent)
+	return nil
+}
+
+func (c *cluster) urgentStarts(sent map[string]time.Time) (starts []time.Duration) {
+	first := make(map[string]time.Time)
+	for _, core := range c.platform.cores {
+		for _, run := range core.Runs() {
+			job, _, _ := strings.Cut(run.Task, "/")
+			if at, known := first[job]; !known || run.Start.Before(at) {
+				first[job] = run.Start
+			}
+		}
+	}
+	for job, at := range sent {
+		if start, ok := first[job]; ok {
+			starts = append(starts, start.Sub(at))
+		}
+	}
+	slices.Sort(starts)
+	return starts
+}
--- /dev/null
+++ b/internal/capacity/command.go
@@ -0,0 +1,64 @@
+// Package capacity measures what control costs: the processor time, memory and
+// traffic of agents and entry processes, and the appends at the log service, as
+// the cluster grows. It runs the product's own code against the platform's
+// stand-ins over loopback. All agents share one process and all entry processes
+// another, so that the operating system accounts for each role alone.
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the program.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "wasabihill-capacity",
+		Usage: "measure the cost of control",
+		Commands: []*cli.Command{
+			clusterCommand(),
+			{Name: "role", Hidden: true, Commands: []*cli.Command{
+				{Name: "entries", Action: func(ctx context.Context, _ *cli.Command) error { return serveChild(ctx, startEntries) }},
+				{Name: "agents", Action: func(ctx context.Context, _ *cli.Command) error { return serveChild(ctx, startAgents) }},
+			}},
+		},
+	}
+}
+
+func clusterCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "cluster",
+		Usage: "measure agents, entry processes and the log of one cluster",
+		Description: `Measures an idle window, one with long tasks running and one with starts going on.
+
+Example:
+  wasabihill-capacity cluster --workers 100 --entries 3 --starts 98`,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "workers", Value: 11, Usage: "workers, each with an agent"},
+			&cli.IntFlag{Name: "entries", Value: 3, Usage: "entry processes"},
+			&cli.IntFlag{Name: "tasks", Value: 10, Usage: "long tasks per worker; 0 skips the window"},
+			&cli.FloatFlag{Name: "starts", Usage: "short tasks per second; 0 skips the window"},
+			&cli.IntFlag{Name: "job-tasks", Value: 10, Usage: "tasks of each short job"},
+			&cli.FloatFlag{Name: "rate", Value: 400, Usage: "appends per second that the log takes"},
+			&cli.DurationFlag{Name: "window", Value: 15 * time.Second, Usage: "length of each window"},
+			&cli.IntFlag{Name: "changes", Value: 3, Usage: "documents to publish"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			r, err := Measure(ctx, Options{
+				Workers: c.Int("workers"), Entries: c.Int("entries"), Tasks: c.Int("tasks"), Starts: c.Float("starts"), JobTasks: c.Int("job-tasks"),
+				Rate: c.Float("rate"), Window: c.Duration("window"), Changes: c.Int("changes"),
+			})
+			if printErr := r.Print(os.Stdout); err == nil {
+				err = printErr
+			}
+			if err != nil {
+				return fmt.Errorf("measure: %w", err)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/capacity/platform.go
@@ -0,0 +1,123 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/standin/logservice"
+	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const environmentName = "production"
+
+// domains are the four failure domains of the target, in two regions.
+var domains = []units.DomainName{"pwani-a", "pwani-b", "bara-a", "bara-b"}
+
+func region(i int) units.RegionName {
+	name, _, _ := strings.Cut(string(domains[i%len(domains)]), "-")
+	return units.RegionName(name)
+}
+
+// document returns a document with the target's 150 teams; version changes its
+// text without changing what it asks for.
+func document(version int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "// version %d\n{\"environment\": %q, \"failureDomains\": [", version, environmentName)
+	for i, d := range domains {
+		fmt.Fprintf(&b, "%s{\"name\": %q, \"region\": %q, \"state\": \"in\"}", comma(i), d, region(i))
+	}
+	b.WriteString("], \"teams\": [")
+	for i := range teams {
+		fmt.Fprintf(&b, "%s{\"name\": %q, \"quota\": {\"processors\": \"200\", \"memory\": \"800GiB\", \"accelerators\": 0}, \"mayBorrow\": true}", comma(i), teamName(i))
+	}
+	b.WriteString(`], "services": [{"name": "mouldDesk", "team": "team-001", "priority": "urgent", "latencyTarget": "50ms",
+  "perEndpoint": {"processors": "8", "memory": "16GiB"}, "slots": 8, "connections": 64}],
+ "watchers": [], "guards": {"enabled": true, "latencyRatio": 1.2}, "drainedWorkers": [],
+ "largestWorker": {"processors": "32", "memory": "125GB", "accelerators": 0}}`)
+	return []byte(b.String())
+}
+
+const teams = 150
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i%teams+1) }
+
+func comma(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return ", "
+}
+
+// platform holds the stand-ins for the log service and the workers.
+type platform struct {
+	log     *logservice.Log
+	cores   []*worker.Core
+	logAt   string // addresses
+	workers string
+	servers []*http.Server
+	stop    context.CancelFunc
+	running sync.WaitGroup
+}
+
+func startPlatform(ctx context.Context, workers int, rate float64) (*platform, error) {
+	ctx, stop := context.WithCancel(ctx)
+	p := &platform{log: &logservice.Log{Rate: rate}, stop: stop}
+	mux := http.NewServeMux()
+	for i := range workers {
+		core := &worker.Core{Name: workerName(i), Capacity: units.Resources{Processors: 32000, Memory: 125e9}, UsageLag: 2 * time.Second}
+		p.cores = append(p.cores, core)
+		prefix := "/" + string(core.Name)
+		mux.Handle(prefix+"/", http.StripPrefix(prefix, worker.NewHandler(core)))
+	}
+	var err error
+	if p.logAt, err = p.serve(p.log.Handler()); err == nil {
+		p.workers, err = p.serve(mux)
+	}
+	if err != nil {
+		p.close()
+		return nil, err
+	}
+	p.running.Go(func() { p.advance(ctx) })
+	return p, nil
+}
+
+func (p *platform) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	p.servers = append(p.servers, server)
+	p.running.Go(func() { _ = server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+// advance lets tasks end on workers that nobody asks.
+func (p *platform) advance(ctx context.Context) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, c := range p.cores {
+				c.Advance()
+			}
+		}
+	}
+}
+
+func (p *platform) close() {
+	p.stop()
+	for _, s := range p.servers {
+		s.Close()
+	}
+	p.running.Wait()
+}
