--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -110,11 +110,51 @@
 // that leaves must get no new requests.
 func (a *Agent) beatEarly() {
 	for _, e := range a.entries {
-		select {
-		case e.early <- struct{}{}:
-		default:
+		e.beatSoon()
+	}
+}
+
+func (e *entry) beatSoon() {
+	select {
+	case e.early <- struct{}{}:
+	default:
+	}
+}
+
+// reportElsewhere is how long the report of a task goes only to the entry that
+// launched it. Others act on a report only after 3 s, and sent to all twelve
+// entries the reports of one start a second cost more than the heartbeats.
+const reportElsewhere = 2 * time.Second
+
+// launcher returns the entry that launched the task, or nil when all entries
+// are to hear of it: there are few, or that one has not answered recently.
+func (a *Agent) launcher(t *task, now time.Time) *entry {
+	if len(a.entries) <= fewEntries || t.launchedBy == "" {
+		return nil
+	}
+	for _, e := range a.entries {
+		if e.name == t.launchedBy && e.session != nil && now.Sub(e.answeredAt) < recent {
+			return e
 		}
 	}
+	return nil
+}
+
+// reportsTo reports whether a heartbeat to e carries the report of t.
+func (a *Agent) reportsTo(e *entry, t *task, now time.Time) bool {
+	first := a.launcher(t, now)
+	return first == nil || first == e || now.Sub(t.reportSince) > reportElsewhere
+}
+
+// beatAfterEnd sends the end of a task early to the entry that launched it; the
+// others learn of the free room with their next heartbeat.
+func (a *Agent) beatAfterEnd(t *task, now time.Time) {
+	first := a.launcher(t, now)
+	if first == nil {
+		a.beatEarly()
+		return
+	}
+	first.beatSoon()
 }
 
 // known returns the row of a listed entry: by its address, or by its name where
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -54,7 +54,7 @@
 	if full {
 		h.Running = a.runningRefs(now)
 	}
-	sent := a.addReports(h, now)
+	sent := a.addReports(e, h, now)
 	return h, sent
 }
 
@@ -69,10 +69,10 @@
 }
 
 // addReports adds the reports that are not yet acknowledged, oldest first.
-func (a *Agent) addReports(h *wire.Heartbeat, now time.Time) []sentReport {
+func (a *Agent) addReports(e *entry, h *wire.Heartbeat, now time.Time) []sentReport {
 	var pending []*task
 	for _, t := range a.tasks {
-		if t.phase != running && t.phase != ended || t.silent || t.acknowledged || a.heldBack(t, now) {
+		if t.phase != running && t.phase != ended || t.silent || t.acknowledged || a.heldBack(t, now) || !a.reportsTo(e, t, now) {
 			continue
 		}
 		pending = append(pending, t)
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -85,11 +85,12 @@
 		t = a.tasks[name]
 	}
 	if t != nil && t.attempt == number {
+		t.launchedBy = l.Entry
 		a.repeat(t, results)
 		return
 	}
 	candidate := &task{name: name, attempt: number, spec: request.GetSpec(), size: request.GetSpec().GetSize().Units(),
-		mayEvict: request.MayEvict, giveUp: now.Add(patience), results: []chan<- *wire.LaunchResult{results}}
+		mayEvict: request.MayEvict, giveUp: now.Add(patience), launchedBy: l.Entry, results: []chan<- *wire.LaunchResult{results}}
 	if candidate.spec == nil {
 		candidate.spec = &wire.TaskSpec{}
 	}
--- a/internal/agent/task.go
+++ b/internal/agent/task.go
@@ -82,6 +82,7 @@
 	noRow        bool // the worker has no row of it
 	acknowledged bool // the report of its current outcome was acknowledged
 	reportSince  time.Time
+	launchedBy   string // name of the entry process that launched it last, empty when unknown
 }
 
 func (t *task) ref() *wire.TaskRef {
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -178,7 +178,7 @@
 	t.outcomeNow(outcome, now)
 	a.memory.remember(t.name, t.attempt, wire.Outcome_OUTCOME_STARTED, "")
 	a.failures.ended(t.name.Job, outcome, now)
-	a.beatEarly()
+	a.beatAfterEnd(t, now)
 	a.event("taskEnded", t.name.String(), outcome.String())
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -40,6 +40,8 @@
 	silent       bool      // already reported as silent
 	launching    time.Time // until when a launch or stop call may be on its way
 	retryAt      time.Time
+	listed       *owners // whose list of entry processes the agent has, and since when
+	listedAt     time.Time
 }
 
 func (w *workerRow) holder() ledger.Holder {
@@ -198,6 +200,7 @@
 		switch age := now.Sub(w.heard); {
 		case age > forgetSilentAfter:
 			delete(c.workers, id)
+			c.descriptions.forget(id)
 		case age > heardWithin && !w.silent:
 			w.silent = true
 			c.recorder.Record("worker", "silent", string(id), "no heartbeat for "+heardWithin.String(), "")
--- /dev/null
+++ b/internal/entry/description.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// descriptions keeps the fields of heartbeats that agents send once per session
+// and epoch: repeated in every heartbeat they were a seventh of its bytes.
+type descriptions struct {
+	mu       sync.Mutex
+	byWorker map[units.WorkerID]description
+}
+
+// description is what a heartbeat said about its worker and process.
+type description struct {
+	session *link.Session
+	message *wire.Heartbeat
+}
+
+// complete fills in what m leaves out from an earlier heartbeat of the same
+// session. The capacity belongs to an epoch; without one of m's own epoch it
+// stays empty, and the worker is neither registered nor given tasks.
+func (d *descriptions) complete(m *wire.Heartbeat, session *link.Session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := units.WorkerID(m.GetWorker())
+	if m.GetFailureDomain() != "" {
+		if d.byWorker == nil {
+			d.byWorker = make(map[units.WorkerID]description)
+		}
+		d.byWorker[id] = description{session, m}
+		return
+	}
+	known, ok := d.byWorker[id]
+	if !ok || known.session != session {
+		return
+	}
+	k := known.message
+	m.FailureDomain, m.Rack, m.Region = k.FailureDomain, k.Rack, k.Region
+	m.LinkAddress, m.Process = k.LinkAddress, k.Process
+	if k.Epoch == m.Epoch {
+		m.Capacity = k.Capacity
+	}
+}
+
+// forget drops the description of a worker that has been silent for long.
+func (d *descriptions) forget(id units.WorkerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.byWorker, id)
+}
+
+// listEvery is how often an agent is sent the list of entry processes when it
+// has not changed. It is well below the agent's forgetEntry of 35 s.
+const listEvery = 10 * time.Second
+
+// listsEntries reports whether the reply to m lists the entry processes: to an
+// agent that begins a session or an epoch, after a change, and now and then.
+// With twelve of them the list is larger than the rest of the reply.
+func (c *control) listsEntries(w *workerRow, m *wire.Heartbeat, now time.Time) bool {
+	current := c.owners.Load()
+	if w == nil {
+		return true
+	}
+	if !m.GetRunningFull() && w.listed == current && now.Sub(w.listedAt) < listEvery {
+		return false
+	}
+	w.listed, w.listedAt = current, now
+	return true
+}
--- /dev/null
+++ b/internal/entry/description_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Guards against a worker that loses its domain or capacity when its agent
+// leaves unchanged fields out, and against one that gets those of another
+// session or, for the capacity, of another epoch.
+func TestDescriptionsComplete(t *testing.T) {
+	full := func(epoch uint64) *wire.Heartbeat {
+		return &wire.Heartbeat{Worker: "w", Epoch: epoch, FailureDomain: "a", Rack: "r", Region: "g", LinkAddress: "l", Process: "p",
+			Capacity: wire.FromResources(units.Resources{Processors: 1000, Memory: units.GiB})}
+	}
+	here, there := new(link.Session), new(link.Session)
+	for _, c := range []struct {
+		name                     string
+		epoch                    uint64
+		session                  *link.Session
+		wantDomain, wantCapacity bool
+	}{
+		{"same session and epoch", 4, here, true, true},
+		{"newer epoch", 5, here, true, false},
+		{"other session", 4, there, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := &descriptions{}
+			d.complete(full(4), here)
+			m := &wire.Heartbeat{Worker: "w", Epoch: c.epoch}
+			d.complete(m, c.session)
+			if got := m.FailureDomain == "a" && m.LinkAddress == "l" && m.Process == "p"; got != c.wantDomain {
+				t.Errorf("described: got %t, want %t: %v", got, c.wantDomain, m)
+			}
+			if got := m.Capacity != nil; got != c.wantCapacity {
+				t.Errorf("capacity: got %t, want %t", got, c.wantCapacity)
+			}
+		})
+	}
+}
+
+// Guards against agents that never learn of an entry process that started after
+// them, and against a list in every reply.
+func TestListsEntries(t *testing.T) {
+	e := &Entry{}
+	e.owners.Store(&owners{})
+	c, w, now := &control{Entry: e}, &workerRow{}, time.Now()
+	beat := &wire.Heartbeat{}
+	for _, step := range []struct {
+		name    string
+		prepare func()
+		want    bool
+	}{
+		{"first", func() {}, true},
+		{"unchanged", func() {}, false},
+		{"changed", func() { e.owners.Store(&owners{}) }, true},
+		{"later", func() { now = now.Add(listEvery) }, true},
+		{"begins a session", func() { beat = &wire.Heartbeat{RunningFull: true} }, true},
+	} {
+		step.prepare()
+		if got := c.listsEntries(w, beat, now); got != step.want {
+			t.Errorf("%s: got %t, want %t", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,21 +68,22 @@
 	// stop, so that the platform's balancer stops choosing this process first.
 	DrainFor time.Duration
 
-	prepared  sync.Once
-	runID     string
-	recorder  *timeline.Recorder
-	collector *timeline.Collector
-	config    *stream.Follower[*configuration.State]
-	members   *stream.Follower[*roster.Roster]
-	jobs      *stream.Follower[*ledger.Ledger]
-	writers   struct{ config, members, jobs *stream.Writer }
-	publisher *configuration.Publisher
-	agents    *link.Listener
-	requests  Requests
-	calls     chan func(*control)
-	document  atomic.Pointer[version]
-	owners    atomic.Pointer[owners]
-	draining  atomic.Bool
+	prepared     sync.Once
+	runID        string
+	recorder     *timeline.Recorder
+	collector    *timeline.Collector
+	config       *stream.Follower[*configuration.State]
+	members      *stream.Follower[*roster.Roster]
+	jobs         *stream.Follower[*ledger.Ledger]
+	writers      struct{ config, members, jobs *stream.Writer }
+	publisher    *configuration.Publisher
+	agents       *link.Listener
+	requests     Requests
+	calls        chan func(*control)
+	document     atomic.Pointer[version]
+	owners       atomic.Pointer[owners]
+	draining     atomic.Bool
+	descriptions descriptions
 }
 
 // version is the document in force with the offset that numbers it.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -121,7 +121,7 @@
 	domain := units.DomainName([]string{"a", "b", "c"}[i%3])
 	return &agent.Agent{
 		WorkerID: core.Name, Domain: domain, Rack: units.RackName(domain), Region: "r",
-		LinkAddress: freeAddress(c.t).String(), Worker: core, Entries: seeds,
+		LinkAddress: freeAddress(c.t).String(), Worker: core, Entries: seeds, OmitUnchanged: true,
 	}
 }
 
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -23,11 +23,12 @@
 	e.recorder.Observe(m.GetClock())
 	e.collector.Add(timeline.FromWire(m.GetEvents())...)
 	session := link.FromContext(ctx)
+	e.descriptions.complete(m, session)
 	if e.requests != nil && session != nil {
 		e.requests.Observe(units.WorkerID(m.GetWorker()), session, Beat{Message: m, At: now})
 	}
 	reply := &wire.HeartbeatReply{Entry: string(e.Settings.ID)}
-	if err := e.do(ctx, func(c *control) { c.observe(m, session, now); c.answer(m, reply) }); err != nil {
+	if err := e.do(ctx, func(c *control) { c.observe(m, session, now); c.answer(m, reply, now) }); err != nil {
 		return nil, err
 	}
 	e.describeConfig(m, reply, time.Now())
@@ -84,13 +85,16 @@
 }
 
 // answer fills in what the agent has to know.
-func (c *control) answer(m *wire.Heartbeat, reply *wire.HeartbeatReply) {
+func (c *control) answer(m *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) {
 	id := units.WorkerID(m.GetWorker())
-	for _, l := range c.live {
-		reply.Entries = append(reply.Entries, &wire.EntryAddress{Entry: string(l.ID), Address: l.LinkAddress})
+	w := c.workers[id]
+	if c.listsEntries(w, m, now) {
+		for _, l := range c.live {
+			reply.Entries = append(reply.Entries, &wire.EntryAddress{Entry: string(l.ID), Address: l.LinkAddress})
+		}
 	}
 	c.Entry.members.View(func(r *roster.Roster) {
-		c.answerRegistration(r, id, units.Epoch(m.GetEpoch()), reply)
+		c.answerRegistration(r, id, m, reply)
 		for _, x := range m.GetExpiries() {
 			if settled(r, x) {
 				reply.ExpiriesAcknowledged = append(reply.ExpiriesAcknowledged, x)
@@ -98,13 +102,13 @@
 		}
 	})
 	c.answerReports(m, reply)
-	w := c.workers[id]
 	reply.WantRunning = w != nil && w.runningEpoch != units.Epoch(m.GetEpoch()) && m.GetEpoch() > 0
 }
 
 // answerRegistration tells the agent its registration, its lessor, its lessees
 // and the watchers that it stands by for.
-func (c *control) answerRegistration(r *roster.Roster, id units.WorkerID, epoch units.Epoch, reply *wire.HeartbeatReply) {
+func (c *control) answerRegistration(r *roster.Roster, id units.WorkerID, m *wire.Heartbeat, reply *wire.HeartbeatReply) {
+	epoch := units.Epoch(m.GetEpoch())
 	w, ok := r.Worker(id)
 	if !ok {
 		return
@@ -115,18 +119,20 @@
 		return
 	}
 	reply.LeaseTerm = uint64(w.Term)
-	reply.Lessor, reply.LessorEpoch = string(w.Lessor.Worker), uint64(w.Lessor.Epoch)
 	if w.Lessor == (roster.Holder{}) {
 		// Workers that register at the same time find no lessor yet.
 		_, reply.LessorAvailable = r.ChooseLessor(id, roster.Place{Domain: w.Domain, Rack: w.Rack, Region: w.Region}, nil)
 	}
-	if lessor, ok := r.Worker(w.Lessor.Worker); ok {
+	if uint64(w.Term) != m.GetLeaseTerm() {
+		// The agent reads these only when it begins the term.
+		reply.Lessor, reply.LessorEpoch = string(w.Lessor.Worker), uint64(w.Lessor.Epoch)
+		lessor, _ := r.Worker(w.Lessor.Worker)
 		reply.LessorAddress = lessor.LinkAddress
 	}
 	for _, name := range r.Lessees(w.Holder()) {
 		lessee, _ := r.Worker(name)
 		reply.Lessees = append(reply.Lessees, &wire.Lessee{
-			Worker: string(name), Epoch: uint64(lessee.Epoch), Term: uint64(lessee.Term), Address: lessee.LinkAddress,
+			Worker: string(name), Epoch: uint64(lessee.Epoch), Term: uint64(lessee.Term),
 		})
 		reply.Standbys = append(reply.Standbys, c.standbysFor(lessee.Holder())...)
 	}
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -23,8 +23,8 @@
 // that asks for one.
 func (c *control) register(w *workerRow, now time.Time) {
 	epoch := units.Epoch(w.beat.GetEpoch())
-	if epoch == 0 {
-		return
+	if epoch == 0 || w.beat.GetCapacity() == nil {
+		return // not described yet
 	}
 	var known roster.Worker
 	var found bool
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -78,9 +78,9 @@
 		r.GetOutcome() == wire.Outcome_OUTCOME_STARTED
 }
 
-// acceptReports proposes the entries for the reports of a heartbeat. Every
-// entry process gets every report; the owner of the job records it, another
-// one only after the owner had time to.
+// acceptReports proposes the entries for the reports of a heartbeat. The owner
+// of the job records a report; another process that gets it too does so only
+// after the owner had time to.
 func (c *control) acceptReports(w *workerRow, now time.Time) {
 	if len(w.beat.GetReports()) == 0 {
 		return
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -222,6 +222,7 @@
 	if err != nil {
 		return fault.Wrap("call "+path, Invalid, err)
 	}
+	request.Header["User-Agent"] = nil // net/http would add its own to every heartbeat
 	response, err := s.RoundTrip(request)
 	if err != nil {
 		return err
@@ -274,6 +275,9 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		// Nobody reads these headers, and net/http would add 76 bytes of them to
+		// every reply.
+		w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
 		_, _ = w.Write(out)
 	}
 }
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -103,6 +103,7 @@
 			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerConnections, IdleConnTimeout: time.Minute}},
 		},
 		RequestHandler: forwarder, EndpointReports: forwarder.Reports, Guard: &guard.Controller{},
+		OmitUnchanged: true,
 		Events: func(kind, subject, text string) {
 			changes.Inc(1)
 			klog.InfoS("agent event", "kind", kind, "subject", subject, "text", text)
