--- a/internal/capacity/command.go
+++ b/internal/capacity/command.go
@@ -21,6 +21,7 @@
 		Usage: "measure the cost of control",
 		Commands: []*cli.Command{
 			clusterCommand(),
+			recoveryCommand(),
 			{Name: "role", Hidden: true, Commands: []*cli.Command{
 				{Name: "entries", Action: func(ctx context.Context, _ *cli.Command) error { return serveChild(ctx, startEntries) }},
 				{Name: "agents", Action: func(ctx context.Context, _ *cli.Command) error { return serveChild(ctx, startAgents) }},
@@ -62,3 +63,23 @@
 		},
 	}
 }
+
+func recoveryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "recovery",
+		Usage: "measure how an entry process without state loads a day of jobs",
+		Flags: []cli.Flag{
+			&cli.FloatSliceFlag{Name: "scale", Value: []float64{0.25, 0.5, 1}, Usage: "shares of 13,000 jobs with 10,400 running tasks"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, scale := range c.FloatSlice("scale") {
+				r, err := Recover(ctx, scale)
+				if err != nil {
+					return fmt.Errorf("recovery at scale %g: %w", scale, err)
+				}
+				r.Print(os.Stdout)
+			}
+			return nil
+		},
+	}
+}
