Advertise the configured link address of an agent

cause: internal/process/agent.go built the agent with linkAddress only, so heartbeats named that address and the setting advertisedLinkAddress had no effect. Other agents could not reach an agent that listens on an unspecified address or behind an address translation, and its lessor stayed unreachable. change: Agent has a field AdvertisedLinkAddress, set from the settings and sent in heartbeats; LinkAddress is sent when it is empty. measured: TestHopsAreRelayed of internal/faulttest, with a TCP relay as the advertised address, saw no byte of a lease request in 10 s before the change and passes after it. conclusion: the setting does what its documentation says.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -85,7 +85,9 @@
 	Rack        units.RackName
 	Region      units.RegionName
 	LinkAddress string // IP:port on which other agents request leases
-	Process     string // name of this process; empty means "agent/" + WorkerID
+	// AdvertisedLinkAddress is what other agents dial; empty means LinkAddress.
+	AdvertisedLinkAddress string
+	Process               string // name of this process; empty means "agent/" + WorkerID
 
 	Worker          workerapi.Worker
 	Entries         []string                                    // seed addresses of entry processes
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -36,7 +36,7 @@
 		Draining: a.leaving || a.evacuation() != "", Endpoints: a.reports(),
 	}
 	if full || !e.described || !a.OmitUnchanged {
-		h.FailureDomain, h.Rack, h.Region, h.LinkAddress = string(a.Domain), string(a.Rack), string(a.Region), a.LinkAddress
+		h.FailureDomain, h.Rack, h.Region, h.LinkAddress = string(a.Domain), string(a.Rack), string(a.Region), cmp.Or(a.AdvertisedLinkAddress, a.LinkAddress)
 		h.Process, h.Capacity = a.Process, wire.FromResources(a.capacity)
 	}
 	if !a.adopted {
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -97,7 +97,7 @@
 	changes := scope.Counter("agent_events")
 	a := &agent.Agent{
 		WorkerID: s.Worker, Domain: s.FailureDomain, Rack: s.Rack, Region: s.Region,
-		LinkAddress: s.LinkAddress.String(), Process: recorder.Process(),
+		LinkAddress: s.LinkAddress.String(), AdvertisedLinkAddress: s.AdvertisedLinkAddress.String(), Process: recorder.Process(),
 		Worker: &workerapi.Client{
 			BaseURL: "http://" + s.WorkerAddress.String(),
 			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerConnections, IdleConnTimeout: time.Minute}},
