--- /dev/null
+++ b/internal/faulttest/system.go
@@ -0,0 +1,324 @@
+package faulttest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	environmentName = "production"
+	operatorToken   = "operator-token-for-fault-tests"
+	serviceName     = "mouldDesk"
+	teamName        = "moulds"
+	entryCount      = 2
+	workerCount     = 4
+	// readyWithin bounds the start of a system on a busy machine.
+	readyWithin = 40 * time.Second
+)
+
+// domains are the failure domains of the four workers.
+var domains = [workerCount]units.DomainName{"pwani-a", "pwani-b", "pwani-c", "pwani-a"}
+
+// Capacity is that of one worker.
+var Capacity = units.Resources{Processors: 8000, Memory: 16e9}
+
+// System is one running system.
+type System struct {
+	t        testing.TB
+	dir      string
+	binaries string
+	http     *http.Client
+
+	Client  *administration.Client
+	Log     *Process
+	LogAt   string
+	Entries [entryCount]*Entry
+	Nodes   [workerCount]*Node
+	relays  []*Relay
+}
+
+// Entry is one entry process and the relay on its way to the log.
+type Entry struct {
+	*Process
+	ID     units.EntryID
+	Caller string
+	Admin  string
+	link   string
+	ToLog  *Relay
+}
+
+// Node is one worker with its agent and endpoint and the relays around them.
+type Node struct {
+	ID           units.WorkerID
+	Domain       units.DomainName
+	Worker       *Process
+	Agent        *Process
+	Endpoint     *Process
+	WorkerAt     string
+	EndpointAt   string
+	ToEntry      [entryCount]*Relay
+	ToWorker     *Relay
+	ToEndpoint   *Relay
+	Lease        *Relay // lease requests of other agents to this one
+	agentLink    string
+	agentAccepts string
+	announceAt   string // takes the endpoint's announcements
+}
+
+// Start starts a system and waits until every worker and endpoint is ready.
+// Everything ends with the test.
+func Start(t testing.TB, binaries string) *System {
+	t.Helper()
+	s := &System{t: t, dir: t.TempDir(), binaries: binaries, http: &http.Client{Timeout: 3 * time.Second}}
+	t.Cleanup(s.stop)
+	s.LogAt = FreeAddress(t)
+	s.Log = s.process("log", "wasabihill-standin", "log", "--listen", s.LogAt, "--rate", "400")
+	s.Client = &administration.Client{Token: operatorToken, Timeout: 4 * time.Second}
+	for i := range s.Entries {
+		s.Entries[i] = s.newEntry(i)
+		s.Client.Servers = append(s.Client.Servers, s.Entries[i].Admin)
+	}
+	for i := range s.Nodes {
+		s.Nodes[i] = s.newNode(i)
+	}
+	for _, p := range s.processes() {
+		p.Start(t)
+	}
+	s.publishFirst()
+	s.Until(readyWithin, "every worker and endpoint is ready", s.ready)
+	return s
+}
+
+func (s *System) processes() []*Process {
+	all := []*Process{s.Log}
+	for _, n := range s.Nodes {
+		all = append(all, n.Worker)
+	}
+	for _, e := range s.Entries {
+		all = append(all, e.Process)
+	}
+	for _, n := range s.Nodes {
+		all = append(all, n.Agent, n.Endpoint)
+	}
+	return all
+}
+
+// stop ends every process and shows the logs of a failed test.
+func (s *System) stop() {
+	if s.Nodes[workerCount-1] != nil {
+		for _, p := range s.processes() {
+			p.Kill()
+		}
+	}
+	for _, r := range s.relays {
+		r.Close()
+	}
+	s.http.CloseIdleConnections()
+	s.keepLogs()
+}
+
+// keepLogs copies the logs of a failed test to FAULTTEST_LOGS, if that is set.
+func (s *System) keepLogs() {
+	to := os.Getenv("FAULTTEST_LOGS")
+	if to == "" || !s.t.Failed() {
+		return
+	}
+	to = filepath.Join(to, filepath.Base(s.t.Name()))
+	if err := os.RemoveAll(to); err != nil {
+		s.t.Log(err)
+	}
+	if err := os.CopyFS(to, os.DirFS(s.dir)); err != nil {
+		s.t.Log(err)
+	}
+}
+
+func (s *System) process(name, binary string, args ...string) *Process {
+	return &Process{Name: name, args: append([]string{filepath.Join(s.binaries, binary)}, args...), log: filepath.Join(s.dir, name+".log")}
+}
+
+func (s *System) relay(target string) *Relay {
+	r, err := NewRelay(target)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.relays = append(s.relays, r)
+	return r
+}
+
+func (s *System) settings(name string, fields map[string]any) string {
+	data, err := json.Marshal(fields)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.dir, name+".json")
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// newEntry plans an entry process. It advertises an address on which nothing
+// listens: agents reach it over their own relays, and must not get around a
+// faulty one by an address that they learn.
+func (s *System) newEntry(i int) *Entry {
+	e := &Entry{ID: units.EntryID(fmt.Sprintf("entry-%d", i+1)), Caller: FreeAddress(s.t), Admin: FreeAddress(s.t), link: FreeAddress(s.t), ToLog: s.relay(s.LogAt)}
+	path := s.settings(string(e.ID), map[string]any{
+		"id": e.ID, "environment": environmentName, "failureDomain": domains[i], "region": "pwani",
+		"callerAddress": e.Caller, "adminAddress": e.Admin, "linkAddress": e.link, "advertisedLinkAddress": FreeAddress(s.t),
+		"logAddress": e.ToLog.Address(), "operatorToken": operatorToken,
+	})
+	e.Process = s.process(string(e.ID), "wasabihill", "entry", path)
+	return e
+}
+
+func (s *System) newNode(i int) *Node {
+	n := &Node{ID: units.WorkerID(fmt.Sprintf("worker-%d", i+1)), Domain: domains[i],
+		WorkerAt: FreeAddress(s.t), EndpointAt: FreeAddress(s.t), agentLink: FreeAddress(s.t), agentAccepts: FreeAddress(s.t)}
+	n.ToWorker, n.ToEndpoint, n.Lease = s.relay(n.WorkerAt), s.relay(n.EndpointAt), s.relay(n.agentLink)
+	var entries []string
+	for k, e := range s.Entries {
+		n.ToEntry[k] = s.relay(e.link)
+		entries = append(entries, n.ToEntry[k].Address())
+	}
+	n.announceAt = s.announcements(n)
+	path := s.settings(fmt.Sprintf("agent-%d", i+1), map[string]any{
+		"worker": n.ID, "environment": environmentName, "failureDomain": n.Domain, "rack": fmt.Sprintf("rack-%d", i+1), "region": "pwani",
+		"linkAddress": n.agentLink, "advertisedLinkAddress": n.Lease.Address(), "announceAddress": n.agentAccepts,
+		"workerAddress": n.ToWorker.Address(), "entries": entries,
+	})
+	n.Worker = s.process(string(n.ID), "wasabihill-standin", "worker", "--name", string(n.ID), "--address", n.WorkerAt,
+		"--processors", "8", "--memory", "16GB", "--usage-lag", "1s")
+	n.Agent = s.process(fmt.Sprintf("agent-%d", i+1), "wasabihill", "agent", path)
+	n.Endpoint = s.process(fmt.Sprintf("endpoint-%d", i+1), "wasabihill-standin", "endpoint", "--service", serviceName,
+		"--address", n.EndpointAt, "--agent", n.announceAt, "--slots", "8", "--connections", "64")
+	return n
+}
+
+// announcements passes the endpoint's announcements to the agent with the
+// address of the relay in place of the endpoint's own.
+func (s *System) announcements(n *Node) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var announcement map[string]any
+		if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&announcement); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		announcement["address"] = n.ToEndpoint.Address()
+		body, _ := json.Marshal(announcement) // a decoded JSON object always encodes
+		response, err := s.http.Post("http://"+n.agentAccepts+r.URL.Path, "application/json", bytes.NewReader(body))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		response.Body.Close()
+		w.WriteHeader(response.StatusCode)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { server.Close() })
+	return "http://" + listener.Addr().String()
+}
+
+// Document returns the document of the system with a quota for the team.
+func Document(processors int) []byte {
+	return fmt.Appendf(nil, `{
+  "environment": %q,
+  "failureDomains": [
+    {"name": "pwani-a", "region": "pwani", "state": "in"},
+    {"name": "pwani-b", "region": "pwani", "state": "in"},
+    {"name": "pwani-c", "region": "pwani", "state": "in"}
+  ],
+  "teams": [{"name": %q, "quota": {"processors": "%d", "memory": "64GB"}, "mayBorrow": true}],
+  "services": [{"name": %q, "team": %q, "priority": "urgent", "latencyTarget": "500ms",
+                "perEndpoint": {"processors": "2", "memory": "2GB"}, "slots": 8, "connections": 64}],
+  "watchers": [{"name": "freezeMonitor1", "team": %q, "priority": "high", "size": {"processors": "250m", "memory": "256MiB"}}],
+  "guards": {"enabled": false, "latencyRatio": 1.2},
+  "drainedWorkers": [],
+  "largestWorker": {"processors": "8", "memory": "16GB"}
+}
+`, environmentName, teamName, processors, serviceName, teamName, teamName)
+}
+
+func (s *System) publishFirst() {
+	key := administration.NewKey()
+	s.Until(readyWithin, "the document is published", func(ctx context.Context) error {
+		_, err := s.Client.Publish(ctx, administration.Publication{Environment: environmentName, Key: key, Author: "faulttest", Text: Document(32)}, "document.json")
+		return err
+	})
+}
+
+func (s *System) ready(ctx context.Context) error {
+	for _, e := range s.Entries {
+		client := administration.Client{Servers: []string{e.Admin}, Token: operatorToken, Timeout: 2 * time.Second}
+		workers, err := client.Workers(ctx)
+		if err != nil {
+			return err
+		}
+		ready := 0
+		for _, w := range workers {
+			if w.State == "ready" && w.Lessor != "" && len(w.Endpoints) == 1 && w.Endpoints[0].State == "ready" {
+				ready++
+			}
+		}
+		if ready < workerCount {
+			return fmt.Errorf("%s: %d of %d workers are ready", e.ID, ready, workerCount)
+		}
+	}
+	return nil
+}
+
+// Until repeats a condition until it returns nil, and fails the test when that
+// does not happen within the limit.
+func (s *System) Until(limit time.Duration, what string, condition func(context.Context) error) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for {
+		err := condition(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(200 * time.Millisecond):
+		case <-ctx.Done():
+			s.t.Fatalf("not within %v: %s; last: %v", limit, what, err)
+		}
+	}
+}
+
+// Fault posts to the fault interface of a stand-in.
+func (s *System) Fault(address, body string) {
+	s.t.Helper()
+	response, err := s.http.Post("http://"+address+"/v1/faults", "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		s.t.Fatalf("POST /v1/faults %s: %s", body, response.Status)
+	}
+}
+
+func (s *System) get(url string, into any) error {
+	response, err := s.http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
