--- /dev/null
+++ b/internal/faulttest/jobs_test.go
@@ -0,0 +1,170 @@
+package faulttest
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wasabihill.example/wasabihill/pkg/administration"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// maxAttempts bounds the attempts of a task that always fails: four failures on
+// at least two workers end it, or eight when it never got to a second worker.
+const maxAttempts = 8
+
+// TestJobAlwaysFails guards against a job that is tried forever, or that fails
+// without a reason that its team can see.
+func TestJobAlwaysFails(t *testing.T) {
+	s := start(t)
+	w := s.Watch(traffic)
+	for _, n := range s.Nodes {
+		s.Fault(n.WorkerAt, `{"failTasks":true}`)
+	}
+	job := s.Settle(settleWithin, "failed", s.Submit("failing", 3, time.Second))[0]
+	if job.Reason == "" {
+		t.Error("the job failed without a reason")
+	}
+	attempts, workers := make(map[string]int), make(map[string]map[units.WorkerID]bool)
+	for _, r := range s.runsOf(job.ID) {
+		attempts[r.task]++
+		if workers[r.task] == nil {
+			workers[r.task] = make(map[units.WorkerID]bool)
+		}
+		workers[r.task][r.worker] = true
+	}
+	ended := 0
+	for task, n := range attempts {
+		if n > maxAttempts {
+			t.Errorf("%s was tried %d times, want at most %d", task, n, maxAttempts)
+		}
+		if n >= 4 && len(workers[task]) >= 2 {
+			ended++
+		}
+	}
+	if ended == 0 {
+		t.Errorf("no task failed 4 times on 2 workers before the job failed: attempts %v, workers %v", attempts, workers)
+	}
+	before := len(s.runsOf(job.ID))
+	time.Sleep(2 * time.Second)
+	if after := len(s.runsOf(job.ID)); after != before {
+		t.Errorf("%d runs started after the job had failed", after-before)
+	}
+	w.Check()
+}
+
+// taskRun is one run of a task.
+type taskRun struct {
+	task   string
+	worker units.WorkerID
+	open   bool
+	start  time.Time
+}
+
+func (s *System) runsOf(ids ...units.JobID) []taskRun {
+	s.t.Helper()
+	var list []taskRun
+	for _, r := range s.Runs() {
+		for _, id := range ids {
+			if strings.HasPrefix(r.Task, string(id)+"/") {
+				list = append(list, taskRun{r.Task, r.Worker, r.Open, r.Start})
+			}
+		}
+	}
+	return list
+}
+
+// TestCancellations guards against a cancelled job that keeps running or starts
+// later, and against room that a cancelled start never gives back.
+func TestCancellations(t *testing.T) {
+	t.Parallel()
+	for _, f := range []fault{
+		{"healthy", func(*System) {}},
+		{"agentKilled", agentKilledAtRandom},
+		{"startsLate", func(s *System) {
+			s.Fault(s.Nodes[1].WorkerAt, slowStart)
+			s.Nodes[2].ToWorker.Delay(150 * time.Millisecond)
+		}},
+		{"logRepliesLost", func(s *System) { s.Fault(s.LogAt, `{"loseReplies":0.3,"late":0.1,"seed":3}`) }},
+	} {
+		t.Run(f.name, func(t *testing.T) {
+			s := start(t)
+			w := s.Watch(traffic)
+			var injecting sync.WaitGroup
+			injecting.Go(func() { f.inject(s) })
+			ids := s.cancelBurst(200)
+			injecting.Wait()
+			s.endFaults()
+			s.Settle(settleWithin, "cancelled", ids...)
+			s.Until(settleWithin, "every cancelled run has ended", func(context.Context) error {
+				for _, r := range s.runsOf(ids...) {
+					if r.open {
+						return fmt.Errorf("%s runs on %s", r.task, r.worker)
+					}
+				}
+				return nil
+			})
+			quiet := len(s.runsOf(ids...))
+			s.Settle(settleWithin, "completed", s.Submit("afterwards", 40, time.Second)) // needs the room of the whole system
+			if n := len(s.runsOf(ids...)); n != quiet {
+				t.Errorf("%d runs of cancelled jobs started after all of them had ended", n-quiet)
+			}
+			t.Logf("%d of %d cancelled jobs ran for a time", quiet, len(ids))
+			w.Check()
+		})
+	}
+}
+
+// cancelBurst submits jobs that would run for an hour and cancels each as soon
+// as it is accepted or a moment later, so that cancellations cross starts.
+func (s *System) cancelBurst(count int) []units.JobID {
+	ids := make([]units.JobID, count)
+	errs := make([]error, count)
+	var group errgroup.Group
+	group.SetLimit(24)
+	for i := range ids {
+		group.Go(func() error {
+			ids[i], errs[i] = s.submitAndCancel(i)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	return ids
+}
+
+func (s *System) submitAndCancel(i int) (id units.JobID, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	defer cancel()
+	name := fmt.Sprintf("cancelled-%d", i)
+	body := administration.EncodeSubmission(administration.Submission{Team: teamName, Name: name, Kind: "plan", Tasks: 1,
+		Priority: units.PriorityNormal, Size: units.Resources{Processors: 1000, Memory: units.GiB}, RunTime: time.Hour})
+	job, err := repeat(ctx, func() (administration.Job, error) { return s.Client.Submit(ctx, name+".json", body, name) })
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(time.Duration(i%8) * 30 * time.Millisecond) // 0 to 210 ms: before, during and after the start
+	key := administration.NewKey()
+	_, err = repeat(ctx, func() (administration.Job, error) { return s.Client.Cancel(ctx, job.ID, "changed plans", key) })
+	return job.ID, err
+}
+
+// repeat repeats a call under one key until it succeeds or ctx ends.
+func repeat[T any](ctx context.Context, call func() (T, error)) (T, error) {
+	for {
+		value, err := call()
+		if err == nil || ctx.Err() != nil {
+			return value, err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/faulttest/system.go
+++ b/internal/faulttest/system.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +76,7 @@
 	agentLink    string
 	agentAccepts string
 	announceAt   string // takes the endpoint's announcements
+	leaving      atomic.Bool
 }
 
 // Start starts a system and waits until every worker and endpoint is ready.
@@ -206,6 +208,10 @@
 	return n
 }
 
+// Leave has the endpoint announce that it is leaving. It serves on, so that it
+// shows which requests still reach it.
+func (n *Node) Leave() { n.leaving.Store(true) }
+
 // announcements passes the endpoint's announcements to the agent with the
 // address of the relay in place of the endpoint's own.
 func (s *System) announcements(n *Node) string {
@@ -220,6 +226,9 @@
 			return
 		}
 		announcement["address"] = n.ToEndpoint.Address()
+		if n.leaving.Load() {
+			announcement["state"] = "leaving"
+		}
 		body, _ := json.Marshal(announcement) // a decoded JSON object always encodes
 		response, err := s.http.Post("http://"+n.agentAccepts+r.URL.Path, "application/json", bytes.NewReader(body))
 		if err != nil {
--- a/internal/faulttest/witness.go
+++ b/internal/faulttest/witness.go
@@ -20,6 +20,7 @@
 // while faults were injected.
 type Witness struct {
 	*System
+	began   time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
@@ -34,7 +35,7 @@
 // Watch starts traffic of callers and the sampling of workers and entry processes.
 func (s *System) Watch(traffic time.Duration) *Witness {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Witness{System: s, cancel: cancel, samples: make(map[string]load.Sample), versions: make(map[*Entry]units.Offset)}
+	w := &Witness{System: s, began: time.Now(), cancel: cancel, samples: make(map[string]load.Sample), versions: make(map[*Entry]units.Offset)}
 	s.t.Cleanup(func() { cancel(); w.running.Wait() })
 	for prefix, nonIdempotent := range map[string]float64{"quick-": 0, "order-": 1} {
 		w.running.Go(func() { w.send(ctx, prefix, nonIdempotent, traffic) })
@@ -197,9 +198,11 @@
 	w.t.Helper()
 	w.cancel()
 	w.running.Wait()
-	for _, o := range worker.Overlaps(w.Runs()) {
+	runs := w.Runs()
+	for _, o := range worker.Overlaps(runs) {
 		w.t.Errorf("guarantee 2, two runs at once: %s", o)
 	}
+	w.t.Logf("after %v: runs of tasks %v", time.Since(w.began).Round(time.Second), ends(runs))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, list := range []struct {
@@ -213,6 +216,18 @@
 	w.checkRequests(w.Executed())
 }
 
+// ends counts runs by how they ended.
+func ends(runs []worker.Run) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range runs {
+		counts[string(r.State)]++
+		if r.Attempt > 1 {
+			counts["repeated"]++
+		}
+	}
+	return counts
+}
+
 func (w *Witness) checkRequests(executed map[string]int) {
 	w.t.Helper()
 	outcomes := make(map[string]int)
