--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -22,6 +22,9 @@
 	// at full rate they cost more than twice the traffic that a node may use, and
 	// an endpoint stays eligible while an entry hears of it within 2 s.
 	heartbeatSpacing = 110 * time.Millisecond
+	// fewEntries is up to how many entries every one of them gets each report
+	// at once.
+	fewEntries = 5
 	// heartbeatTimeout is when a silent session is given up and redialled.
 	heartbeatTimeout = 1500 * time.Millisecond
 	firstBackoff     = 100 * time.Millisecond
