Let a lessor grant without a lease of its own

cause: a lessor granted only under its own valid lease, so that one death during a log outage stopped lessee after lessee, 8 s apart. A lack of room was ruled out: no task was evicted. change: a lessor needs evidence at most 15 min old that its epoch is in force, and the worker's confirmation; an expiry by chain waits 15 min longer unless a higher epoch has replaced the lessor. The current lessor may be chosen anew when there is no other.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/guard"
+	"wasabihill.example/wasabihill/internal/leases"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
@@ -26,10 +27,8 @@
 )
 
 const (
-	// leaseDuration is L of docs/design.md.
-	leaseDuration = 8 * time.Second
-	// leaseMargin covers clock drift and scheduling pauses of the lessor.
-	leaseMargin = time.Second
+	leaseDuration = leases.Duration
+	leaseMargin   = leases.Margin
 	// freshness is how old the evidence of the tail of config may be when a
 	// task starts.
 	freshness = 2500 * time.Millisecond
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -121,7 +121,7 @@
 		a.AcknowledgeEvents(reply.EventsAcknowledged)
 	}
 	a.applyConfiguration(reply, document, parseErr, sent)
-	a.applyRegistration(reply, now)
+	a.applyRegistration(reply, sent, now)
 	if units.Epoch(reply.RegisteredEpoch) == a.epoch {
 		a.applyLessees(reply.Lessees, sent, now)
 	}
--- a/internal/agent/lessee.go
+++ b/internal/agent/lessee.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/leases"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
 )
@@ -36,6 +37,7 @@
 	unbounded bool      // no other worker exists that could take over
 	askAt     time.Time // when to ask for the first lessor; zero while there is none
 	available bool      // an entry knows a worker that could be the lessor
+	mayGrant  time.Time // until when this epoch may grant leases to others
 	deadline  time.Time // send time of the last granted request + leaseDuration
 	granted   time.Time // send time of the last granted request; zero for none in this term
 	wants     bool      // asked for another lessor; never renews in this term again
@@ -61,7 +63,7 @@
 
 // applyRegistration takes in what an entry has folded about this worker. An
 // entry that is behind reports a lower term, which is ignored.
-func (a *Agent) applyRegistration(reply *wire.HeartbeatReply, now time.Time) {
+func (a *Agent) applyRegistration(reply *wire.HeartbeatReply, sent, now time.Time) {
 	l := &a.lease
 	if units.Epoch(reply.RegisteredEpoch) != a.epoch || !a.adopted {
 		return
@@ -76,6 +78,9 @@
 		a.event("workerRegistered", string(a.WorkerID), "")
 	}
 	l.available = reply.LessorAvailable
+	if until := sent.Add(leases.GrantRight - leases.EvidenceAge); reply.LogReachable && until.After(l.mayGrant) {
+		l.mayGrant = until
+	}
 	if term := units.Term(reply.LeaseTerm); term > l.term {
 		a.beginTerm(reply, term, now)
 	}
--- a/internal/agent/lessor.go
+++ b/internal/agent/lessor.go
@@ -65,10 +65,17 @@
 	return false
 }
 
-// inForce reports whether this agent may speak as a lessor: its own lease is
-// valid and the worker has just confirmed its epoch.
+// mayGrant reports whether this agent may speak as a lessor: it has had evidence
+// that its epoch is in force, and the worker has just confirmed it. Its own
+// lease is not needed: an expiry by chain waits for leases.GrantRight.
+func (a *Agent) mayGrant(now time.Time) bool {
+	return a.adopted && a.failure == nil && now.Before(a.lease.mayGrant) && now.Sub(a.worker.confirmed) < confirmWindow
+}
+
+// inForce reports whether this agent may run tasks of a lessee: it may grant,
+// and its own lease is valid.
 func (a *Agent) inForce(now time.Time) bool {
-	return a.adopted && a.failure == nil && a.lease.registered && a.lease.valid(now) && now.Sub(a.worker.confirmed) < confirmWindow
+	return a.mayGrant(now) && a.lease.registered && a.lease.valid(now)
 }
 
 // serveLease answers POST /link/lease.
@@ -86,8 +93,8 @@
 	switch {
 	case request.Lessor != string(a.WorkerID) || units.Epoch(request.LessorEpoch) != a.epoch:
 		return "this is another lessor"
-	case !a.inForce(now):
-		return "the lessor has no valid lease"
+	case !a.mayGrant(now):
+		return "the lessor has no recent evidence that its epoch is in force"
 	case l == nil || l.epoch != units.Epoch(request.Epoch) || l.term != units.Term(request.Term):
 		return "not a lessee in this epoch and term"
 	case l.attested || !now.Before(l.expiry()):
@@ -114,7 +121,7 @@
 			delete(a.lessees, id)
 			continue
 		}
-		if !l.attested && !now.Before(l.expiry()) && a.inForce(now) {
+		if !l.attested && !now.Before(l.expiry()) && a.mayGrant(now) {
 			l.attested = true
 			a.beatEarly()
 			a.event("leaseExpired", string(l.worker), "no grant for the duration of the lease")
@@ -127,7 +134,7 @@
 // watcher anew, so its activation has to be reported no later. Once an
 // attestation has been sent, no standby of the holder is activated any more.
 func (a *Agent) expiries(now time.Time) []*wire.LeaseExpiry {
-	if !a.inForce(now) {
+	if !a.mayGrant(now) {
 		return nil
 	}
 	var out []*wire.LeaseExpiry
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,8 +145,11 @@
 	return v.document, v.offset
 }
 
-// logReachable reports whether the tail of the config stream was read recently.
-func (e *Entry) logReachable(now time.Time) bool { return e.config.Staleness(now) < reachable }
+// logReachable reports whether the tails of the config and members streams were
+// read recently.
+func (e *Entry) logReachable(now time.Time) bool {
+	return max(e.config.Staleness(now), e.members.Staleness(now)) < reachable
+}
 
 // do runs fn on the control goroutine and waits for it.
 func (e *Entry) do(ctx context.Context, fn func(*control)) error {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -329,3 +329,66 @@
 		}
 	}
 }
+
+// Guards against one death during a log outage that stops every worker: each
+// lessor that loses its own lease would refuse its lessee the next one.
+func TestLeasesOutliveADeathInAnOutage(t *testing.T) {
+	t.Parallel()
+	const workers = 6
+	c := newCluster(t, 2, workers, "")
+	id := c.submit("job-1", 4*workers, time.Hour)
+	c.eventually("all tasks run", func() bool {
+		job, _ := c.backend().Job(t.Context(), id)
+		return job.Tasks.Running == 4*workers
+	})
+	list, err := c.backend().Workers(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before, lessees int
+	for i, w := range c.workers {
+		if runningOn(w) > 0 && i > 0 {
+			before++
+		}
+	}
+	for _, w := range list {
+		if w.Lessor == c.workers[0].Name {
+			lessees++
+		}
+	}
+	c.log.SetFaults(logservice.Faults{Outage: true})
+	c.workers[0].SetFaults(worker.Faults{Unreachable: true})
+	c.agents[0].stop()
+	time.Sleep(45 * time.Second) // five leases: a chain of refusals would have stopped all
+	after := 0
+	for i, w := range c.workers {
+		if runningOn(w) > 0 && i > 0 {
+			after++
+		}
+	}
+	if want := before - lessees; after < want {
+		t.Errorf("workers that still run tasks: got %d, want at least %d (%d before, %d had the lost one as lessor)", after, want, before, lessees)
+	}
+	c.log.SetFaults(logservice.Faults{})
+	c.eventually("every task runs again", func() bool {
+		job, err := c.backend().Job(t.Context(), id)
+		if err != nil || job.Tasks.Running != 4*workers {
+			return false
+		}
+		sum := 0
+		for _, w := range c.workers[1:] {
+			sum += runningOn(w)
+		}
+		return sum == 4*workers
+	})
+	c.checkRuns()
+}
+
+func runningOn(w *worker.Core) (n int) {
+	for _, r := range w.Runs() {
+		if r.Open {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -4,16 +4,13 @@
 	"fmt"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/leases"
 	"wasabihill.example/wasabihill/internal/roster"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
 const (
-	// leaseFor and leaseMargin are the lease L and the margin for clock drift
-	// and pauses that a lessor adds before it attests an expiry.
-	leaseFor    = 8 * time.Second
-	leaseMargin = time.Second
 	// foreignAfter is how long this process leaves a worker or a report to its
 	// owner before it acts itself; a repeated record is ignored by the fold.
 	foreignAfter = 3 * time.Second
@@ -74,7 +71,12 @@
 func (c *control) proposeLessor(w *workerRow, known roster.Worker, now time.Time) {
 	place := roster.Place{Domain: known.Domain, Rack: known.Rack, Region: known.Region}
 	lessor, ok := c.chooseLessor(w.id, place, known.Lessor, now)
-	if !ok || lessor == known.Lessor {
+	if !ok {
+		// Where only two workers are left, the current lessor in a new term is
+		// better than none: the lessee has given up the present term.
+		lessor, ok = c.chooseLessor(w.id, place, roster.Holder{}, now)
+	}
+	if !ok {
 		return
 	}
 	key := fmt.Sprintf("lessor/%s@%d/%d", w.id, known.Epoch, known.Term)
@@ -135,48 +137,58 @@
 }
 
 // expireChains records the expiry of workers whose lessor has ended and who
-// have not changed lessor: the lessor granted nothing after its own lease, so
-// L plus the margin after both facts are known the lease has run out.
+// have not changed lessor, once the lessor can grant nothing any more and its
+// last grant has run out.
 func (c *control) expireChains(now time.Time) {
-	var due []roster.Worker
-	c.Entry.members.View(func(r *roster.Roster) {
-		for _, w := range r.Workers() {
-			if !w.Holds() {
-				continue
-			}
-			if _, ok := r.ChainExpirable(w.ID); !ok {
-				continue
-			}
-			if lessor, ok := r.Worker(w.Lessor.Worker); ok && lessor.Holds() && !c.accounted(lessor) {
-				continue
-			}
-			due = append(due, w)
-		}
-	})
-	seen := make(map[roster.Holder]bool, len(due))
-	for _, d := range due {
-		h := d.Holder()
-		seen[h] = true
+	due := c.chained()
+	for h, d := range due {
 		since, ok := c.chain[h]
 		if !ok {
 			c.chain[h] = now
 			continue
 		}
-		if now.Sub(since) < leaseFor+leaseMargin || !c.owners.Load().owns("worker/"+string(h.Worker)) {
+		if now.Sub(since) < d.wait || !c.owners.Load().owns("worker/"+string(h.Worker)) || c.catchingUp(now) {
 			continue
 		}
-		if !c.catchingUp(now) {
-			key := fmt.Sprintf("expire/%s@%d/%d", h.Worker, h.Epoch, d.Term)
-			c.members.add(key, now, roster.EncodeLeaseExpired(h, d.Term))
+		key := fmt.Sprintf("expire/%s@%d/%d", h.Worker, h.Epoch, d.term)
+		if c.members.add(key, now, roster.EncodeLeaseExpired(h, d.term)) {
+			c.recorder.Record("worker", "leaseExpired", string(h.Worker), "its lessor has ended before", "")
 		}
 	}
 	for h := range c.chain {
-		if !seen[h] {
+		if _, ok := due[h]; !ok {
 			delete(c.chain, h)
 		}
 	}
 }
 
+// chainedExpiry is a worker whose lessor has ended.
+type chainedExpiry struct {
+	term units.Term
+	wait time.Duration // from when the end is known until the lease has certainly ended
+}
+
+// chained returns the workers in force whose lessor has ended.
+func (c *control) chained() map[roster.Holder]chainedExpiry {
+	due := make(map[roster.Holder]chainedExpiry)
+	c.Entry.members.View(func(r *roster.Roster) {
+		for _, w := range r.Workers() {
+			if _, ok := r.ChainExpirable(w.ID); !ok || !w.Holds() {
+				continue
+			}
+			d := chainedExpiry{w.Term, leases.ExpiredChainWait}
+			if lessor, ok := r.Worker(w.Lessor.Worker); ok && lessor.Holds() {
+				d.wait = leases.ReplacedChainWait
+				if !c.accounted(lessor) {
+					continue
+				}
+			}
+			due[w.Holder()] = d
+		}
+	})
+	return due
+}
+
 // accounted reports whether a lessor that has come back with a newer epoch has
 // said what its worker runs, and everything that it activated as a standby
 // before is recorded. Until then an expiry of its lessee would let a watcher
