--- a/internal/capacity/agents.go
+++ b/internal/capacity/agents.go
@@ -31,9 +31,13 @@
 func startAgents(ctx context.Context, s agentsSettings) (any, func(bool) Sample, func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
-	var documents, last atomic.Int64
+	var documents, parsed, last atomic.Int64
 	for i := range s.Count {
 		a := newAgent(i, s)
+		a.ParseDocument = func(text []byte) (*environment.Document, error) {
+			parsed.Add(1)
+			return environment.Parse("configuration", text)
+		}
 		a.Document = func(*environment.Document) {
 			documents.Add(1)
 			last.Store(time.Now().UnixNano())
@@ -60,7 +64,7 @@
 	}
 	return struct{}{}, func(collect bool) Sample {
 		sample := Take(classify, collect)
-		sample.Counters = map[string]int64{"documents": documents.Load()}
+		sample.Counters = map[string]int64{"documents": documents.Load(), "parsed": parsed.Load()}
 		sample.LastDocument = time.Unix(0, last.Load())
 		return sample
 	}, func() { cancel(); running.Wait() }, nil
--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -50,6 +50,8 @@
 	EntriesEnd  Sample
 	EntriesIdle Sample          // after a collection, before any task
 	InForce     []time.Duration // from the publication to the last agent
+	Parsed      []float64       // times that an agent parsed each document
+	ChangeBytes []float64       // payload between an agent and entry processes meanwhile
 	Urgent      []time.Duration // from submission to the start on a worker
 }
 
@@ -243,16 +245,19 @@
 		if err := c.publish(ctx); err != nil {
 			return err
 		}
-		var last time.Time
+		var last Sample
 		err = await(ctx, "the document is in force in every agent", func() bool {
 			s, err := c.agents.sample(false)
-			last = s.LastDocument
+			last = s
 			return err == nil && s.Counters["documents"]-before.Counters["documents"] >= int64(c.Workers)
 		})
 		if err != nil {
 			return err
 		}
-		r.InForce = append(r.InForce, last.Sub(published))
+		n := float64(c.Workers)
+		r.InForce = append(r.InForce, last.LastDocument.Sub(published))
+		r.Parsed = append(r.Parsed, float64(last.Counters["parsed"]-before.Counters["parsed"])/n)
+		r.ChangeBytes = append(r.ChangeBytes, (float64(last.Traffic["entries"].Payload())-float64(before.Traffic["entries"].Payload()))/n)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/capacity/document_test.go
@@ -0,0 +1,31 @@
+package capacity
+
+import (
+	"testing"
+
+	"wasabihill.example/wasabihill/pkg/environment"
+)
+
+// Guards against a measurement of a document that agents reject.
+func TestDocumentIsValid(t *testing.T) {
+	d, err := environment.Parse("document", document(3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(d.Teams), teams; got != want {
+		t.Errorf("teams: got %d, want %d", got, want)
+	}
+}
+
+// BenchmarkDocument measures what each agent and entry process spends on a new
+// document.
+func BenchmarkDocument(b *testing.B) {
+	text := document(0)
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := environment.Parse("document", text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -40,7 +40,8 @@
 	fmt.Fprintf(w, "per entry process after a collection: %.1f MB idle, %.1f MB with tasks; process %.0f MB resident\n",
 		mega(r.EntriesIdle.Heap)/n, mega(r.EntriesEnd.Heap)/n, mega(r.EntriesEnd.Resident))
 	if len(r.InForce) > 0 {
-		fmt.Fprintf(w, "document of %d B in force in the last agent after %v\n", len(document(0)), r.InForce)
+		fmt.Fprintf(w, "document of %d B in force in the last agent after %v; an agent parsed it %.2f times and exchanged %.0f B meanwhile\n",
+			len(document(0)), r.InForce, r.Parsed, r.ChangeBytes)
 	}
 	if k := len(r.Urgent); k > 0 {
 		fmt.Fprintf(w, "urgent starts under load: %d, median %v, longest %v\n", k, r.Urgent[k/2], r.Urgent[k-1])
