--- a/internal/capacity/child.go
+++ b/internal/capacity/child.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // A child is a process of the measurement that holds one role, so that the
@@ -85,6 +87,8 @@
 // serveChild is the child's side: it reads the settings, starts the role, says
 // that it is ready, and answers until the parent closes the pipe.
 func serveChild[S any](ctx context.Context, start func(context.Context, S) (ready any, sample func(collect bool) Sample, stop func(), err error)) error {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard) // every entry process reports every document
 	input := bufio.NewScanner(os.Stdin)
 	input.Buffer(nil, 1<<20)
 	if !input.Scan() {
