--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"wasabihill.example/wasabihill/internal/generated"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -56,6 +58,12 @@
 
 var request = Request{Service: "s", Idempotent: true}
 
+// TestMain fixes the seed of generated requests.
+func TestMain(m *testing.M) {
+	generated.Configure(100)
+	os.Exit(m.Run())
+}
+
 // Guards against requests to an endpoint that must not get any.
 func TestEligibility(t *testing.T) {
 	ready := beat("a", "r", wire.EndpointState_ENDPOINT_STATE_READY, 0)
