--- a/pkg/environment/environment_test.go
+++ b/pkg/environment/environment_test.go
@@ -39,7 +39,7 @@
 		{"not a number", `"250m"`, `"NaN"`, `watchers[0].size.processors: processors "NaN"`},
 		{"zero size", `"250m"`, `"0"`, "watchers[0].size.processors: got 0; want more than 0"},
 		{"watcher too large", `"250m"`, `"33"`, "watchers[0].size.processors: got 33; want at most the 32 of largestWorker"},
-		{"endpoint too large", `"16GiB"`, `"126GB"`, "services[0].perEndpoint.memory: got 123046875KiB; want at most"},
+		{"endpoint too large", `"16GiB"`, `"126GB"`, "services[0].perEndpoint.memory: got 126GB; want at most the 125GB of largestWorker"},
 		{"few connections", `"connections": 64`, `"connections": 7`, "services[0].connections: got 7; want at least the 8 slots"},
 		{"latency target", `"50ms"`, `"-50ms"`, `services[0].latencyTarget: duration "-50ms"`},
 		{"latency ratio", `1.2`, `0.9`, "guards.latencyRatio: got 0.9; want a number of at least 1"},
--- a/pkg/units/units.go
+++ b/pkg/units/units.go
@@ -92,55 +92,62 @@
 	return strconv.FormatFloat(float64(m)/1000, 'f', -1, 64)
 }
 
-// String formats b with the largest binary unit that divides it.
+// String formats b with the largest unit that divides it, binary units first.
 func (b Bytes) String() string {
-	switch {
-	case b != 0 && b%GiB == 0:
-		return fmt.Sprintf("%dGiB", b/GiB)
-	case b != 0 && b%MiB == 0:
-		return fmt.Sprintf("%dMiB", b/MiB)
-	case b != 0 && b%KiB == 0:
-		return fmt.Sprintf("%dKiB", b/KiB)
+	for _, u := range byteUnits {
+		if b != 0 && b%u.size == 0 {
+			return strconv.FormatInt(int64(b/u.size), 10) + u.suffix
+		}
+	}
+	return strconv.FormatInt(int64(b), 10) + "B"
+}
+
+// parseDecimal reads a plain decimal number. strconv also takes hexadecimal
+// numbers, exponents, NaN and infinities, none of which is a size.
+func parseDecimal(s string) (float64, bool) {
+	if s == "" || strings.Trim(s, "0123456789.") != "" {
+		return 0, false
 	}
-	return fmt.Sprintf("%dB", int64(b))
+	f, err := strconv.ParseFloat(s, 64)
+	return f, err == nil
 }
 
 // ParseMillicores reads cores such as "2", "0.5" or "250m".
 func ParseMillicores(s string) (Millicores, error) {
 	if head, ok := strings.CutSuffix(s, "m"); ok {
-		n, err := strconv.ParseInt(head, 10, 64)
-		if err != nil || n < 0 {
+		n, err := strconv.ParseUint(head, 10, 40)
+		if err != nil {
 			return 0, fmt.Errorf("processors %q: want cores such as \"2\", \"0.5\" or \"250m\"", s)
 		}
 		return Millicores(n), nil
 	}
-	f, err := strconv.ParseFloat(s, 64)
-	if err != nil || f < 0 || f > 1e6 {
+	f, ok := parseDecimal(s)
+	if !ok || f > 1e6 {
 		return 0, fmt.Errorf("processors %q: want cores such as \"2\", \"0.5\" or \"250m\"", s)
 	}
 	return Millicores(f*1000 + 0.5), nil
 }
 
-// byteSuffixes lists the accepted units of memory.
-var byteSuffixes = []struct {
+// byteUnits lists the units of memory in the order in which String tries them.
+var byteUnits = []struct {
 	suffix string
 	size   Bytes
-}{{"KiB", KiB}, {"MiB", MiB}, {"GiB", GiB}, {"TiB", 1 << 40}, {"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1}}
+}{{"TiB", 1 << 40}, {"GiB", GiB}, {"TB", 1e12}, {"GB", 1e9}, {"MiB", MiB}, {"MB", 1e6}, {"KiB", KiB}, {"KB", 1e3}, {"B", 1}}
 
 // ParseBytes reads memory such as "512MiB" or "125GB".
 func ParseBytes(s string) (Bytes, error) {
-	for _, u := range byteSuffixes {
+	for _, u := range byteUnits {
 		head, ok := strings.CutSuffix(s, u.suffix)
 		if !ok {
 			continue
 		}
-		f, err := strconv.ParseFloat(head, 64)
-		if err != nil || f < 0 || f*float64(u.size) > 1<<60 {
+		f, ok := parseDecimal(head)
+		if !ok || f*float64(u.size) > 1<<60 {
 			break
 		}
 		return Bytes(f * float64(u.size)), nil
 	}
-	return 0, fmt.Errorf("memory %q: want a number and one of KiB, MiB, GiB, TiB, KB, MB, GB, B", s)
+	return 0, fmt.Errorf("memory %q: want a number and one of KiB, MiB, GiB, TiB, KB, MB, GB, TB, B", s)
 }
 
 // Priority ranks work by its value to the business; a higher value goes first.
