--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,8 @@
 	requests     Requests
 	calls        chan func(*control)
 	document     atomic.Pointer[version]
+	refresh      sync.Mutex   // of examined, and of putting a document in force
+	examined     units.Offset // newest version that has been looked at
 	owners       atomic.Pointer[owners]
 	draining     atomic.Bool
 	descriptions descriptions
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -31,7 +31,7 @@
 	if err := e.do(ctx, func(c *control) { c.observe(m, session, now); c.answer(m, reply, now) }); err != nil {
 		return nil, err
 	}
-	e.describeConfig(m, reply, time.Now())
+	e.describeConfig(units.Offset(m.GetConfigOffset()), reply)
 	if len(m.GetEvents()) > 0 {
 		reply.EventsAcknowledged = e.collector.Acknowledged(m.GetProcess())
 	}
@@ -39,21 +39,6 @@
 	return reply, nil
 }
 
-// describeConfig says which document this process has and how certain it is
-// that there is no newer one.
-func (e *Entry) describeConfig(m *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) {
-	reply.LogReachable = e.logReachable(now)
-	reply.ConfigStalenessMilliseconds = e.config.Staleness(now).Milliseconds()
-	v := e.document.Load()
-	if v == nil {
-		return
-	}
-	reply.ConfigOffset = uint64(v.offset)
-	if m.GetConfigOffset() < uint64(v.offset) {
-		reply.ConfigDocument = v.raw
-	}
-}
-
 // observe takes over what the heartbeat says.
 func (c *control) observe(m *wire.Heartbeat, session *link.Session, now time.Time) {
 	c.counters.heartbeats.Inc(1)
