Require that a lease fault hits its victim and follow a watcher

cause: the faults of internal/faulttest hit a fixed node, on which often no long task ran, so that a paused worker or a silent connection ended no lease. change: the victim is the node of a long task, and cases whose leases must end fail when none did.

--- a/internal/faulttest/domain_test.go
+++ b/internal/faulttest/domain_test.go
@@ -11,9 +11,9 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// fewSeconds is how long a process may take to obey that a domain is out or an
+// obeyWithin is how long a process may take to obey that a domain is out or an
 // endpoint is leaving.
-const fewSeconds = 3 * time.Second
+const obeyWithin = 3 * time.Second
 
 // TestDomainOut guards against an agent that starts tasks in a failure domain
 // that operators have taken out because the news has not reached it, or because
@@ -25,24 +25,24 @@
 		{"repliesToAgentVanish", func(s *System) { silenceEntries(s, false, true) }},
 		{"heartbeatsVanish", func(s *System) { silenceEntries(s, true, false) }},
 		{"agentPaused", func(s *System) {
-			s.Nodes[1].Agent.Signal(syscall.SIGSTOP)
-			time.AfterFunc(fewSeconds+time.Second, func() { s.Nodes[1].Agent.Signal(syscall.SIGCONT) })
+			s.Victim.Agent.Signal(syscall.SIGSTOP)
+			time.AfterFunc(obeyWithin+time.Second, func() { s.Victim.Agent.Signal(syscall.SIGCONT) })
 		}},
-		{"startsLate", func(s *System) { s.Nodes[1].ToWorker.Delay(800 * time.Millisecond) }},
-		{"workerAnswersLate", func(s *System) { s.Fault(s.Nodes[1].WorkerAt, `{"delay":700000000}`) }},
-		{"agentKilled", func(s *System) { s.Nodes[1].Agent.Kill(); s.Nodes[1].Agent.Start(s.t) }},
+		{"startsLate", func(s *System) { s.Victim.ToWorker.Delay(800 * time.Millisecond) }},
+		{"workerAnswersLate", func(s *System) { s.Fault(s.Victim.WorkerAt, `{"delay":700000000}`) }},
+		{"agentKilled", func(s *System) { s.Victim.Agent.Kill(); s.Victim.Agent.Start(s.t) }},
 		{"slowLog", func(s *System) { s.Fault(s.LogAt, `{"delay":"500ms"}`) }},
 	} {
 		t.Run(f.name, func(t *testing.T) {
 			s := start(t)
 			w := s.Watch(traffic)
-			jobs := []units.JobID{s.Submit("first", 90, time.Second), s.Submit("second", 90, time.Second)}
+			jobs := []units.JobID{s.Submit("first", 80, time.Second), s.Submit("second", 80, time.Second)}
 			time.Sleep(1500 * time.Millisecond)
 			f.inject(s)
 			out := s.setDomain(environment.DomainOut)
-			time.Sleep(fewSeconds + 3*time.Second)
+			time.Sleep(obeyWithin + 2500*time.Millisecond)
 			s.endFaults()
-			time.Sleep(2 * time.Second)
+			time.Sleep(time.Second)
 			in := time.Now()
 			s.setDomain(environment.DomainIn)
 			s.Settle(settleWithin, "completed", jobs...)
@@ -53,24 +53,24 @@
 }
 
 func silenceEntries(s *System, forward, backward bool) {
-	for _, r := range s.Nodes[1].ToEntry {
+	for _, r := range s.Victim.ToEntry {
 		r.Silence(forward, backward)
 	}
 }
 
 func (s *System) endFaults() {
 	restore(s.relays...)
-	s.Fault(s.Nodes[1].WorkerAt, `{}`)
+	s.Fault(s.Victim.WorkerAt, `{}`)
 	s.Fault(s.LogAt, `{}`)
 }
 
-// setDomain takes the domain of the second node out or in, and returns when the
+// setDomain takes the victim's domain out or in, and returns when the
 // operator was told.
 func (s *System) setDomain(state environment.DomainState) time.Time {
 	s.t.Helper()
 	key := administration.NewKey()
 	s.Until(20*time.Second, "the domain is "+string(state), func(ctx context.Context) error {
-		_, err := s.Client.SetDomainState(ctx, environmentName, s.Nodes[1].Domain, state, "faulttest", key)
+		_, err := s.Client.SetDomainState(ctx, environmentName, s.Victim.Domain, state, "faulttest", key)
 		return err
 	})
 	return time.Now()
@@ -80,9 +80,9 @@
 	s.t.Helper()
 	before, elsewhere := 0, 0
 	for _, r := range s.Runs() {
-		inDomain := r.Worker == s.Nodes[1].ID
+		inDomain := r.Worker == s.Victim.ID
 		switch {
-		case inDomain && r.Start.After(out.Add(fewSeconds)) && r.Start.Before(in):
+		case inDomain && r.Start.After(out.Add(obeyWithin)) && r.Start.Before(in):
 			s.t.Errorf("guarantee 4: %s attempt %d started on %s %v after the domain was taken out", r.Task, r.Attempt, r.Worker, r.Start.Sub(out))
 		case inDomain && r.Start.Before(out):
 			before++
@@ -101,21 +101,21 @@
 func TestEndpointLeaves(t *testing.T) {
 	t.Parallel()
 	for _, f := range []fault{
-		{"entryHearsNothing", func(s *System) { s.Nodes[1].ToEntry[0].Silence(true, false) }},
+		{"entryHearsNothing", func(s *System) { s.Victim.ToEntry[0].Silence(true, false) }},
 		{"entryPaused", func(s *System) { paused(2*time.Second, s.Entries[0].Process) }},
-		{"agentReplaced", func(s *System) { s.Nodes[1].Agent.Kill(); s.Nodes[1].Agent.Start(s.t) }},
+		{"agentReplaced", func(s *System) { s.Victim.Agent.Kill(); s.Victim.Agent.Start(s.t) }},
 	} {
 		t.Run(f.name, func(t *testing.T) {
 			s := start(t)
 			w := s.Watch(traffic)
 			time.Sleep(time.Second)
-			s.Nodes[1].Leave()
+			s.Victim.Leave()
 			left := time.Now()
 			f.inject(s)
-			time.Sleep(time.Until(left.Add(fewSeconds + time.Second))) // announcements come every second
-			before := s.executedAt(s.Nodes[1])
+			time.Sleep(time.Until(left.Add(obeyWithin + time.Second))) // announcements come every second
+			before := s.executedAt(s.Victim)
 			time.Sleep(5 * time.Second)
-			if after := s.executedAt(s.Nodes[1]); before == 0 || after != before {
+			if after := s.executedAt(s.Victim); before == 0 || after != before {
 				t.Errorf("guarantee 8: executed %d requests until 4 s after it announced that it is leaving, and %d by 9 s", before, after)
 			}
 			w.Check()
--- a/internal/faulttest/fault_test.go
+++ b/internal/faulttest/fault_test.go
@@ -1,6 +1,8 @@
 package faulttest
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"log"
 	"os"
@@ -9,8 +11,12 @@
 	"time"
 
 	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/pkg/workerapi"
 )
 
+// watcherJob is the job of the watcher that the document names.
+const watcherJob units.JobID = "watcher/freezeMonitor1"
+
 var binaries string
 
 func TestMain(m *testing.M) {
@@ -63,20 +69,49 @@
 	inject func(*System)
 }
 
-var faults = []fault{
+// leaseFaults last so long that the leases of the victim's tasks end.
+var leaseFaults = []fault{
 	{"agentKilled", agentKilled},
+	{"agentPaused", func(s *System) { paused(pause, s.Victim.Agent) }},
+	{"workerPaused", func(s *System) { paused(pause, s.Victim.Worker) }},
+	{"silentAgentWorker", func(s *System) { silentFor(pause, true, true, s.Victim.ToWorker) }},
+	{"agentPausedInLogOutage", agentPausedInLogOutage},
+	{"agentPausedWhileEntryIsKilled", agentPausedWhileEntryIsKilled},
+	{"agentPartitionedInLogOutage", agentPartitionedInLogOutage},
+}
+
+// TestLeasesEnd guards against a task that is lost, or runs in two places, when
+// the lease of its worker ends while its holder is dead, paused or cut off.
+func TestLeasesEnd(t *testing.T) {
+	t.Parallel()
+	for _, f := range leaseFaults {
+		t.Run(f.name, func(t *testing.T) {
+			s := start(t)
+			runFault(s, f, 11*time.Second) // still running when the lease ends
+			expired := 0
+			for _, r := range s.Runs() {
+				if r.Worker == s.Victim.ID && r.State == workerapi.Expired {
+					expired++
+				}
+			}
+			if expired == 0 {
+				t.Errorf("no lease ended on %s, so the fault missed its victim", s.Victim.ID)
+			}
+		})
+	}
+}
+
+// faults are shorter than a lease, or leave the leases alone.
+var faults = []fault{
 	{"agentKilledAtRandom", agentKilledAtRandom},
-	{"agentPaused", func(s *System) { paused(pause, s.Nodes[1].Agent) }},
-	{"workerPaused", func(s *System) { paused(pause, s.Nodes[1].Worker) }},
 	{"entryPaused", func(s *System) { paused(pause, s.Entries[0].Process) }},
 	{"entryKilled", entryKilled},
-	{"silentEntryAgent", func(s *System) { silent(true, true, s.Nodes[1].ToEntry[0]) }},
-	{"silentBothEntriesAgent", func(s *System) { silent(true, true, s.Nodes[1].ToEntry[:]...) }},
-	{"oneWayAgentToEntry", func(s *System) { silent(true, false, s.Nodes[1].ToEntry[:]...) }},
-	{"oneWayEntryToAgent", func(s *System) { silent(false, true, s.Nodes[1].ToEntry[:]...) }},
-	{"silentAgentEndpoint", func(s *System) { silent(true, true, s.Nodes[1].ToEndpoint) }},
+	{"silentEntryAgent", func(s *System) { silent(true, true, s.Victim.ToEntry[0]) }},
+	{"silentBothEntriesAgent", func(s *System) { silent(true, true, s.Victim.ToEntry[:]...) }},
+	{"oneWayAgentToEntry", func(s *System) { silent(true, false, s.Victim.ToEntry[:]...) }},
+	{"oneWayEntryToAgent", func(s *System) { silent(false, true, s.Victim.ToEntry[:]...) }},
+	{"silentAgentEndpoint", func(s *System) { silent(true, true, s.Victim.ToEndpoint) }},
 	{"silentLease", func(s *System) { silentFor(pause, true, true, s.leases()...) }},
-	{"silentAgentWorker", func(s *System) { silentFor(pause, true, true, s.Nodes[1].ToWorker) }},
 	{"silentEntryLog", func(s *System) { silent(true, true, s.Entries[0].ToLog) }},
 	{"refusedAndCut", refusedAndCut},
 	{"logOutage", func(s *System) { logFault(s, `{"outage":true}`, silence) }},
@@ -84,34 +119,11 @@
 	{"logRepliesLost", func(s *System) { logFault(s, `{"loseReplies":0.3,"seed":7}`, silence) }},
 	{"logAppendsLate", func(s *System) { logFault(s, `{"late":0.2,"seed":7}`, silence) }},
 	{"everythingReplaced", everythingReplaced},
-	{"workerFailsEverything", func(s *System) {
-		s.Fault(s.Nodes[1].WorkerAt, `{"failTasks":true}`)
-		time.Sleep(silence)
-		s.Fault(s.Nodes[1].WorkerAt, `{}`)
-	}},
-	{"agentPausedInLogOutage", func(s *System) {
-		s.Fault(s.LogAt, `{"outage":true}`)
-		paused(pause, s.Nodes[1].Agent)
-		s.Fault(s.LogAt, `{}`)
-	}},
-	{"agentKilledWhileRepliesAreLost", func(s *System) {
-		s.Fault(s.LogAt, `{"loseReplies":0.3,"late":0.1,"seed":9}`)
-		agentKilledAtRandom(s)
-		s.Fault(s.LogAt, `{}`)
-	}},
-	{"entryPausedWhileLeaseIsSilent", func(s *System) {
-		for _, r := range s.leases() {
-			r.Silence(true, true)
-		}
-		paused(pause, s.Entries[0].Process)
-		restore(s.leases()...)
-	}},
-	{"entryKilledInPartition", func(s *System) {
-		s.Nodes[1].ToEntry[1].Silence(true, true)
-		s.Nodes[2].ToEntry[1].Silence(true, true)
-		entryKilled(s)
-		restore(s.Nodes[1].ToEntry[1], s.Nodes[2].ToEntry[1])
-	}},
+	{"everythingReplacedWhileRepliesAreLost", everythingReplacedWhileRepliesAreLost},
+	{"workerFailsEverything", workerFailsEverything},
+	{"agentKilledWhileRepliesAreLost", agentKilledWhileRepliesAreLost},
+	{"entryPausedWhileLeaseIsSilent", entryPausedWhileLeaseIsSilent},
+	{"entryKilledInPartition", entryKilledInPartition},
 }
 
 // TestFaults guards against work lost, run twice or answered wrongly when a
@@ -119,27 +131,65 @@
 func TestFaults(t *testing.T) {
 	t.Parallel()
 	for _, f := range faults {
-		t.Run(f.name, func(t *testing.T) {
-			s := start(t)
-			w := s.Watch(traffic)
-			jobs := s.submitWork()
-			time.Sleep(time.Second) // the first tasks start
-			f.inject(s)
-			for _, job := range s.Settle(settleWithin, "completed", jobs...) {
-				if job.Tasks.Completed != job.Tasks.Total {
-					t.Errorf("guarantee 3: job %s completed with %+v", job.Name, job.Tasks)
-				}
+		t.Run(f.name, func(t *testing.T) { runFault(start(t), f, 5*time.Second) })
+	}
+}
+
+// runFault injects a fault into a system at work and checks the guarantees. The
+// victim is the node of a task that runs for the given time.
+func runFault(s *System, f fault, long time.Duration) {
+	s.t.Helper()
+	w := s.Watch(traffic)
+	jobs := s.submitWork(long)
+	s.Victim = s.nodeOf(jobs[0])
+	time.Sleep(500 * time.Millisecond) // more tasks start
+	f.inject(s)
+	for _, job := range s.Settle(settleWithin, "completed", jobs...) {
+		if job.Tasks.Completed != job.Tasks.Total {
+			s.t.Errorf("guarantee 3: job %s completed with %+v", job.Name, job.Tasks)
+		}
+	}
+	s.Until(settleWithin, "every worker and endpoint is ready again", s.ready)
+	s.Until(settleWithin, "the watcher runs", s.watcherRuns)
+	w.Check()
+}
+
+// nodeOf returns the node on which the first task of the job runs.
+func (s *System) nodeOf(id units.JobID) (node *Node) {
+	s.t.Helper()
+	s.Until(10*time.Second, "the long task runs", func(context.Context) error {
+		runs := s.runsOf(id)
+		if len(runs) == 0 {
+			return errors.New("no run")
+		}
+		for _, n := range s.Nodes {
+			if n.ID == runs[0].worker {
+				node = n
 			}
-			s.Until(settleWithin, "every worker and endpoint is ready again", s.ready)
-			w.Check()
-		})
+		}
+		return nil
+	})
+	return node
+}
+
+// watcherRuns checks that the watcher of the document runs in one place.
+func (s *System) watcherRuns(context.Context) error {
+	open := 0
+	for _, r := range s.runsOf(watcherJob) {
+		if r.open {
+			open++
+		}
+	}
+	if open != 1 {
+		return fmt.Errorf("it runs in %d places", open)
 	}
+	return nil
 }
 
 // submitWork submits short tasks, so that some start at every moment of a
-// fault, and tasks that outlast a lease.
-func (s *System) submitWork() []units.JobID {
-	ids := []units.JobID{s.Submit("long", 4, 10*time.Second)}
+// fault, and a job of longer ones first.
+func (s *System) submitWork(long time.Duration) []units.JobID {
+	ids := []units.JobID{s.Submit("long", 4, long)}
 	for i := range 4 {
 		ids = append(ids, s.Submit(fmt.Sprintf("short-%d", i), 30, time.Second))
 	}
--- a/internal/faulttest/system.go
+++ b/internal/faulttest/system.go
@@ -47,6 +47,7 @@
 	LogAt   string
 	Entries [entryCount]*Entry
 	Nodes   [workerCount]*Node
+	Victim  *Node // which node a fault hits
 	relays  []*Relay
 }
 
@@ -95,6 +96,7 @@
 	for i := range s.Nodes {
 		s.Nodes[i] = s.newNode(i)
 	}
+	s.Victim = s.Nodes[1]
 	for _, p := range s.processes() {
 		p.Start(t)
 	}
--- a/internal/faulttest/witness.go
+++ b/internal/faulttest/witness.go
@@ -92,8 +92,7 @@
 func (w *Witness) sampleWorker(ctx context.Context, n *Node) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	client := workerapi.Client{BaseURL: "http://" + n.WorkerAt, HTTP: w.http}
-	table, err := client.Tasks(ctx)
+	table, err := w.tableOf(ctx, n)
 	if err != nil {
 		return
 	}
@@ -110,6 +109,11 @@
 	}
 }
 
+func (s *System) tableOf(ctx context.Context, n *Node) (workerapi.Table, error) {
+	client := workerapi.Client{BaseURL: "http://" + n.WorkerAt, HTTP: s.http}
+	return client.Tasks(ctx)
+}
+
 // sampleEntry checks that the version in force on an entry process never falls.
 // A restarted process answers only after it has read the log.
 func (w *Witness) sampleEntry(ctx context.Context, e *Entry) {
