Cover all processes on the event timeline and name causes

cause: an agent sends its events to one entry process, so one entry process showed only part of them, and no event named a cause. change: an entry process asks the others for their events; an event names the newest known event about its subject as its cause, across processes through launches and heartbeats. measured: go test -run JobCompletes ./internal/entry: the chain completed < started < assigned is found on both entry processes. conclusion: kept; events of a killed entry process are still lost with it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,9 @@
 
 	// Events records a change of state; may be nil. It must not block.
 	Events func(kind, subject, text string)
+	// Caused is told which event of another process the next event of a subject
+	// follows; may be nil.
+	Caused func(subject, event string)
 	// PendingEvents returns events for the next heartbeat, and
 	// AcknowledgeEvents drops those up to a sequence; either may be nil.
 	PendingEvents     func() []*wire.Event
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -14,7 +14,6 @@
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/ledger"
 	"wasabihill.example/wasabihill/internal/stream"
-	"wasabihill.example/wasabihill/internal/timeline"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/environment"
@@ -92,7 +91,7 @@
 	v, err := b.publisher.Publish(ctx, p.Environment, p.Base, p.Author, p.Key, p.Text)
 	switch {
 	case err == nil:
-		b.recorder.Record("config", "accepted", string(p.Environment), fmt.Sprintf("version %d by %s", v.Offset, p.Author), "")
+		b.event("config", "accepted", string(p.Environment), fmt.Sprintf("version %d by %s", v.Offset, p.Author), "")
 		return v.Offset, nil
 	case fault.Is(err, configuration.Lost):
 		return 0, administration.LostRace(v.Offset)
@@ -150,7 +149,7 @@
 	if err := b.append(ctx, entry); err != nil {
 		return administration.Job{}, err
 	}
-	b.recorder.Record("job", "submitted", string(id), fmt.Sprintf("%d tasks for %s", s.Tasks, s.Team), "")
+	b.event("job", "submitted", string(id), fmt.Sprintf("%d tasks for %s", s.Tasks, s.Team), "")
 	return b.Job(ctx, id)
 }
 
@@ -179,13 +178,7 @@
 		if err := b.append(ctx, ledger.EncodeCancelled(id, reason)); err != nil {
 			return administration.Job{}, err
 		}
-		b.recorder.Record("job", "cancelled", string(id), reason, "")
+		b.event("job", "cancelled", string(id), reason, "")
 	}
 	return b.Job(ctx, id)
 }
-
-// Events implements administration.Backend.
-func (b backend) Events(_ context.Context, accept func(timeline.Event) bool, limit int) ([]timeline.Event, error) {
-	b.collector.Add(b.recorder.After(b.collector.Acknowledged(b.runID), b.Settings.Limits.TimelineEvents)...)
-	return b.collector.Events(accept, limit), nil
-}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -153,7 +153,7 @@
 		kind, text = "logReachable", "the log answers again"
 	}
 	klog.InfoS("log service changed state", "reachable", up)
-	c.recorder.Record("log", kind, c.config.Stream, text, "")
+	c.event("log", kind, c.config.Stream, text, "")
 }
 
 // updateMembership announces this process and follows which others are alive.
@@ -173,7 +173,7 @@
 	if current := c.owners.Load(); !slices.Equal(current.live, ids) {
 		c.owners.Store(newOwners(c.Settings.ID, ids))
 		klog.InfoS("entry processes changed", "live", ids)
-		c.recorder.Record("entry", "members", string(c.Settings.ID), joinIDs(ids), "")
+		c.event("entry", "members", string(c.Settings.ID), joinIDs(ids), "")
 	}
 	if !now.Before(c.announce) && !c.draining.Load() {
 		c.announce = now.Add(announceEvery)
@@ -205,7 +205,7 @@
 			c.descriptions.forget(id)
 		case age > heardWithin && !w.silent:
 			w.silent = true
-			c.recorder.Record("worker", "silent", string(id), "no heartbeat for "+heardWithin.String(), "")
+			c.event("worker", "silent", string(id), "no heartbeat for "+heardWithin.String(), "")
 		}
 	}
 }
--- a/internal/entry/document.go
+++ b/internal/entry/document.go
@@ -44,7 +44,7 @@
 		e.requests.Update(document)
 	}
 	klog.InfoS("document in force", "environment", e.Settings.Environment, "version", newest.Offset, "author", newest.Author)
-	e.recorder.Record("config", "inForce", string(e.Settings.Environment), fmt.Sprintf("version %d by %s", newest.Offset, newest.Author), "")
+	e.event("config", "inForce", string(e.Settings.Environment), fmt.Sprintf("version %d by %s", newest.Offset, newest.Author), "")
 }
 
 // describeConfig says which document this process has and how certain it is
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"wasabihill.example/wasabihill/internal/settings"
 	"wasabihill.example/wasabihill/internal/stream"
 	"wasabihill.example/wasabihill/internal/timeline"
+	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/logservice"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -72,6 +73,7 @@
 	runID        string
 	recorder     *timeline.Recorder
 	collector    *timeline.Collector
+	causes       timeline.Causes
 	config       *stream.Follower[*configuration.State]
 	members      *stream.Follower[*roster.Roster]
 	jobs         *stream.Follower[*ledger.Ledger]
@@ -153,6 +155,24 @@
 	return max(e.config.Staleness(now), e.members.Staleness(now)) < reachable
 }
 
+// event records an event of this process. Without a cause it names the newest
+// known event about the same subject, of whichever process.
+func (e *Entry) event(lane, kind, subject, text, cause string) {
+	if cause == "" {
+		cause = e.causes.Latest(subject)
+	}
+	e.causes.Note(subject, e.recorder.Record(lane, kind, subject, text, cause))
+}
+
+// collect keeps events of other processes.
+func (e *Entry) collect(events []*wire.Event) {
+	received := timeline.FromWire(events)
+	e.collector.Add(received...)
+	for _, event := range received {
+		e.causes.Note(event.Subject, event.ID())
+	}
+}
+
 // do runs fn on the control goroutine and waits for it.
 func (e *Entry) do(ctx context.Context, fn func(*control)) error {
 	done := make(chan struct{})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"wasabihill.example/wasabihill/internal/settings"
 	"wasabihill.example/wasabihill/internal/standin/logservice"
 	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/timeline"
 	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -184,6 +185,35 @@
 	if got, want := job.Tasks.Completed, 12; got != want {
 		t.Errorf("completed tasks: got %d, want %d", got, want)
 	}
+	c.checkTimeline(id)
+}
+
+// checkTimeline follows the causes of a task's last event back to its first,
+// from an entry process that need not have caused any of them.
+func (c *cluster) checkTimeline(id units.JobID) {
+	c.t.Helper()
+	subject := string(id) + "/0"
+	for _, e := range c.entries {
+		events, err := backend{e.part}.Events(c.t.Context(), nil, 1000)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		byID := make(map[string]timeline.Event, len(events))
+		var last timeline.Event
+		for _, event := range events {
+			byID[event.ID()] = event
+			if event.Subject == subject {
+				last = event
+			}
+		}
+		var kinds []string
+		for event, ok := last, true; ok && len(kinds) < 10; event, ok = byID[event.Cause] {
+			kinds = append(kinds, event.Kind)
+		}
+		if got, want := strings.Join(kinds, " < "), "completed < started < assigned"; got != want {
+			c.t.Errorf("%s: chain of causes: got %q, want %q", e.part.Settings.ID, got, want)
+		}
+	}
 }
 
 // Guards against a task that starts again while the killed agent's worker still
--- /dev/null
+++ b/internal/entry/events.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/internal/timeline"
+	"wasabihill.example/wasabihill/internal/wire"
+)
+
+const (
+	// peerTimeout bounds the question to another entry process; an answer
+	// without the events of one that is gone is better than none.
+	peerTimeout = time.Second
+	// maxPeerEvents keeps a reply below the limit of a link message.
+	maxPeerEvents = 10_000
+)
+
+// Events implements administration.Backend. An agent sends its events to one
+// entry process, so all of them are asked.
+func (b backend) Events(ctx context.Context, accept func(timeline.Event) bool, limit int) ([]timeline.Event, error) {
+	b.collectOwn()
+	var peers []roster.Entry
+	if err := b.do(ctx, func(c *control) { peers = append(peers, c.live...) }); err != nil {
+		return nil, err
+	}
+	var wait sync.WaitGroup
+	for _, peer := range peers {
+		if peer.ID != b.Settings.ID {
+			wait.Go(func() { b.collectFrom(ctx, peer, limit) })
+		}
+	}
+	wait.Wait()
+	return b.collector.Events(accept, limit), nil
+}
+
+// collectOwn adds this process's events to those of others.
+func (e *Entry) collectOwn() {
+	e.collector.Add(e.recorder.After(e.collector.Acknowledged(e.runID), e.Settings.Limits.TimelineEvents)...)
+}
+
+func (e *Entry) collectFrom(ctx context.Context, peer roster.Entry, limit int) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	session, err := link.Dial(ctx, peer.LinkAddress, nil)
+	if err != nil {
+		klog.V(1).InfoS("events of an entry process are missing", "entry", peer.ID, "err", err)
+		return
+	}
+	defer session.Close()
+	var reply wire.EventsReply
+	if err := session.Call(ctx, "/link/events", &wire.EventsRequest{Limit: uint32(min(limit, maxPeerEvents))}, &reply); err != nil {
+		klog.V(1).InfoS("events of an entry process are missing", "entry", peer.ID, "err", err)
+		return
+	}
+	e.collector.Add(timeline.FromWire(reply.GetEvents())...)
+}
+
+// serveEvents answers POST /link/events.
+func (e *Entry) serveEvents(_ context.Context, q *wire.EventsRequest) (*wire.EventsReply, error) {
+	e.collectOwn()
+	events := e.collector.Events(nil, int(min(q.GetLimit(), maxPeerEvents)))
+	return &wire.EventsReply{Events: timeline.ToWire(events)}, nil
+}
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -6,7 +6,6 @@
 
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/roster"
-	"wasabihill.example/wasabihill/internal/timeline"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
 )
@@ -21,7 +20,7 @@
 func (e *Entry) heartbeat(ctx context.Context, m *wire.Heartbeat) (*wire.HeartbeatReply, error) {
 	now := time.Now()
 	e.recorder.Observe(m.GetClock())
-	e.collector.Add(timeline.FromWire(m.GetEvents())...)
+	e.collect(m.GetEvents())
 	session := link.FromContext(ctx)
 	e.descriptions.complete(m, session)
 	if e.requests != nil && session != nil {
@@ -47,13 +46,13 @@
 	if w == nil {
 		w = &workerRow{id: id}
 		c.workers[id] = w
-		c.recorder.Record("worker", "connected", string(id), m.GetFailureDomain(), "")
+		c.event("worker", "connected", string(id), m.GetFailureDomain(), "")
 	} else if m.GetEpoch() < w.beat.GetEpoch() {
 		return // from an agent that has been replaced
 	}
 	if w.silent {
 		w.silent = false
-		c.recorder.Record("worker", "heardAgain", string(id), "", "")
+		c.event("worker", "heardAgain", string(id), "", "")
 	}
 	w.beat, w.session, w.heard = m, session, now
 	if m.GetRunningFull() {
--- a/internal/entry/launches.go
+++ b/internal/entry/launches.go
@@ -70,7 +70,7 @@
 		case row.State == ledger.Assigned && units.Epoch(w.beat.GetEpoch()) == h.Epoch && len(launch.Tasks) < maxLaunch:
 			job := l.Job(task.Job)
 			launch.Tasks = append(launch.Tasks, &wire.LaunchTask{
-				Task: ref, Spec: job.Launch(task.Index), MayEvict: c.planner.mayEvict[dispatch.Victim{Task: task, Attempt: row.Attempt}],
+				Task: ref, Spec: job.Launch(task.Index), Cause: c.causes.Latest(task.String()), MayEvict: c.planner.mayEvict[dispatch.Victim{Task: task, Attempt: row.Attempt}],
 			})
 		case row.State == ledger.Stopping:
 			stop.Tasks = append(stop.Tasks, ref)
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -120,6 +120,10 @@
 		}
 		c.planner.mayEvict[dispatch.Victim{Task: p.Task, Attempt: p.Attempt}] = true
 	}
-	c.recorder.Record("job", proposalNames[p.Action], p.Task.String(),
-		fmt.Sprintf("attempt %d %s %s", p.Attempt, p.Holder.Worker, p.Reason), "")
+	cause := ""
+	if p.Action == dispatch.Release {
+		cause = c.causes.Latest(string(p.Holder.Worker)) // the end of the worker's epoch
+	}
+	c.event("job", proposalNames[p.Action], p.Task.String(),
+		fmt.Sprintf("attempt %d %s %s", p.Attempt, p.Holder.Worker, p.Reason), cause)
 }
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -64,7 +64,7 @@
 	}
 	row.Lessor, _ = c.chooseLessor(w.id, place, roster.Holder{}, now)
 	if c.members.add(fmt.Sprintf("register/%s@%d", w.id, h.Epoch), now, roster.EncodeRegistered(row)) {
-		c.recorder.Record("worker", "registering", string(w.id), fmt.Sprintf("epoch %d, lessor %q", h.Epoch, row.Lessor.Worker), "")
+		c.event("worker", "registering", string(w.id), fmt.Sprintf("epoch %d, lessor %q", h.Epoch, row.Lessor.Worker), "")
 	}
 }
 
@@ -81,7 +81,7 @@
 	}
 	key := fmt.Sprintf("lessor/%s@%d/%d", w.id, known.Epoch, known.Term)
 	if c.members.add(key, now, roster.EncodeLessorChanged(known.Holder(), known.Term+1, lessor)) {
-		c.recorder.Record("worker", "lessorChanging", string(w.id), fmt.Sprintf("to %s, term %d", lessor.Worker, known.Term+1), "")
+		c.event("worker", "lessorChanging", string(w.id), fmt.Sprintf("to %s, term %d", lessor.Worker, known.Term+1), "")
 	}
 }
 
@@ -131,7 +131,7 @@
 		key := fmt.Sprintf("expire/%s@%d/%d", id, known.Epoch, known.Term)
 		if c.members.add(key, now, roster.EncodeLeaseExpired(known.Holder(), known.Term)) {
 			c.counters.expiries.Inc(1)
-			c.recorder.Record("worker", "leaseExpired", string(id), "attested by "+string(lessor.id), "")
+			c.event("worker", "leaseExpired", string(id), "attested by "+string(lessor.id), "")
 		}
 	}
 }
@@ -152,7 +152,7 @@
 		}
 		key := fmt.Sprintf("expire/%s@%d/%d", h.Worker, h.Epoch, d.term)
 		if c.members.add(key, now, roster.EncodeLeaseExpired(h, d.term)) {
-			c.recorder.Record("worker", "leaseExpired", string(h.Worker), "its lessor has ended before", "")
+			c.event("worker", "leaseExpired", string(h.Worker), "its lessor has ended before", "")
 		}
 	}
 	for h := range c.chain {
--- a/internal/entry/releases.go
+++ b/internal/entry/releases.go
@@ -59,7 +59,7 @@
 			}
 			if c.jobs.add(fmt.Sprintf("release/%s#%d", task, row.Attempt), now, entry) {
 				c.counters.releases.Inc(1)
-				c.recorder.Record("job", "released", task.String(), fmt.Sprintf("attempt %d: epoch %d of %s ended", row.Attempt, h.Epoch, h.Worker), "")
+				c.event("job", "released", task.String(), fmt.Sprintf("attempt %d: epoch %d of %s ended", row.Attempt, h.Epoch, h.Worker), "")
 			}
 		}
 	})
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -113,7 +113,7 @@
 		return // unknown, or not reached yet
 	}
 	if entry := encode(r, row); entry != nil && c.jobs.add(key, now, entry) {
-		c.recorder.Record("job", outcomeNames[r.GetOutcome()], task.String(),
+		c.event("job", outcomeNames[r.GetOutcome()], task.String(),
 			fmt.Sprintf("attempt %d on %s %s", attempt, w.id, r.GetReason()), "")
 	}
 }
@@ -138,7 +138,7 @@
 		entries = append([][]byte{ledger.EncodeReleased(task, row.Attempt, ledger.Release{Reason: "standby activated by " + string(w.id)})}, entries...)
 	}
 	if c.jobs.add(key, now, entries...) {
-		c.recorder.Record("job", "standbyActivated", task.String(), fmt.Sprintf("attempt %d on %s", attempt, w.id), "")
+		c.event("job", "standbyActivated", task.String(), fmt.Sprintf("attempt %d on %s", attempt, w.id), "")
 	}
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -56,7 +56,7 @@
 	serve(group, adminServer, admins)
 	klog.InfoS("entry process started", "id", e.Settings.ID, "environment", e.Settings.Environment,
 		"callers", callers.Addr(), "administration", admins.Addr())
-	e.recorder.Record("entry", "started", string(e.Settings.ID), "", "")
+	e.event("entry", "started", string(e.Settings.ID), "", "")
 	select {
 	case <-ctx.Done():
 	case <-serving.Done():
@@ -119,7 +119,7 @@
 // shutdown ends the process gracefully in the order that Run describes.
 func (e *Entry) shutdown(ctx context.Context, callers, admins *http.Server) {
 	e.draining.Store(true)
-	e.recorder.Record("entry", "draining", string(e.Settings.ID), "", "")
+	e.event("entry", "draining", string(e.Settings.ID), "", "")
 	ctx, cancel := context.WithTimeout(ctx, stopWithin)
 	defer cancel()
 	leave, cancelLeave := context.WithTimeout(ctx, e.DrainFor)
@@ -142,5 +142,6 @@
 func (e *Entry) linkHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST /link/heartbeat", link.Handle(e.heartbeat))
+	mux.Handle("POST /link/events", link.Handle(e.serveEvents))
 	return mux
 }
--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -69,7 +69,7 @@
 		},
 	})
 	if c.jobs.add("submit/"+string(id), now, entry) {
-		c.recorder.Record("job", "submitted", string(id), "from the document", "")
+		c.event("job", "submitted", string(id), "from the document", "")
 	}
 }
 
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -95,6 +95,7 @@
 	recorder := timeline.NewRecorder("agent/"+string(s.Worker)+"/"+runID(), s.Limits.TimelineEvents, time.Now)
 	var acknowledged atomic.Uint64
 	changes := scope.Counter("agent_events")
+	var causes timeline.Causes
 	a := &agent.Agent{
 		WorkerID: s.Worker, Domain: s.FailureDomain, Rack: s.Rack, Region: s.Region,
 		LinkAddress: s.LinkAddress.String(), AdvertisedLinkAddress: s.AdvertisedLinkAddress.String(), Process: recorder.Process(),
@@ -107,8 +108,9 @@
 		Events: func(kind, subject, text string) {
 			changes.Inc(1)
 			klog.InfoS("agent event", "kind", kind, "subject", subject, "text", text)
-			recorder.Record("worker", kind, subject, text, "")
+			causes.Note(subject, recorder.Record("worker", kind, subject, text, causes.Latest(subject)))
 		},
+		Caused: causes.Note,
 		PendingEvents: func() []*wire.Event {
 			return timeline.ToWire(recorder.After(acknowledged.Load(), eventsPerHeartbeat))
 		},
