--- a/internal/acceptance/evidence.go
+++ b/internal/acceptance/evidence.go
@@ -10,6 +10,7 @@
 
 	"wasabihill.example/wasabihill/internal/load"
 	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/timeline"
 	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -35,6 +36,7 @@
 	quick     *load.Report
 	order     *load.Report
 	runs      []worker.Run
+	events    []timeline.Event
 
 	mu         sync.Mutex // of what follows
 	answers    map[string]answer
--- a/internal/acceptance/summary.go
+++ b/internal/acceptance/summary.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"errors"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +13,7 @@
 	"time"
 
 	"wasabihill.example/wasabihill/internal/standin/worker"
+	"wasabihill.example/wasabihill/internal/timeline"
 )
 
 // maxShown bounds the violations printed for one guarantee.
@@ -37,6 +39,7 @@
 		}
 	}
 	d.measures()
+	d.printTimeline()
 	return broken
 }
 
@@ -116,29 +119,64 @@
 	return strings.Join(names, ", ")
 }
 
+// shownKinds are the events printed with the summary; the rest is in the files.
+var shownKinds = map[string]bool{
+	"accepted": true, "draining": true, "leaseExpired": true, "logReachable": true, "logUnreachable": true,
+	"members": true, "silent": true, "standbyActivated": true, "epochExpired": true,
+}
+
+// maxTimeline bounds the printed events of a firm.
+const maxTimeline = 40
+
 // saveTimeline writes the time line of the firm as text and as a page.
 func (d *day) saveTimeline(ctx context.Context) error {
-	for format, name := range map[string]string{"text": "timeline.txt", "html": "timeline.html"} {
-		url := "http://" + d.firm.Entries()[0].Admin + "/v1/timeline?limit=10000&format=" + format
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	for _, format := range []string{"text", "html", "json"} {
+		body, err := d.timeline(ctx, format)
 		if err != nil {
 			return err
 		}
-		r.Header.Set("Authorization", "Bearer "+operatorToken)
-		response, err := d.http.Do(r)
-		if err != nil {
+		name := map[string]string{"text": "timeline.txt", "html": "timeline.html", "json": "timeline.json"}[format]
+		if err := os.WriteFile(filepath.Join(d.Dir, d.firm.Name, name), body, 0o644); err != nil {
 			return err
 		}
-		file, err := os.Create(filepath.Join(d.Dir, d.firm.Name, name))
-		if err == nil {
-			_, err = file.ReadFrom(response.Body)
-			err = errors.Join(err, file.Close())
-		}
-		response.Body.Close()
-		if err != nil {
-			return err
+		if format == "json" {
+			if err := json.Unmarshal(body, &d.evidence.events); err != nil {
+				return err
+			}
 		}
 	}
 	d.say("%s: the event timeline is in %s", d.firm.Name, filepath.Join(d.Dir, d.firm.Name, "timeline.html"))
 	return nil
 }
+
+func (d *day) timeline(ctx context.Context, format string) ([]byte, error) {
+	url := "http://" + d.firm.Entries()[0].Admin + "/v1/timeline?limit=10000&format=" + format
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := d.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return io.ReadAll(response.Body)
+}
+
+// printTimeline prints the events that explain the run.
+func (d *day) printTimeline() {
+	var shown []timeline.Event
+	for _, e := range d.evidence.events {
+		if shownKinds[e.Kind] && e.Clock.Time().After(d.evidence.start) {
+			shown = append(shown, e)
+		}
+	}
+	if len(shown) > maxTimeline {
+		shown = shown[:maxTimeline]
+	}
+	fmt.Fprintf(d.Progress, "  event timeline (%d of %d events):\n", len(shown), len(d.evidence.events))
+	for _, e := range shown {
+		fmt.Fprintf(d.Progress, "    %6.1fs  %-7s %-17s %-22s %s\n", e.Clock.Time().Sub(d.evidence.start).Seconds(), e.Lane, e.Kind, e.Subject, e.Text)
+	}
+}
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -20,6 +20,7 @@
 	inFlight chan struct{}
 	failures chan []string
 	keys     []string
+	reported map[string]struct{} // keys whose first proposal has been reported to the caller
 }
 
 const (
@@ -28,6 +29,9 @@
 	maxAppends = 8
 	// maxTickEntries bounds one append to well below the log's record size.
 	maxTickEntries = 1000
+	// maxReported bounds the keys that add remembers; after that a proposal that
+	// is repeated in a long outage may be reported a second time.
+	maxReported = 16_384
 	// sweepAbove is the number of remembered keys above which old ones are
 	// dropped.
 	sweepAbove = 4096
@@ -35,13 +39,15 @@
 
 func newOutbox(w *stream.Writer) outbox {
 	return outbox{
-		writer: w, proposed: make(map[string]time.Time),
+		writer: w, proposed: make(map[string]time.Time), reported: make(map[string]struct{}),
 		inFlight: make(chan struct{}, maxAppends), failures: make(chan []string, maxAppends),
 	}
 }
 
-// add queues entries that belong together under a key. It reports false when
-// the key was proposed recently or the log is too slow to take more.
+// add queues entries that belong together under a key, unless the key was
+// proposed recently or the log is too slow to take more. It reports whether
+// they are queued for the first time, for events and counters: while the log is
+// down a proposal is repeated every proposalWait.
 func (o *outbox) add(key string, now time.Time, entries ...[]byte) bool {
 	if until, ok := o.proposed[key]; ok && now.Before(until) {
 		return false
@@ -59,7 +65,12 @@
 	o.proposed[key] = now.Add(proposalWait)
 	o.keys = append(o.keys, key)
 	o.entries = append(o.entries, entries...)
-	return true
+	_, again := o.reported[key]
+	if len(o.reported) >= maxReported {
+		clear(o.reported)
+	}
+	o.reported[key] = struct{}{}
+	return !again
 }
 
 // flush appends what was gathered, without waiting for the log.
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -110,16 +110,16 @@
 	if row := l.Task(p.Task); p.Action == dispatch.Release && row != nil && row.State == ledger.Stopping {
 		entry = ledger.EncodeEnded(p.Task, p.Attempt, wire.Outcome_OUTCOME_STOPPED, 0, units.Resources{})
 	}
-	if !c.jobs.add(fmt.Sprintf("%d/%s#%d", p.Action, p.Task, p.Attempt), now, entry) {
-		return
-	}
-	c.counters.proposals.Inc(1)
 	if p.MayEvict {
 		if len(c.planner.mayEvict) >= maxMayEvict {
 			clear(c.planner.mayEvict)
 		}
 		c.planner.mayEvict[dispatch.Victim{Task: p.Task, Attempt: p.Attempt}] = true
 	}
+	if !c.jobs.add(fmt.Sprintf("%d/%s#%d/%s", p.Action, p.Task, p.Attempt, p.Holder.Worker), now, entry) {
+		return
+	}
+	c.counters.proposals.Inc(1)
 	cause := ""
 	if p.Action == dispatch.Release {
 		cause = c.causes.Latest(string(p.Holder.Worker)) // the end of the worker's epoch
