--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -126,6 +126,7 @@
 	group   sync.WaitGroup // goroutines started by spawn
 	handler http.Handler
 
+	parsed   parsedDocument
 	draining atomic.Bool // sessions are ended by drain, not by their owners
 	state
 }
--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/wire"
@@ -16,11 +17,30 @@
 	rejected   units.Offset // offset of a document that could not be parsed
 }
 
-func (a *Agent) parse(data []byte) (*environment.Document, error) {
-	if a.ParseDocument != nil {
-		return a.ParseDocument(data)
+// parsedDocument is the result of the last parse. Replies of several entries
+// carry the same document at the same time, twelve of them to an agent that
+// starts; parsing takes milliseconds.
+type parsedDocument struct {
+	mu       sync.Mutex
+	offset   uint64 // 0 for none
+	document *environment.Document
+	err      error
+}
+
+// parse returns the document that has that offset, which names its contents.
+func (a *Agent) parse(offset uint64, data []byte) (*environment.Document, error) {
+	a.parsed.mu.Lock()
+	defer a.parsed.mu.Unlock()
+	if offset != 0 && offset == a.parsed.offset {
+		return a.parsed.document, a.parsed.err
+	}
+	parse := a.ParseDocument
+	if parse == nil {
+		parse = func(text []byte) (*environment.Document, error) { return environment.Parse("configuration", text) }
 	}
-	return environment.Parse("configuration", data)
+	document, err := parse(data)
+	a.parsed.offset, a.parsed.document, a.parsed.err = offset, document, err
+	return document, err
 }
 
 // applyConfiguration takes in a newer document and the age of the entry's last
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -272,7 +272,7 @@
 	var document *environment.Document
 	var parseErr error
 	if len(reply.ConfigDocument) > 0 {
-		document, parseErr = a.parse(reply.ConfigDocument)
+		document, parseErr = a.parse(reply.ConfigOffset, reply.ConfigDocument)
 	}
 	_, err = ask(ctx, a, func() (struct{}, error) {
 		a.applyReply(e, reply, document, parseErr, b.sent, b.reports)
