--- a/internal/capacity/agents.go
+++ b/internal/capacity/agents.go
@@ -28,7 +28,7 @@
 // workerConnections is what the agent's main uses.
 const workerConnections = 8
 
-func startAgents(ctx context.Context, s agentsSettings) (any, func(bool) Sample, func(), error) {
+func startAgents(ctx context.Context, s agentsSettings) (any, func(Detail) Sample, func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	var documents, parsed, last atomic.Int64
@@ -62,8 +62,8 @@
 		}
 		return "leases"
 	}
-	return struct{}{}, func(collect bool) Sample {
-		sample := Take(classify, collect)
+	return struct{}{}, func(detail Detail) Sample {
+		sample := Take(classify, detail)
 		sample.Counters = map[string]int64{"documents": documents.Load(), "parsed": parsed.Load()}
 		sample.LastDocument = time.Unix(0, last.Load())
 		return sample
--- a/internal/capacity/child.go
+++ b/internal/capacity/child.go
@@ -65,12 +65,19 @@
 	return json.Unmarshal(c.output.Bytes(), into)
 }
 
-func (c *child) sample(collect bool) (s Sample, err error) {
-	line := "sample\n"
-	if collect {
-		line = "collect\n"
-	}
-	if _, err := io.WriteString(c.input, line); err != nil {
+// Detail says what a sample contains.
+type Detail string
+
+// The details. Asking for the traffic of thousands of connections takes tens of
+// milliseconds, too long for a wait that polls.
+const (
+	Counted   Detail = "counted"   // the counters alone
+	Full      Detail = "full"      // everything
+	Collected Detail = "collected" // everything, after a collection
+)
+
+func (c *child) sample(detail Detail) (s Sample, err error) {
+	if _, err := io.WriteString(c.input, string(detail)+"\n"); err != nil {
 		return s, err
 	}
 	err = c.read(&s)
@@ -86,7 +93,7 @@
 
 // serveChild is the child's side: it reads the settings, starts the role, says
 // that it is ready, and answers until the parent closes the pipe.
-func serveChild[S any](ctx context.Context, start func(context.Context, S) (ready any, sample func(collect bool) Sample, stop func(), err error)) error {
+func serveChild[S any](ctx context.Context, start func(context.Context, S) (ready any, sample func(Detail) Sample, stop func(), err error)) error {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard) // every entry process reports every document
 	input := bufio.NewScanner(os.Stdin)
@@ -108,7 +115,7 @@
 		return err
 	}
 	for input.Scan() {
-		if err := output.Encode(sample(input.Text() == "collect")); err != nil {
+		if err := output.Encode(sample(Detail(input.Text()))); err != nil {
 			return err
 		}
 	}
--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -76,7 +76,7 @@
 	if err := c.awaitWorkers(ctx); err != nil {
 		return r, err
 	}
-	if r.EntriesIdle, err = c.entries.sample(true); err != nil {
+	if r.EntriesIdle, err = c.entries.sample(Collected); err != nil {
 		return r, err
 	}
 	if err := c.phase(ctx, &r, "idle", nil); err != nil {
@@ -93,10 +93,10 @@
 			return r, err
 		}
 	}
-	if r.AgentsEnd, err = c.agents.sample(true); err != nil {
+	if r.AgentsEnd, err = c.agents.sample(Collected); err != nil {
 		return r, err
 	}
-	if r.EntriesEnd, err = c.entries.sample(true); err != nil {
+	if r.EntriesEnd, err = c.entries.sample(Collected); err != nil {
 		return r, err
 	}
 	if o.Starts > 0 {
@@ -205,10 +205,10 @@
 	log, runs := c.platform.log.Counts(), c.runs()
 	var err error
 	for i := range 2 {
-		if agents[i], err = c.agents.sample(false); err != nil {
+		if agents[i], err = c.agents.sample(Full); err != nil {
 			return err
 		}
-		if entries[i], err = c.entries.sample(false); err != nil {
+		if entries[i], err = c.entries.sample(Full); err != nil {
 			return err
 		}
 		if i == 0 {
@@ -237,7 +237,7 @@
 // agent.
 func (c *cluster) measureChanges(ctx context.Context, r *Result) error {
 	for range c.Changes {
-		before, err := c.agents.sample(false)
+		before, err := c.agents.sample(Full)
 		if err != nil {
 			return err
 		}
@@ -247,15 +247,18 @@
 		}
 		var last Sample
 		err = await(ctx, "the document is in force in every agent", func() bool {
-			s, err := c.agents.sample(false)
+			s, err := c.agents.sample(Counted)
 			last = s
 			return err == nil && s.Counters["documents"]-before.Counters["documents"] >= int64(c.Workers)
 		})
 		if err != nil {
 			return err
 		}
-		n := float64(c.Workers)
 		r.InForce = append(r.InForce, last.LastDocument.Sub(published))
+		if last, err = c.agents.sample(Full); err != nil {
+			return err
+		}
+		n := float64(c.Workers)
 		r.Parsed = append(r.Parsed, float64(last.Counters["parsed"]-before.Counters["parsed"])/n)
 		r.ChangeBytes = append(r.ChangeBytes, (float64(last.Traffic["entries"].Payload())-float64(before.Traffic["entries"].Payload()))/n)
 	}
--- a/internal/capacity/entries.go
+++ b/internal/capacity/entries.go
@@ -37,7 +37,7 @@
 // logConnections is what the entry process's main uses.
 const logConnections = 8
 
-func startEntries(ctx context.Context, s entriesSettings) (any, func(bool) Sample, func(), error) {
+func startEntries(ctx context.Context, s entriesSettings) (any, func(Detail) Sample, func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	stop := func() { cancel(); running.Wait() }
@@ -70,8 +70,8 @@
 		}
 		return "other"
 	}
-	return ready, func(collect bool) Sample {
-		sample := Take(classify, collect)
+	return ready, func(detail Detail) Sample {
+		sample := Take(classify, detail)
 		sample.Counters = counters(scope)
 		return sample
 	}, stop, nil
--- a/internal/capacity/recovery.go
+++ b/internal/capacity/recovery.go
@@ -65,12 +65,12 @@
 		return r, err
 	}
 	r.Took = time.Since(started)
-	first, err := c.sample(false)
+	first, err := c.sample(Full)
 	if err != nil {
 		return r, err
 	}
 	r.Unsettled = first.Resident
-	r.Sample, err = c.sample(true)
+	r.Sample, err = c.sample(Collected)
 	return r, err
 }
 
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -45,9 +45,12 @@
 // Classifier names the class of a connection by the ports at its ends.
 type Classifier func(local, remote int) string
 
-// Take samples this process; collect runs the garbage collector first.
-func Take(classify Classifier, collect bool) Sample {
-	if collect {
+// Take samples this process.
+func Take(classify Classifier, detail Detail) Sample {
+	if detail == Counted {
+		return Sample{At: time.Now()}
+	}
+	if detail == Collected {
 		runtime.GC()
 	}
 	var memory runtime.MemStats
