Release attempts that no worker runs and nobody reports

cause: a lost outcome left a task open for ever; the fault behind it is mended, but the next one would have the same effect. change: each agent sends a full list once a minute; an attempt that the ledger holds for running and that is missing from two lists 10 s apart, and from the reports, is released. measured: go test -run Reconcile ./internal/entry: six cases, only the lost attempt is released; 80 B/s at ten tasks and twelve entry processes by arithmetic, not measured. conclusion: kept as a safety net; an event 'released ... is not on' deserves an issue.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -37,6 +37,7 @@
 	// runningEpoch only.
 	running      map[units.Task]units.Attempt
 	runningEpoch units.Epoch
+	runningAt    time.Time // when that list arrived
 	silent       bool      // already reported as silent
 	launching    time.Time // until when a launch or stop call may be on its way
 	retryAt      time.Time
@@ -55,19 +56,21 @@
 // control is the state of the control loop. One goroutine owns it.
 type control struct {
 	*Entry
-	workers  map[units.WorkerID]*workerRow
-	liveness roster.Liveness
-	live     []roster.Entry
-	members  outbox
-	jobs     outbox
-	announce time.Time // next announcement
-	watchers time.Time // next comparison of the document's watchers with the ledger
-	chain    map[roster.Holder]time.Time
-	orphans  map[roster.Holder]time.Time // unregistered epochs, first seen
-	unknown  map[units.JobID]time.Time   // jobs in reports that the ledger does not hold, first seen
-	planner  planner
-	counters controlCounters
-	logUp    bool
+	workers     map[units.WorkerID]*workerRow
+	liveness    roster.Liveness
+	live        []roster.Entry
+	members     outbox
+	jobs        outbox
+	announce    time.Time // next announcement
+	watchers    time.Time // next comparison of the document's watchers with the ledger
+	chain       map[roster.Holder]time.Time
+	orphans     map[roster.Holder]time.Time // unregistered epochs, first seen
+	unknown     map[units.JobID]time.Time   // jobs in reports that the ledger does not hold, first seen
+	missing     map[attemptKey]missingAttempt
+	reconcileAt time.Time // next comparison of full lists with the ledger
+	planner     planner
+	counters    controlCounters
+	logUp       bool
 }
 
 type controlCounters struct {
@@ -123,6 +126,7 @@
 	{"silence", (*control).findSilentWorkers},
 	{"expiry", (*control).expireChains},
 	{"release", (*control).releaseEndedEpochs},
+	{"reconcile", (*control).reconcile},
 	{"watchers", (*control).reconcileWatchers},
 	{"placement", (*control).place},
 	{"launch", (*control).launch},
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -60,7 +60,7 @@
 		for _, r := range m.GetRunning() {
 			w.running[r.Task()] = units.Attempt(r.GetAttempt())
 		}
-		w.runningEpoch = units.Epoch(m.GetEpoch())
+		w.runningEpoch, w.runningAt = units.Epoch(m.GetEpoch()), now
 	}
 	c.planner.observe(w)
 	c.register(w, now)
@@ -86,7 +86,7 @@
 		}
 	})
 	c.answerReports(m, reply)
-	reply.WantRunning = w != nil && w.runningEpoch != units.Epoch(m.GetEpoch()) && m.GetEpoch() > 0
+	reply.WantRunning = w != nil && m.GetEpoch() > 0 && w.needsList(units.Epoch(m.GetEpoch()), now)
 }
 
 // answerRegistration tells the agent its registration, its lessor, its lessees
@@ -121,3 +121,9 @@
 		reply.Standbys = append(reply.Standbys, c.standbysFor(lessee.Holder())...)
 	}
 }
+
+// needsList reports whether the agent has to send a full list: the newest is
+// of another epoch or a minute old.
+func (w *workerRow) needsList(epoch units.Epoch, now time.Time) bool {
+	return w.runningEpoch != epoch || now.Sub(w.runningAt) > listAgainAfter
+}
--- /dev/null
+++ b/internal/entry/reconcile.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/ledger"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// listAgainAfter is how often an agent is asked for the full list of what
+	// its worker runs: ten tasks and twelve entry processes cost 80 B/s.
+	listAgainAfter = time.Minute
+	// missingFor is how long an attempt must be absent from full lists before it
+	// counts as lost; a list may have been composed just before a start that
+	// the ledger already holds.
+	missingFor = 10 * time.Second
+	// reconcileEvery spaces the comparisons.
+	reconcileEvery = time.Second
+)
+
+// missingAttempt is an attempt that the ledger holds for running and that the
+// newest full list of its worker does not contain.
+type missingAttempt struct {
+	since time.Time // of the first list without it
+	list  time.Time // that list
+}
+
+type attemptKey struct {
+	task    units.Task
+	attempt units.Attempt
+}
+
+// reconcile releases attempts that the ledger holds for running although the
+// agent of the same epoch lists them neither as running nor in a report. No
+// fault that is known leads there; without this, one that is not known would
+// leave a task open for ever. The agent starts no attempt again that it has
+// ended, so the next attempt cannot run beside it.
+func (c *control) reconcile(now time.Time) {
+	if now.Before(c.reconcileAt) || c.catchingUp(now) {
+		return
+	}
+	c.reconcileAt = now.Add(reconcileEvery)
+	c.compareLists(now)
+}
+
+// compareLists compares the newest full lists with the ledger.
+func (c *control) compareLists(now time.Time) {
+	still := make(map[attemptKey]missingAttempt)
+	c.Entry.jobs.View(func(l *ledger.Ledger) {
+		for h := range l.Holders() {
+			w := c.workers[h.Worker]
+			if w == nil || !w.reachable(now) || w.holder() != h || w.runningEpoch != h.Epoch {
+				continue
+			}
+			c.reconcileWorker(l, h, w, still, now)
+		}
+	})
+	c.missing = still
+}
+
+func (c *control) reconcileWorker(l *ledger.Ledger, h ledger.Holder, w *workerRow, still map[attemptKey]missingAttempt, now time.Time) {
+	listed := w.mayRun()
+	for _, task := range l.TasksOn(h) {
+		row := l.Task(task)
+		if row.State != ledger.Running || listed(task, row.Attempt) || !c.owners.Load().owns(string(task.Job)) {
+			continue
+		}
+		key := attemptKey{task, row.Attempt}
+		m, known := c.missing[key]
+		if !known {
+			m = missingAttempt{since: now, list: w.runningAt}
+		}
+		still[key] = m
+		if now.Sub(m.since) < missingFor || !w.runningAt.After(m.list) {
+			continue
+		}
+		entry := ledger.EncodeReleased(task, row.Attempt, ledger.Release{Reason: "the worker does not run it"})
+		if c.jobs.add(fmt.Sprintf("lost/%s#%d", task, row.Attempt), now, entry) {
+			c.counters.releases.Inc(1)
+			c.event("job", "released", task.String(), fmt.Sprintf("attempt %d is not on %s", row.Attempt, h.Worker), "")
+		}
+	}
+}
+
+// mayRun returns which attempts the worker may run according to the agent's
+// newest full list and the reports of its newest heartbeat.
+func (w *workerRow) mayRun() func(units.Task, units.Attempt) bool {
+	unreported := make(map[units.Task]bool, len(w.beat.GetReports()))
+	for _, r := range w.beat.GetReports() {
+		unreported[r.GetTask().Task()] = true
+	}
+	return func(t units.Task, a units.Attempt) bool { return w.running[t] == a || unreported[t] }
+}
--- a/internal/entry/releases.go
+++ b/internal/entry/releases.go
@@ -72,9 +72,5 @@
 	if w == nil || w.runningEpoch != newest.Epoch || units.Epoch(w.beat.GetEpoch()) != newest.Epoch {
 		return nil
 	}
-	unreported := make(map[units.Task]bool, len(w.beat.GetReports()))
-	for _, r := range w.beat.GetReports() {
-		unreported[r.GetTask().Task()] = true
-	}
-	return func(t units.Task, a units.Attempt) bool { return w.running[t] == a || unreported[t] }
+	return w.mayRun()
 }
