--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,12 @@
 run: build
 	./scripts/run.sh
 
-# The policies against the naive version; prints every target met or missed.
+# The policies against the naive version, every target met or missed, and the
+# request path against direct calls; writes docs/measurements.md.
 bench: build
-	bin/wasabihill-bench
+	bin/wasabihill-bench -write docs/measurements.md
+	@{ echo; echo "Request path, GOMAXPROCS of the machine:"; echo; echo '```'; \
+	$(GO) test -run XXX -bench 'AddedLatency|Overload' -benchtime 1x ./internal/gateway; echo '```'; } | tee -a docs/measurements.md
 
 # Longer runs over generated histories; prints each seed before it is used.
 soak:
