--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -288,18 +288,6 @@
 // spawn runs fn in a goroutine that Run waits for.
 func (a *Agent) spawn(fn func()) { a.group.Go(fn) }
 
-// sleep waits for d or the end of ctx, and reports whether d passed.
-func (a *Agent) sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fence stops the agent: a newer epoch holds the worker.
 func (a *Agent) fence(cause error) {
 	if a.failure == nil {
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -11,6 +11,7 @@
 
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
 )
@@ -212,7 +213,7 @@
 			}
 			session.Close()
 		}
-		if !a.sleep(ctx, backoff/2+rand.N(backoff)) {
+		if !pause.For(ctx, backoff/2+rand.N(backoff)) {
 			return
 		}
 		backoff = min(2*backoff, longestBackoff)
@@ -240,7 +241,7 @@
 		select {
 		case <-timer.C:
 		case <-e.early:
-			a.sleep(ctx, urgentInterval)
+			pause.For(ctx, urgentInterval)
 		case <-session.Done():
 		case <-ctx.Done():
 		}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
 	"wasabihill.example/wasabihill/pkg/workerapi"
@@ -85,7 +86,7 @@
 				a.post(func() { a.adopt(holder, table, received, resume) })
 				return
 			}
-			if !a.sleep(a.ctx, retryInterval) {
+			if !pause.For(a.ctx, retryInterval) {
 				return
 			}
 		}
--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/internal/stream"
 	"wasabihill.example/wasabihill/pkg/logservice"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -95,7 +95,7 @@
 func (p *Publisher) append(ctx context.Context, op string, payload []byte) (units.Offset, error) {
 	kind, last := Unavailable, error(nil)
 	for n := range publishAttempts {
-		if n > 0 && !pause(ctx, publishPause<<n) {
+		if n > 0 && !pause.Jittered(ctx, publishPause<<n) {
 			break
 		}
 		offset, err := p.appendOnce(ctx, payload)
@@ -154,15 +154,3 @@
 	})
 	return v, err
 }
-
-// pause waits for half of d and a random part of the other half.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -10,6 +10,8 @@
 
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
+
+	"wasabihill.example/wasabihill/internal/pause"
 )
 
 // Listener accepts sessions of peers. Set the exported fields before Run.
@@ -64,7 +66,7 @@
 					return nil
 				}
 				// Out of descriptors, most likely: sessions that end free some.
-				if !pause(ctx, acceptBackoff) {
+				if !pause.For(ctx, acceptBackoff) {
 					return nil
 				}
 				continue
@@ -78,18 +80,6 @@
 // acceptBackoff keeps a failing accept from using a whole core.
 const acceptBackoff = 50 * time.Millisecond
 
-// pause waits and reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (l *Listener) admit(conn net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/operator/domain.go
+++ b/internal/operator/domain.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
 )
@@ -44,19 +45,7 @@
 }
 
 func setDomainState(s *session, state environment.DomainState) error {
-	args, err := arguments(s.cmd, "NAME")
-	if err != nil {
-		return err
-	}
-	env, err := environmentOf(s.cmd)
-	if err != nil {
-		return err
-	}
-	return mutate(s.cmd, func(key string) error {
-		published, err := s.SetDomainState(s.ctx, env, units.DomainName(args[0]), state, author(s.cmd), key)
-		if err != nil {
-			return err
-		}
-		return s.printPublished(published)
+	return edit(s, "NAME", func(env units.EnvironmentName, name, key string) (administration.Published, error) {
+		return s.SetDomainState(s.ctx, env, units.DomainName(name), state, author(s.cmd), key)
 	})
 }
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/urfave/cli/v3"
 
+	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -25,19 +26,7 @@
 }
 
 func setDrained(s *session, drained bool) error {
-	args, err := arguments(s.cmd, "WORKER")
-	if err != nil {
-		return err
-	}
-	env, err := environmentOf(s.cmd)
-	if err != nil {
-		return err
-	}
-	return mutate(s.cmd, func(key string) error {
-		published, err := s.SetDrained(s.ctx, env, units.WorkerID(args[0]), drained, author(s.cmd), key)
-		if err != nil {
-			return err
-		}
-		return s.printPublished(published)
+	return edit(s, "WORKER", func(env units.EnvironmentName, name, key string) (administration.Published, error) {
+		return s.SetDrained(s.ctx, env, units.WorkerID(name), drained, author(s.cmd), key)
 	})
 }
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -229,3 +229,23 @@
 	}
 	return fmt.Sprintf("%d %ss", n, thing)
 }
+
+// edit runs a verb that changes one thing, named by its only argument, in an
+// environment's document.
+func edit(s *session, argument string, change func(env units.EnvironmentName, name, key string) (administration.Published, error)) error {
+	args, err := arguments(s.cmd, argument)
+	if err != nil {
+		return err
+	}
+	env, err := environmentOf(s.cmd)
+	if err != nil {
+		return err
+	}
+	return mutate(s.cmd, func(key string) error {
+		published, err := change(env, args[0], key)
+		if err != nil {
+			return err
+		}
+		return s.printPublished(published)
+	})
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"wasabihill.example/wasabihill/internal/pause"
 )
 
 // Headers of the substitute.
@@ -282,19 +284,7 @@
 }
 
 // work takes the service time and reports false when the client has left.
-func work(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
+func work(r *http.Request, d time.Duration) bool { return pause.For(r.Context(), d) }
 
 func (e *Endpoint) answer(r *http.Request, body []byte) []byte {
 	answer := fmt.Appendf(nil, "{\"requestId\":%q,\"digest\":\"%016x\"}\n", r.Header.Get(RequestID), xxhash.Sum64(body))
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/pkg/logservice"
 	"wasabihill.example/wasabihill/pkg/units"
 )
@@ -82,11 +83,11 @@
 	l.mu.Lock()
 	outcome, delay := l.injector.forAppend()
 	l.mu.Unlock()
-	if !sleep(ctx, delay) {
+	if !pause.For(ctx, delay) {
 		return 0, fault.Wrap(op, logservice.Unknown, ctx.Err())
 	}
 	offset, err := l.commit(op, name, payload, outcome)
-	if err == nil && !sleep(ctx, delay) {
+	if err == nil && !pause.For(ctx, delay) {
 		return 0, fault.Wrap(op, logservice.Unknown, ctx.Err())
 	}
 	return offset, err
@@ -149,7 +150,7 @@
 	l.counts.Reads++
 	outage, delay := l.injector.forRead()
 	l.mu.Unlock()
-	if !sleep(ctx, delay) {
+	if !pause.For(ctx, delay) {
 		return logservice.Batch{}, fault.Wrap(op, logservice.Unavailable, ctx.Err())
 	}
 	if outage {
@@ -279,21 +280,6 @@
 	return true
 }
 
-// sleep waits for d and reports false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func orDefault(value, otherwise int) int {
 	if value > 0 {
 		return value
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -11,10 +11,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/pkg/logservice"
 )
 
@@ -69,16 +69,9 @@
 
 // wait pauses and reports false when ctx ended first.
 func (b *backoff) wait(ctx context.Context) bool {
-	pause := min(b.limit, b.first<<min(b.failures, 16))
+	wait := min(b.limit, b.first<<min(b.failures, 16))
 	b.failures++
-	timer := time.NewTimer(pause/2 + rand.N(pause/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.Jittered(ctx, wait)
 }
 
 func orDefault[T int | time.Duration](value, otherwise T) T {
