--- a/internal/agent/lessee.go
+++ b/internal/agent/lessee.go
@@ -20,6 +20,10 @@
 	// workers each other's lessor, and those lose their leases together.
 	firstLessorWait   = time.Second
 	firstLessorSpread = 2 * time.Second
+	// betterAfter is how long a term lasts before the agent changes a lessor
+	// that answers for a better one, so that entries which are behind do not
+	// make it change twice.
+	betterAfter = 3 * time.Second
 	// leaseRetry spaces requests after one that was not granted.
 	leaseRetry = 400 * time.Millisecond
 )
@@ -36,7 +40,7 @@
 
 	unbounded bool      // no other worker exists that could take over
 	askAt     time.Time // when to ask for the first lessor; zero while there is none
-	available bool      // an entry knows a worker that could be the lessor
+	available bool      // an entry knows a worker that could be the lessor, or a better one
 	mayGrant  time.Time // until when this epoch may grant leases to others
 	deadline  time.Time // send time of the last granted request + leaseDuration
 	granted   time.Time // send time of the last granted request; zero for none in this term
@@ -128,6 +132,10 @@
 	if l.wants {
 		return
 	}
+	if l.available && now.Sub(l.termSince) > betterAfter && l.deadline.Sub(now) > leaseDuration/2 && a.logReachable(now) {
+		a.wantLessor(now)
+		return
+	}
 	since := l.granted
 	if since.IsZero() {
 		since = l.termSince
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -108,8 +108,14 @@
 	c.eventually("every worker is registered and has a lessor", func() bool {
 		list, err := c.backend().Workers(t.Context())
 		ready := 0
+		lessors := make(map[units.WorkerID]units.WorkerID)
 		for _, w := range list {
-			if w.State == "ready" && w.Lessor != "" {
+			lessors[w.ID] = w.Lessor
+		}
+		for _, w := range list {
+			// Of three or more workers no two may stay each other's lessor:
+			// neither could take over the other's watchers in a log outage.
+			if w.State == "ready" && w.Lessor != "" && (workers < 3 || lessors[w.Lessor] != w.ID) {
 				ready++
 			}
 		}
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -103,10 +103,7 @@
 		return
 	}
 	reply.LeaseTerm = uint64(w.Term)
-	if w.Lessor == (roster.Holder{}) {
-		// Workers that register at the same time find no lessor yet.
-		_, reply.LessorAvailable = r.ChooseLessor(id, roster.Place{Domain: w.Domain, Rack: w.Rack, Region: w.Region}, nil)
-	}
+	reply.LessorAvailable = betterLessor(r, w)
 	if uint64(w.Term) != m.GetLeaseTerm() {
 		// The agent reads these only when it begins the term.
 		reply.Lessor, reply.LessorEpoch = string(w.Lessor.Worker), uint64(w.Lessor.Epoch)
@@ -122,6 +119,25 @@
 	}
 }
 
+// betterLessor reports whether the worker should ask for another lessor. Workers
+// that register at the same time find none yet, or each other: of such a pair
+// neither can take over the other's watchers in a log outage, because its own
+// lease ends with the other. One of the two changes.
+func betterLessor(r *roster.Roster, w roster.Worker) bool {
+	place := roster.Place{Domain: w.Domain, Rack: w.Rack, Region: w.Region}
+	if w.Lessor == (roster.Holder{}) {
+		_, ok := r.ChooseLessor(w.ID, place, nil)
+		return ok
+	}
+	lessor, ok := r.Worker(w.Lessor.Worker)
+	if !ok || lessor.Lessor.Worker != w.ID || w.ID > lessor.ID {
+		return false
+	}
+	chosen, ok := r.ChooseLessor(w.ID, place, func(h roster.Holder) bool { return h.Worker != lessor.ID })
+	other, _ := r.Worker(chosen.Worker)
+	return ok && other.Lessor.Worker != w.ID
+}
+
 // needsList reports whether the agent has to send a full list: the newest is
 // of another epoch or a minute old.
 func (w *workerRow) needsList(epoch units.Epoch, now time.Time) bool {
--- /dev/null
+++ b/internal/entry/lessor_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"testing"
+
+	"wasabihill.example/wasabihill/internal/roster"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Guards against a pair of workers that stay each other's lessor, and against
+// both of a pair changing at once, which could make another pair.
+func TestBetterLessor(t *testing.T) {
+	holder := func(id units.WorkerID) roster.Holder { return roster.Holder{Worker: id, Epoch: 1} }
+	for _, c := range []struct {
+		name    string
+		lessors map[units.WorkerID]units.WorkerID
+		want    map[units.WorkerID]bool
+	}{
+		{"alone", map[units.WorkerID]units.WorkerID{"a": ""}, map[units.WorkerID]bool{}},
+		{"none yet", map[units.WorkerID]units.WorkerID{"a": "", "b": ""}, map[units.WorkerID]bool{"a": true, "b": true}},
+		{"only two", map[units.WorkerID]units.WorkerID{"a": "b", "b": "a"}, map[units.WorkerID]bool{}},
+		{"pair among three", map[units.WorkerID]units.WorkerID{"a": "b", "b": "a", "c": "b"}, map[units.WorkerID]bool{"a": true}},
+		{"ring", map[units.WorkerID]units.WorkerID{"a": "b", "b": "c", "c": "a"}, map[units.WorkerID]bool{}},
+	} {
+		r := roster.New()
+		offset := units.Offset(0)
+		apply := func(entry []byte) {
+			offset++
+			if err := r.Apply(offset, entry); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for id := range c.lessors {
+			apply(roster.EncodeRegistered(roster.Worker{ID: id, Epoch: 1, Domain: units.DomainName("domain-" + id), Rack: "rack", Region: "r",
+				LinkAddress: "127.0.0.1:1", Capacity: units.Resources{Processors: 1000, Memory: units.GiB}}))
+		}
+		for id, lessor := range c.lessors {
+			if lessor != "" {
+				apply(roster.EncodeLessorChanged(holder(id), 2, holder(lessor)))
+			}
+		}
+		for id := range c.lessors {
+			w, _ := r.Worker(id)
+			if got := betterLessor(r, w); got != c.want[id] {
+				t.Errorf("%s: worker %s: got %v, want %v", c.name, id, got, c.want[id])
+			}
+		}
+	}
+}
