--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -59,14 +59,14 @@
 	workers      map[units.WorkerID]*workerRow
 	liveness     roster.Liveness
 	live         []roster.Entry
-	members      outbox
-	jobs         outbox
-	announce     time.Time // next announcement
-	watchers     time.Time // next comparison of the document's watchers with the ledger
-	chain        map[roster.Holder]time.Time
-	orphans      map[roster.Holder]time.Time // unregistered epochs, first seen
-	unknown      map[units.JobID]time.Time   // jobs in reports that the ledger does not hold, first seen
-	missing      map[attemptKey]missingAttempt
+	membersOut   outbox
+	jobsOut      outbox
+	announceAt   time.Time                        // next announcement
+	watchersAt   time.Time                        // next comparison of the document's watchers with the ledger
+	chain        map[roster.Holder]time.Time      // workers whose lessor has ended, since when that is known
+	asking       map[roster.Holder]time.Time      // epochs that wait for a registration or a lessor, since when
+	unknown      map[units.JobID]time.Time        // jobs in reports that the ledger does not hold, first seen
+	missing      map[attemptKey]missingAttempt    // attempts that newest full lists do not hold
 	reconcileAt  time.Time                        // next comparison of full lists with the ledger
 	registered   map[units.WorkerID]roster.Worker // as of registeredAt in the members stream
 	registeredAt units.Offset
@@ -84,15 +84,15 @@
 func newControl(e *Entry) *control {
 	s := e.Scope.SubScope("entry")
 	return &control{
-		Entry:   e,
-		workers: make(map[units.WorkerID]*workerRow),
-		members: newOutbox(e.writers.members),
-		jobs:    newOutbox(e.writers.jobs),
-		chain:   make(map[roster.Holder]time.Time),
-		orphans: make(map[roster.Holder]time.Time),
-		unknown: make(map[units.JobID]time.Time),
-		planner: newPlanner(),
-		logUp:   true,
+		Entry:      e,
+		workers:    make(map[units.WorkerID]*workerRow),
+		membersOut: newOutbox(e.writers.members),
+		jobsOut:    newOutbox(e.writers.jobs),
+		chain:      make(map[roster.Holder]time.Time),
+		asking:     make(map[roster.Holder]time.Time),
+		unknown:    make(map[units.JobID]time.Time),
+		planner:    newPlanner(),
+		logUp:      true,
 		counters: controlCounters{
 			heartbeats: s.Counter("heartbeats"), proposals: s.Counter("proposals"),
 			launches: s.Counter("launches"), rejections: s.Counter("launch_rejections"),
@@ -142,8 +142,8 @@
 	for _, s := range systems {
 		s.run(c, now)
 	}
-	c.members.flush(ctx)
-	c.jobs.flush(ctx)
+	c.membersOut.flush(ctx)
+	c.jobsOut.flush(ctx)
 	c.counters.workers.Update(float64(len(c.workers)))
 	c.reportLog(now)
 }
@@ -165,7 +165,7 @@
 
 // updateMembership announces this process and follows which others are alive.
 func (c *control) updateMembership(now time.Time) {
-	c.Entry.members.View(func(r *roster.Roster) {
+	c.members.View(func(r *roster.Roster) {
 		c.liveness.Update(r, now)
 		c.live = c.liveness.Live(r, now)
 	})
@@ -182,9 +182,9 @@
 		klog.InfoS("entry processes changed", "live", ids)
 		c.event("entry", "members", string(c.Settings.ID), joinIDs(ids), "")
 	}
-	if !now.Before(c.announce) && !c.draining.Load() {
-		c.announce = now.Add(announceEvery)
-		c.members.add("announce", now, roster.EncodeEntryAnnounced(roster.Entry{
+	if !now.Before(c.announceAt) && !c.draining.Load() {
+		c.announceAt = now.Add(announceEvery)
+		c.membersOut.add("announce", now, roster.EncodeEntryAnnounced(roster.Entry{
 			ID: c.Settings.ID, LinkAddress: c.Settings.AdvertisedLinkAddress.String(),
 			Domain: c.Settings.FailureDomain, Region: c.Settings.Region,
 		}))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,8 +3,8 @@
 //
 // Read run.go for what runs, control.go for the state and its tick, then one
 // file for each thing the control loop does: heartbeat.go, registration.go,
-// reports.go, placement.go, launches.go, releases.go, watchers.go. backend.go
-// answers the administration API.
+// reports.go, placement.go, launches.go, releases.go, reconcile.go, watchers.go.
+// backend.go, views.go and events.go answer the administration API.
 package entry
 
 import (
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -77,7 +77,7 @@
 			reply.Entries = append(reply.Entries, &wire.EntryAddress{Entry: string(l.ID), Address: l.LinkAddress})
 		}
 	}
-	c.Entry.members.View(func(r *roster.Roster) {
+	c.members.View(func(r *roster.Roster) {
 		c.answerRegistration(r, id, m, reply)
 		for _, x := range m.GetExpiries() {
 			if settled(r, x) {
--- a/internal/entry/launches.go
+++ b/internal/entry/launches.go
@@ -35,7 +35,7 @@
 		stop   *wire.Stop
 	}
 	var batches []batch
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for h := range l.Holders() {
 			w := c.workers[h.Worker]
 			if w == nil || now.Before(w.launching) || !w.reachable(now) || now.Before(w.retryAt) || units.Epoch(w.beat.GetEpoch()) < h.Epoch {
@@ -113,7 +113,7 @@
 		w.retryAt = now.Add(retryAfter)
 	}
 	c.counters.launches.Inc(int64(len(reply.GetResults())))
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for _, result := range reply.GetResults() {
 			report := &wire.TaskReport{Task: result.GetTask(), Outcome: result.GetOutcome(), Reason: result.GetReason()}
 			if result.GetOutcome() == wire.Outcome_OUTCOME_REFUSED {
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -45,7 +45,7 @@
 
 // place runs the dispatcher and proposes what it decides.
 func (c *control) place(now time.Time) {
-	v := c.Entry.document.Load()
+	v := c.document.Load()
 	if v == nil || c.draining.Load() {
 		return
 	}
@@ -56,8 +56,8 @@
 	}
 	// Taken before the view: a second read lock inside it would wait for ever
 	// behind a writer that waits for the first.
-	reachableNow := c.logReachable(now) && c.Entry.jobs.Staleness(now) < reachable
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	reachableNow := c.logReachable(now) && c.jobs.Staleness(now) < reachable
+	c.jobs.View(func(l *ledger.Ledger) {
 		proposals := c.planner.dispatcher.Tick(dispatch.Input{
 			Now: now, Ledger: l, Document: v.document, Workers: c.planner.rows, Interference: c.planner.interference,
 			LogReachable: reachableNow,
@@ -81,12 +81,12 @@
 // built anew only when the members stream has moved, which is a few times a
 // second, while a tick comes 20 times a second.
 func (c *control) registrations() map[units.WorkerID]roster.Worker {
-	applied := c.Entry.members.Applied()
+	applied := c.members.Applied()
 	if c.registered != nil && c.registeredAt == applied {
 		return c.registered
 	}
 	registered := make(map[units.WorkerID]roster.Worker, len(c.registered))
-	c.Entry.members.View(func(r *roster.Roster) {
+	c.members.View(func(r *roster.Roster) {
 		for _, w := range r.Workers() {
 			registered[w.ID] = w
 		}
@@ -129,7 +129,7 @@
 		}
 		c.planner.mayEvict[dispatch.Victim{Task: p.Task, Attempt: p.Attempt}] = true
 	}
-	if !c.jobs.add(fmt.Sprintf("%d/%s#%d/%s", p.Action, p.Task, p.Attempt, p.Holder.Worker), now, entry) {
+	if !c.jobsOut.add(fmt.Sprintf("%d/%s#%d/%s", p.Action, p.Task, p.Attempt, p.Holder.Worker), now, entry) {
 		return
 	}
 	c.counters.proposals.Inc(1)
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -48,7 +48,7 @@
 // compareLists compares the newest full lists with the ledger.
 func (c *control) compareLists(now time.Time) {
 	still := make(map[attemptKey]missingAttempt)
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for h := range l.Holders() {
 			w := c.workers[h.Worker]
 			if w == nil || !w.reachable(now) || w.holder() != h || w.runningEpoch != h.Epoch {
@@ -77,7 +77,7 @@
 			continue
 		}
 		entry := ledger.EncodeReleased(task, row.Attempt, ledger.Release{Reason: "the worker does not run it"})
-		if c.jobs.add(fmt.Sprintf("lost/%s#%d", task, row.Attempt), now, entry) {
+		if c.jobsOut.add(fmt.Sprintf("lost/%s#%d", task, row.Attempt), now, entry) {
 			c.counters.releases.Inc(1)
 			c.event("job", "released", task.String(), fmt.Sprintf("attempt %d is not on %s", row.Attempt, h.Worker), "")
 		}
--- a/internal/entry/reconcile_test.go
+++ b/internal/entry/reconcile_test.go
@@ -64,7 +64,7 @@
 			control.workers["worker-1"] = w
 			control.compareLists(now)
 		}
-		if got := min(len(control.jobs.entries), 1); got != c.want {
+		if got := min(len(control.jobsOut.entries), 1); got != c.want {
 			t.Errorf("%s: proposals: got %d, want %d", c.name, got, c.want)
 		}
 	}
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -25,7 +25,7 @@
 	}
 	var known roster.Worker
 	var found bool
-	c.Entry.members.View(func(r *roster.Roster) { known, found = r.Worker(w.id) })
+	c.members.View(func(r *roster.Roster) { known, found = r.Worker(w.id) })
 	h := roster.Holder{Worker: w.id, Epoch: epoch}
 	switch {
 	case !found || known.Epoch < epoch:
@@ -37,7 +37,7 @@
 			c.proposeLessor(w, known, now)
 		}
 	default:
-		delete(c.orphans, h)
+		delete(c.asking, h)
 	}
 }
 
@@ -47,9 +47,9 @@
 	if c.owners.Load().owns(key) {
 		return true
 	}
-	since, ok := c.orphans[h]
+	since, ok := c.asking[h]
 	if !ok {
-		c.orphans[h] = now
+		c.asking[h] = now
 		return false
 	}
 	return now.Sub(since) > foreignAfter
@@ -63,7 +63,7 @@
 		LinkAddress: m.GetLinkAddress(), Capacity: m.GetCapacity().Units(),
 	}
 	row.Lessor, _ = c.chooseLessor(w.id, place, roster.Holder{}, now)
-	if c.members.add(fmt.Sprintf("register/%s@%d", w.id, h.Epoch), now, roster.EncodeRegistered(row)) {
+	if c.membersOut.add(fmt.Sprintf("register/%s@%d", w.id, h.Epoch), now, roster.EncodeRegistered(row)) {
 		c.event("worker", "registering", string(w.id), fmt.Sprintf("epoch %d, lessor %q", h.Epoch, row.Lessor.Worker), "")
 	}
 }
@@ -80,7 +80,7 @@
 		return
 	}
 	key := fmt.Sprintf("lessor/%s@%d/%d", w.id, known.Epoch, known.Term)
-	if c.members.add(key, now, roster.EncodeLessorChanged(known.Holder(), known.Term+1, lessor)) {
+	if c.membersOut.add(key, now, roster.EncodeLessorChanged(known.Holder(), known.Term+1, lessor)) {
 		c.event("worker", "lessorChanging", string(w.id), fmt.Sprintf("to %s, term %d", lessor.Worker, known.Term+1), "")
 	}
 }
@@ -88,7 +88,7 @@
 // chooseLessor picks a lessor that has been heard recently and is not the
 // current one, which did not answer.
 func (c *control) chooseLessor(id units.WorkerID, at roster.Place, current roster.Holder, now time.Time) (chosen roster.Holder, ok bool) {
-	c.Entry.members.View(func(r *roster.Roster) {
+	c.members.View(func(r *roster.Roster) {
 		chosen, ok = r.ChooseLessor(id, at, func(h roster.Holder) bool {
 			w := c.workers[h.Worker]
 			return h != current && w != nil && w.reachable(now) && units.Epoch(w.beat.GetEpoch()) == h.Epoch && !w.beat.GetDraining()
@@ -118,7 +118,7 @@
 		id := units.WorkerID(x.GetWorker())
 		var done bool
 		var known roster.Worker
-		c.Entry.members.View(func(r *roster.Roster) {
+		c.members.View(func(r *roster.Roster) {
 			done = settled(r, x)
 			known, _ = r.Worker(id)
 		})
@@ -129,7 +129,7 @@
 			continue
 		}
 		key := fmt.Sprintf("expire/%s@%d/%d", id, known.Epoch, known.Term)
-		if c.members.add(key, now, roster.EncodeLeaseExpired(known.Holder(), known.Term)) {
+		if c.membersOut.add(key, now, roster.EncodeLeaseExpired(known.Holder(), known.Term)) {
 			c.counters.expiries.Inc(1)
 			c.event("worker", "leaseExpired", string(id), "attested by "+string(lessor.id), "")
 		}
@@ -155,7 +155,7 @@
 			continue
 		}
 		key := fmt.Sprintf("expire/%s@%d/%d", h.Worker, h.Epoch, d.term)
-		if c.members.add(key, now, roster.EncodeLeaseExpired(h, d.term)) {
+		if c.membersOut.add(key, now, roster.EncodeLeaseExpired(h, d.term)) {
 			c.event("worker", "leaseExpired", string(h.Worker), "its lessor has ended before", "")
 		}
 	}
@@ -178,7 +178,7 @@
 // chained returns the workers in force whose lessor has ended.
 func (c *control) chained() map[roster.Holder]chainedExpiry {
 	due := make(map[roster.Holder]chainedExpiry)
-	c.Entry.members.View(func(r *roster.Roster) {
+	c.members.View(func(r *roster.Roster) {
 		for _, w := range r.Workers() {
 			if _, ok := r.ChainExpirable(w.ID); !ok || !w.Holds() {
 				continue
@@ -208,5 +208,5 @@
 // catchingUp reports whether the members stream may hold records that this
 // process has not applied.
 func (c *control) catchingUp(now time.Time) bool {
-	return c.Entry.members.Staleness(now) > reachable
+	return c.members.Staleness(now) > reachable
 }
--- a/internal/entry/releases.go
+++ b/internal/entry/releases.go
@@ -23,13 +23,13 @@
 		newest roster.Worker
 	}
 	var holders []ended
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for h := range l.Holders() {
 			holders = append(holders, ended{holder: h})
 		}
 	})
 	over := holders[:0]
-	c.Entry.members.View(func(r *roster.Roster) {
+	c.members.View(func(r *roster.Roster) {
 		for _, h := range holders {
 			newest, ok := r.Worker(h.holder.Worker)
 			if ok && newest.Holds() && newest.Epoch > h.holder.Epoch {
@@ -47,7 +47,7 @@
 	if adopted == nil {
 		return
 	}
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for _, task := range l.TasksOn(h) {
 			row := l.Task(task)
 			if adopted(task, row.Attempt) || !c.owners.Load().owns(string(task.Job)) {
@@ -57,7 +57,7 @@
 			if row.State == ledger.Stopping {
 				entry = ledger.EncodeEnded(task, row.Attempt, wire.Outcome_OUTCOME_STOPPED, 0, units.Resources{})
 			}
-			if c.jobs.add(fmt.Sprintf("release/%s#%d", task, row.Attempt), now, entry) {
+			if c.jobsOut.add(fmt.Sprintf("release/%s#%d", task, row.Attempt), now, entry) {
 				c.counters.releases.Inc(1)
 				c.event("job", "released", task.String(), fmt.Sprintf("attempt %d: epoch %d of %s ended", row.Attempt, h.Epoch, h.Worker), "")
 			}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -89,7 +89,7 @@
 	if len(w.beat.GetReports()) == 0 {
 		return
 	}
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for _, r := range w.beat.GetReports() {
 			if !recorded(l, w.id, r) {
 				c.record(l, w, r, now)
@@ -112,7 +112,7 @@
 	if encode == nil || row == nil || row.Attempt != attempt {
 		return // unknown, or not reached yet
 	}
-	if entry := encode(r, row); entry != nil && c.jobs.add(key, now, entry) {
+	if entry := encode(r, row); entry != nil && c.jobsOut.add(key, now, entry) {
 		c.event("job", outcomeNames[r.GetOutcome()], task.String(),
 			fmt.Sprintf("attempt %d on %s %s", attempt, w.id, r.GetReason()), "")
 	}
@@ -137,7 +137,7 @@
 	if row.State.Open() {
 		entries = append([][]byte{ledger.EncodeReleased(task, row.Attempt, ledger.Release{Reason: "standby activated by " + string(w.id)})}, entries...)
 	}
-	if c.jobs.add(key, now, entries...) {
+	if c.jobsOut.add(key, now, entries...) {
 		c.event("job", "standbyActivated", task.String(), fmt.Sprintf("attempt %d on %s", attempt, w.id), "")
 	}
 }
@@ -145,7 +145,7 @@
 // unrecordedActivations reports whether the agent's heartbeat carries an
 // activation that the ledger does not hold yet.
 func (c *control) unrecordedActivations(w *workerRow) (found bool) {
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for _, r := range w.beat.GetReports() {
 			found = found || activation(l, r)
 		}
@@ -157,9 +157,9 @@
 // foreignAfter.
 func (c *control) foreignDue(key string, now time.Time) bool {
 	mark := "foreign/" + key
-	since, ok := c.jobs.proposed[mark]
+	since, ok := c.jobsOut.proposed[mark]
 	if !ok {
-		c.jobs.proposed[mark] = now.Add(foreignAfter)
+		c.jobsOut.proposed[mark] = now.Add(foreignAfter)
 		return false
 	}
 	return !now.Before(since)
@@ -193,8 +193,8 @@
 		return
 	}
 	now := time.Now()
-	current := c.Entry.jobs.Staleness(now) < reachable
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	current := c.jobs.Staleness(now) < reachable
+	c.jobs.View(func(l *ledger.Ledger) {
 		for _, r := range m.GetReports() {
 			forgotten := current && l.Job(r.GetTask().Task().Job) == nil && c.unknownFor(r, now) > forgottenAfter
 			if forgotten || recorded(l, units.WorkerID(m.GetWorker()), r) {
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -110,12 +110,12 @@
 	document, _ := b.Entry.Document()
 	err := b.do(ctx, func(c *control) {
 		running := make(map[units.WorkerID]int)
-		c.Entry.jobs.View(func(l *ledger.Ledger) {
+		c.jobs.View(func(l *ledger.Ledger) {
 			for h := range l.Holders() {
 				running[h.Worker] += len(l.TasksOn(h))
 			}
 		})
-		c.Entry.members.View(func(r *roster.Roster) {
+		c.members.View(func(r *roster.Roster) {
 			for _, w := range r.Workers() {
 				view := describeWorker(w, c.workers[w.ID], now)
 				view.Running = running[w.ID]
@@ -167,7 +167,7 @@
 	var list []administration.Entry
 	now := time.Now()
 	err := b.do(ctx, func(c *control) {
-		c.Entry.members.View(func(r *roster.Roster) {
+		c.members.View(func(r *roster.Roster) {
 			for _, e := range r.Entries() {
 				list = append(list, administration.Entry{
 					ID: e.ID, FailureDomain: e.Domain, Region: e.Region, LinkAddress: e.LinkAddress,
--- a/internal/entry/watchers.go
+++ b/internal/entry/watchers.go
@@ -16,16 +16,16 @@
 // reconcileWatchers submits the watchers of the document that the ledger does
 // not hold and cancels those that the document no longer names.
 func (c *control) reconcileWatchers(now time.Time) {
-	v := c.Entry.document.Load()
-	if v == nil || now.Before(c.watchers) || !c.logReachable(now) {
+	v := c.document.Load()
+	if v == nil || now.Before(c.watchersAt) || !c.logReachable(now) {
 		return
 	}
-	c.watchers = now.Add(watchersEvery)
+	c.watchersAt = now.Add(watchersEvery)
 	wanted := make(map[string]environment.Watcher, len(v.document.Watchers))
 	for _, w := range v.document.Watchers {
 		wanted[w.Name] = w
 	}
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		present := make(map[string]bool)
 		for _, j := range l.Watchers() {
 			w, ok := wanted[j.Name]
@@ -38,7 +38,7 @@
 				continue
 			}
 			if c.owners.Load().owns(string(j.ID)) {
-				c.jobs.add("cancel/"+string(j.ID), now, ledger.EncodeCancelled(j.ID, "not in the document"))
+				c.jobsOut.add("cancel/"+string(j.ID), now, ledger.EncodeCancelled(j.ID, "not in the document"))
 			}
 			present[j.Name] = ok
 		}
@@ -68,7 +68,7 @@
 			JobKind: w.Name, Size: wire.FromResources(w.Size),
 		},
 	})
-	if c.jobs.add("submit/"+string(id), now, entry) {
+	if c.jobsOut.add("submit/"+string(id), now, entry) {
 		c.event("job", "submitted", string(id), "from the document", "")
 	}
 }
@@ -76,7 +76,7 @@
 // standbysFor returns the watchers that run on a holder.
 func (c *control) standbysFor(h roster.Holder) []*wire.Standby {
 	var list []*wire.Standby
-	c.Entry.jobs.View(func(l *ledger.Ledger) {
+	c.jobs.View(func(l *ledger.Ledger) {
 		for _, task := range l.TasksOn(ledger.Holder(h)) {
 			job, row := l.Job(task.Job), l.Task(task)
 			if job.IsWatcher() && row.State == ledger.Running {
