--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -53,11 +53,12 @@
 	listedAt     time.Time
 	answeredAt   time.Time // send time of the last heartbeat that was answered
 	logReachable bool
-	wantRunning  bool   // the next heartbeat lists all running tasks
-	sentRunning  bool   // the heartbeat that is out lists them
-	described    bool   // has answered a heartbeat with the fields that rarely change
-	interference uint64 // version that the entry has
-	composed     uint64 // version in the heartbeat that is out
+	logRead      time.Time // when the entry last read the tail of the log, at the earliest
+	wantRunning  bool      // the next heartbeat lists all running tasks
+	sentRunning  bool      // the heartbeat that is out lists them
+	described    bool      // has answered a heartbeat with the fields that rarely change
+	interference uint64    // version that the entry has
+	composed     uint64    // version in the heartbeat that is out
 }
 
 // addEntry starts the goroutine that keeps a session with the address.
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -111,6 +111,7 @@
 func (a *Agent) applyReply(e *entry, reply *wire.HeartbeatReply, document *environment.Document, parseErr error, sent time.Time, reports []sentReport) {
 	now := time.Now()
 	e.name, e.answeredAt, e.logReachable = reply.Entry, sent, reply.LogReachable
+	e.logRead = sent.Add(-time.Duration(min(max(reply.ConfigStalenessMilliseconds, 0), 1<<30)) * time.Millisecond)
 	e.interference = e.composed
 	e.described = e.described || e.sentRunning
 	e.wantRunning = reply.WantRunning || e.wantRunning && !e.sentRunning
@@ -155,6 +156,21 @@
 	}
 }
 
+// logJustRead is how old the newest read of the log may be that shows that the
+// log answers now. A follower at the tail reads several times a second; that
+// the log is unreachable shows only after 3 s.
+const logJustRead = time.Second
+
+// logAnswers reports whether an entry has just read the log.
+func (a *Agent) logAnswers(now time.Time) bool {
+	for _, e := range a.entries {
+		if !e.answeredAt.IsZero() && now.Sub(e.logRead) < logJustRead {
+			return true
+		}
+	}
+	return false
+}
+
 // logReachable reports whether an entry has recently said that it reaches the log.
 func (a *Agent) logReachable(now time.Time) bool { return a.anyEntry(now, true) }
 
--- a/internal/agent/lessor.go
+++ b/internal/agent/lessor.go
@@ -78,6 +78,17 @@
 	return a.mayGrant(now) && a.lease.registered && a.lease.valid(now)
 }
 
+// discloseAfter is when an expiry is disclosed although reads of the log are
+// slow, so that the tasks of the lessee do not wait for a fast one.
+const discloseAfter = 10 * time.Second
+
+// mayDisclose reports whether an entry can record the expiry now. Once it is
+// disclosed, this agent can no longer activate a standby of the lessee: if the
+// log then turns out to be down, its watchers wait for the log.
+func (a *Agent) mayDisclose(l *lessee, now time.Time) bool {
+	return a.logAnswers(now) || a.logReachable(now) && now.Sub(l.expiry()) > discloseAfter
+}
+
 // serveLease answers POST /link/lease.
 func (a *Agent) serveLease(ctx context.Context, request *wire.LeaseRequest) (*wire.LeaseReply, error) {
 	return ask(ctx, a, func() (*wire.LeaseReply, error) {
@@ -139,7 +150,7 @@
 	}
 	var out []*wire.LeaseExpiry
 	for _, l := range a.lessees {
-		if l.attested && !l.recorded && !a.activating(l.worker) && (l.disclosed || a.logReachable(now)) {
+		if l.attested && !l.recorded && !a.activating(l.worker) && (l.disclosed || a.mayDisclose(l, now)) {
 			l.disclosed = true
 			out = append(out, &wire.LeaseExpiry{Worker: string(l.worker), Epoch: uint64(l.epoch), Term: uint64(l.term)})
 		}
