Ask the new lessor although the old one has not answered

cause: the acceptance run showed workers that changed their lessor every 4.6 s and lost their leases in between; one watcher was unwatched for 16 s. The request to the paused lessor was still out when the term changed, and the agent waited for its answer for ever after. Refusals of the lessors were ruled out: none was asked. change: a new term forgets the request of the former one.

--- a/internal/acceptance/evidence.go
+++ b/internal/acceptance/evidence.go
@@ -27,18 +27,18 @@
 	logBack   time.Time
 	lost      Worker // the instance that is lost for a while
 	urgent    units.JobID
-	urgentAt  time.Time // when its submission was accepted
-	jobs      []units.JobID
+	urgentAt  time.Time     // when its submission was accepted
+	jobs      []units.JobID // of the track of teams, read after it has ended
 	cancelled []units.JobID
 	states    map[units.JobID]administration.Job
 	accepted  []acceptance
-	leaving   []leaving
 	quick     *load.Report
 	order     *load.Report
 	runs      []worker.Run
 	events    []timeline.Event
 
 	mu         sync.Mutex // of what follows
+	leaving    []leaving
 	answers    map[string]answer
 	executed   map[string]map[string]int // endpoint, request id, times
 	lateStarts map[string]int            // executions at a leaving endpoint, after it should have none
--- a/internal/agent/lessee.go
+++ b/internal/agent/lessee.go
@@ -113,6 +113,7 @@
 	l.term, l.termSince = term, now
 	l.lessor, l.lessorEpoch, l.lessorAddress = units.WorkerID(reply.Lessor), units.Epoch(reply.LessorEpoch), reply.LessorAddress
 	l.wants, l.granted, l.nextAt = false, time.Time{}, now
+	l.requesting = false // an answer to a request of the former term is ignored
 	l.unbounded = l.lessor == ""
 	a.worker.renewSoon = true
 	a.event("lessorChanged", string(a.WorkerID), string(l.lessor))
