Say unavailable for what an entry process has not read yet

cause: with the log stopped by hand, an entry process that had just restarted refused a valid job: its environment had no document.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -61,6 +61,9 @@
 			}
 		}
 	})
+	if found == nil && b.config.Staleness(time.Now()) > reachable {
+		return administration.Document{}, errBehind()
+	}
 	if found == nil {
 		return administration.Document{}, administration.Errorf(administration.KindNotFound, "environment %q has no such document", env)
 	}
@@ -69,6 +72,12 @@
 	return d, nil
 }
 
+// errBehind is the answer for what this process does not hold while it does not
+// follow the log: another process may hold it.
+func errBehind() error {
+	return administration.Unavailable(administration.OutcomeNotRun, errors.New("the log has not been read to its tail"))
+}
+
 func describeVersion(v configuration.Version) administration.Document {
 	return administration.Document{Environment: v.Environment, Version: v.Offset, Author: v.Author}
 }
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -39,7 +39,10 @@
 
 // Job implements administration.Backend.
 func (b backend) Job(_ context.Context, id units.JobID) (job administration.Job, err error) {
-	err = administration.Errorf(administration.KindNotFound, "job %q is not known", id)
+	err = errBehind()
+	if b.jobs.Staleness(time.Now()) <= reachable {
+		err = administration.Errorf(administration.KindNotFound, "job %q is not known", id)
+	}
 	b.jobs.View(func(l *ledger.Ledger) {
 		if j := l.Job(id); j != nil {
 			job, err = describeJob(j, true), nil
