--- a/internal/capacity/entries.go
+++ b/internal/capacity/entries.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -13,12 +12,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"wasabihill.example/wasabihill/internal/entry"
-	"wasabihill.example/wasabihill/internal/gateway"
-	"wasabihill.example/wasabihill/internal/link"
-	"wasabihill.example/wasabihill/internal/routing"
+	"wasabihill.example/wasabihill/internal/process"
 	"wasabihill.example/wasabihill/internal/settings"
-	"wasabihill.example/wasabihill/pkg/environment"
-	"wasabihill.example/wasabihill/pkg/logservice"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -34,9 +29,6 @@
 // entriesReady says where the entry processes listen.
 type entriesReady struct{ Links, Administrations []string }
 
-// logConnections is what the entry process's main uses.
-const logConnections = 8
-
 func startEntries(ctx context.Context, s entriesSettings) (any, func(Detail) Sample, func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
@@ -90,46 +82,17 @@
 		ID: units.EntryID(fmt.Sprintf("entry-%d", i+1)), Environment: environmentName,
 		FailureDomain: domains[i%len(domains)], Region: region(i),
 		CallerAddress: addresses[0], AdminAddress: addresses[1], LinkAddress: addresses[2], AdvertisedLinkAddress: addresses[2],
-		OperatorToken: settings.NewSecret(token),
+		LogAddress: netip.MustParseAddrPort(log), OperatorToken: settings.NewSecret(token),
 		Limits: settings.EntryLimits{
 			CallerRequests: 10_000, CallerBody: units.MiB, CallerTimeout: time.Minute, AdminRequests: 256, AdminBody: units.MiB,
 			AdminTimeout: 10 * time.Second, HeaderBytes: 16 * units.KiB, Connections: 20_000, TimelineEvents: 20_000, StreamsPerSession: 1024,
 		},
 	}
-	return &entry.Entry{
-		Settings: s, Scope: scope, DrainFor: time.Millisecond,
-		Log: &logservice.Client{BaseURL: "http://" + log, HTTP: &http.Client{
-			Transport: &http.Transport{MaxIdleConnsPerHost: logConnections, IdleConnTimeout: time.Minute}}},
-		Requests: func(e *entry.Entry) entry.Requests { return newRequestPath(e, s, scope) },
-	}
-}
-
-// requestPath gives the entry process its table of endpoints, which every
-// heartbeat updates.
-type requestPath struct {
-	*gateway.Gateway
-	table *routing.Table
-}
-
-func newRequestPath(e *entry.Entry, s *settings.Entry, scope tally.Scope) *requestPath {
-	table := routing.New(routing.Settings{Domain: s.FailureDomain, Region: s.Region})
-	return &requestPath{table: table, Gateway: gateway.New(gateway.Options{
-		Table: table, Scope: scope, Limit: s.Limits.CallerRequests, BodyBytes: int64(s.Limits.CallerBody), MaxTime: s.Limits.CallerTimeout,
-		Document: func() *environment.Document {
-			d, _ := e.Document()
-			return d
-		},
-	})}
+	e := process.NewEntry(s, scope)
+	e.DrainFor = time.Millisecond
+	return e
 }
 
-// Observe implements entry.Requests.
-func (p *requestPath) Observe(worker units.WorkerID, session *link.Session, beat entry.Beat) {
-	p.table.Observe(worker, session, beat.Message, beat.At)
-}
-
-// Update implements entry.Requests.
-func (p *requestPath) Update(d *environment.Document) { p.table.SetDocument(d, time.Now()) }
-
 // freeAddresses returns addresses that were free a moment ago.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/urfave/cli/v3"
 
 	"wasabihill.example/wasabihill/internal/administration"
@@ -48,16 +49,21 @@
 func runEntry(ctx context.Context, s *settings.Entry, drainFor time.Duration) error {
 	scope, metrics, closer := administration.NewMetrics(string(s.ID))
 	defer closer.Close()
-	log := &logservice.Client{
-		BaseURL: "http://" + s.LogAddress.String(),
-		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: logConnections, IdleConnTimeout: time.Minute}},
-	}
-	e := &entry.Entry{
-		Settings: s, Log: log, Scope: scope, Metrics: metrics, DrainFor: drainFor,
-		Requests: requests(s, scope),
-	}
+	e := NewEntry(s, scope)
+	e.Metrics, e.DrainFor = metrics, drainFor
 	return interruptible(ctx, e.Run)
 }
 
+// NewEntry connects the parts of an entry process.
+func NewEntry(s *settings.Entry, scope tally.Scope) *entry.Entry {
+	return &entry.Entry{
+		Settings: s, Scope: scope, Requests: requests(s, scope),
+		Log: &logservice.Client{
+			BaseURL: "http://" + s.LogAddress.String(),
+			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: logConnections, IdleConnTimeout: time.Minute}},
+		},
+	}
+}
+
 // logConnections covers three followers and three writers.
 const logConnections = 8
