--- a/internal/acceptance/summary.go
+++ b/internal/acceptance/summary.go
@@ -149,9 +149,18 @@
 	return nil
 }
 
-func (d *day) timeline(ctx context.Context, format string) ([]byte, error) {
-	url := "http://" + d.firm.Entries()[0].Admin + "/v1/timeline?limit=10000&format=" + format
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// timeline asks the entry processes in turn: one of them may be gone.
+func (d *day) timeline(ctx context.Context, format string) (body []byte, err error) {
+	for _, e := range d.firm.Entries() {
+		if body, err = d.timelineOf(ctx, e, format); err == nil {
+			return body, nil
+		}
+	}
+	return nil, err
+}
+
+func (d *day) timelineOf(ctx context.Context, e Entry, format string) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin+"/v1/timeline?limit=10000&format="+format, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -161,6 +170,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("timeline of %s: status %s", e.ID, response.Status)
+	}
 	return io.ReadAll(response.Body)
 }
 
