--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -130,9 +130,16 @@
 		return ok
 	}
 	lessor, ok := r.Worker(w.Lessor.Worker)
-	if !ok || lessor.Lessor.Worker != w.ID || w.ID > lessor.ID {
+	if !ok || lessor.Lessor.Worker != w.ID || !hasOtherLessor(r, w, lessor) {
 		return false
 	}
+	return w.ID < lessor.ID || !hasOtherLessor(r, lessor, w)
+}
+
+// hasOtherLessor reports whether a worker other than its present lessor could
+// be its lessor without making another such pair.
+func hasOtherLessor(r *roster.Roster, w, lessor roster.Worker) bool {
+	place := roster.Place{Domain: w.Domain, Rack: w.Rack, Region: w.Region}
 	chosen, ok := r.ChooseLessor(w.ID, place, func(h roster.Holder) bool { return h.Worker != lessor.ID })
 	other, _ := r.Worker(chosen.Worker)
 	return ok && other.Lessor.Worker != w.ID
--- a/internal/entry/lessor_test.go
+++ b/internal/entry/lessor_test.go
@@ -20,6 +20,7 @@
 		{"none yet", map[units.WorkerID]units.WorkerID{"a": "", "b": ""}, map[units.WorkerID]bool{"a": true, "b": true}},
 		{"only two", map[units.WorkerID]units.WorkerID{"a": "b", "b": "a"}, map[units.WorkerID]bool{}},
 		{"pair among three", map[units.WorkerID]units.WorkerID{"a": "b", "b": "a", "c": "b"}, map[units.WorkerID]bool{"a": true}},
+		{"pair whose first has only its lessee left", map[units.WorkerID]units.WorkerID{"a": "b", "b": "a", "c": "a"}, map[units.WorkerID]bool{"b": true}},
 		{"ring", map[units.WorkerID]units.WorkerID{"a": "b", "b": "c", "c": "a"}, map[units.WorkerID]bool{}},
 	} {
 		r := roster.New()
