Do not repeat a start once the lists tell what became of it

cause: soak: a start had four unanswered tries; the first was carried out and ended well, the runner was born again under its id and its new life carried a later try out. Open: a late copy that reaches a new life before any call of the agent does.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -29,6 +29,9 @@
 	clockSlowness = 0.02
 	// lapseMargin covers the time between a lease's end and the end of its runs.
 	lapseMargin = 200 * time.Millisecond
+	// lifeBits is the part of a fencing token that counts the lives of the runner;
+	// the rest still fits the integers that any JSON decoder keeps exactly.
+	lifeBits = 16
 )
 
 // run is a row of the controller's table.
@@ -73,13 +76,15 @@
 // Controller owns the table of a runner. Set the exported fields before Run.
 // Its methods may be called concurrently.
 type Controller struct {
-	API          API
+	API API
+	// Token orders the agent processes of a machine; calls carry fencingToken.
 	Token        Token
 	LongestLease time.Duration
 	OnChange     func() // called without locks after a change that the scheduler waits for
 
 	mu         sync.Mutex
 	info       *Info // nil before the first announcement
+	lives      Token // incarnations that this process has known
 	known      bool  // the lists have been read since the incarnation appeared
 	silent     bool  // the last hold was not answered
 	runs       map[workflow.TaskID]*run
@@ -134,14 +139,19 @@
 // replace forgets the previous incarnation, which holds nothing any more. One
 // under the same id may have taken starts that were meant for the previous one,
 // also such as were answered before anybody knew of the new life. So the table
-// stays, and the first listing that was asked for later tells what is gone.
+// stays, and the first listing that was asked for later tells what is gone: it
+// is asked for with a higher token, which fences off all earlier calls.
 func (c *Controller) replace(info Info) {
 	reborn := c.info != nil && c.info.ID == info.ID
 	c.info = &info
+	c.lives++
 	c.known, c.silent = false, false
 	c.reborn = 0
 	if reborn {
 		c.reborn = bootclock.Now()
+		for _, r := range c.runs {
+			r.stopping = false // the stop went to the previous life
+		}
 	} else {
 		c.runs = make(map[workflow.TaskID]*run)
 	}
@@ -152,6 +162,11 @@
 	c.appeared = make(chan struct{})
 }
 
+// fencingToken returns the token of calls to the present incarnation. It is
+// higher than those of every earlier one under the same id, so that a call which
+// was meant for an earlier life and arrives late does nothing. c.mu is held.
+func (c *Controller) fencingToken() Token { return c.Token<<lifeBits + c.lives }
+
 // Withdraw takes note that the runner has left.
 func (c *Controller) Withdraw(id string) {
 	c.mu.Lock()
@@ -298,7 +313,7 @@
 	if c.info == nil {
 		return HoldCall{}, false, false
 	}
-	call = HoldCall{Runner: c.info.ID, Token: c.Token, Recorded: c.recorded, Wait: holdWait}
+	call = HoldCall{Runner: c.info.ID, Token: c.fencingToken(), Recorded: c.recorded, Wait: holdWait}
 	if serving, filling := c.neighbours(); len(serving) > 0 && len(filling) > 0 {
 		call.Wait = guardedWait
 	}
--- a/internal/runner/guard.go
+++ b/internal/runner/guard.go
@@ -148,7 +148,7 @@
 	for i, f := range filling {
 		if wanted[i] != f.run.pace || f.run.paceUnset {
 			f.run.pace, f.run.paceUnset = wanted[i], false
-			calls = append(calls, PaceCall{StopCall{c.info.ID, c.Token, f.task, f.run.attempt}, wanted[i]})
+			calls = append(calls, PaceCall{StopCall{c.info.ID, c.fencingToken(), f.task, f.run.attempt}, wanted[i]})
 		}
 	}
 	return calls
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -36,7 +36,7 @@
 	c.mu.Unlock()
 	switch reason {
 	case "":
-		go c.start(ctx, meant.ID, s)
+		go c.start(ctx, meant, s)
 	case repeated:
 	default:
 		c.changed()
@@ -61,17 +61,18 @@
 	return ""
 }
 
-func (c *Controller) start(ctx context.Context, id string, s Start) {
+func (c *Controller) start(ctx context.Context, meant Incarnation, s Start) {
 	mayArrive := false // a try without an answer may still be carried out
 	var err error
 	for try := 0; try < startTries; try++ {
-		until, granted := c.leaseNow()
-		if !granted {
-			err = fault.New("start", Late, "the lease has ended")
+		call, refused := c.nextTry(meant, s)
+		if refused == repeated {
+			return
+		}
+		if refused != "" {
+			err = fault.New("start", refused, "no further try")
 			break
 		}
-		call := StartCall{Runner: id, Token: c.Token, Task: s.Task, Attempt: s.Attempt, Spec: s.Spec,
-			Checkpoint: s.Checkpoint, Ticket: s.Ticket, Until: until}
 		err = c.call(ctx, func(ctx context.Context) (Clock, error) { return c.API.Start(ctx, call) })
 		mayArrive = mayArrive || Is(err, Unanswered)
 		if err == nil || !Is(err, Unanswered) && !Is(err, Unreachable) || ctx.Err() != nil {
@@ -82,11 +83,11 @@
 		c.confirm(s)
 		return
 	}
-	klog.InfoS("start failed", "task", s.Task.String(), "attempt", s.Attempt, "runner", id, "mayArrive", mayArrive, "err", err)
-	if mayArrive && !settles[kindOf(err)] && !c.cancelStart(ctx, id, s) {
+	klog.InfoS("start failed", "task", s.Task.String(), "attempt", s.Attempt, "runner", meant.ID, "mayArrive", mayArrive, "err", err)
+	if mayArrive && !settles[kindOf(err)] && !c.cancelStart(ctx, meant.ID, s) {
 		return // it runs after all, or the runner is another one
 	}
-	if kindOf(err) == Superseded || mayArrive && kindOf(err) != Reborn {
+	if kindOf(err) == Superseded || mayArrive && !c.replacedBy(meant) {
 		// An earlier try may have been carried out, and the run may even have
 		// ended well. Only the lists can tell: the run stays in the table until
 		// one that is asked for from now on shows it, its end, or neither.
@@ -96,6 +97,35 @@
 	c.reject(s, err)
 }
 
+// nextTry returns the call of the next try of a start, or why there is none: the
+// lease has ended, the runner is another one than was meant, or the lists have
+// shown the run or its end (repeated). Another life under the same id would carry
+// the start out although the run may have ended in the life that was meant.
+func (c *Controller) nextTry(meant Incarnation, s Start) (StartCall, Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.runs[s.Task]; r == nil || r.attempt != s.Attempt || !r.starting {
+		return StartCall{}, repeated
+	}
+	if c.info.Incarnation != meant {
+		return StartCall{}, Reborn
+	}
+	until, granted := c.lease(bootclock.Now())
+	if !granted {
+		return StartCall{}, Late
+	}
+	return StartCall{Runner: meant.ID, Token: c.fencingToken(), Task: s.Task, Attempt: s.Attempt, Spec: s.Spec,
+		Checkpoint: s.Checkpoint, Ticket: s.Ticket, Until: until}, ""
+}
+
+// replacedBy reports whether the runner has another id than was meant. It then
+// refuses everything that is still on its way.
+func (c *Controller) replacedBy(meant Incarnation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.info.ID != meant.ID
+}
+
 // settles lists the refusals after which no earlier try of the same attempt
 // can be carried out any more.
 var settles = map[Kind]bool{Superseded: true, Fenced: true, Reborn: true}
@@ -116,6 +146,7 @@
 		r := c.runs[s.Task]
 		gone := r == nil || r.attempt != s.Attempt || !r.starting
 		lapsed := c.lapsed(bootclock.Now())
+		call := StopCall{Runner: id, Token: c.fencingToken(), Task: s.Task, Attempt: s.Attempt}
 		c.mu.Unlock()
 		if gone {
 			return false
@@ -123,7 +154,6 @@
 		if lapsed {
 			return true
 		}
-		call := StopCall{Runner: id, Token: c.Token, Task: s.Task, Attempt: s.Attempt}
 		err := c.call(ctx, func(ctx context.Context) (Clock, error) { return c.API.Stop(ctx, call) })
 		if err == nil || Is(err, Reborn) || Is(err, Fenced) {
 			return true
@@ -156,6 +186,7 @@
 func (c *Controller) Stop(ctx context.Context, task workflow.TaskID, attempt workflow.Attempt) {
 	c.mu.Lock()
 	id := ""
+	token := c.fencingToken()
 	if c.info != nil {
 		id = c.info.ID
 	}
@@ -167,7 +198,7 @@
 	}
 	c.mu.Unlock()
 	if id != "" {
-		go c.stop(ctx, StopCall{Runner: id, Token: c.Token, Task: task, Attempt: attempt})
+		go c.stop(ctx, StopCall{Runner: id, Token: token, Task: task, Attempt: attempt})
 	}
 }
 
@@ -187,12 +218,6 @@
 	}
 }
 
-func (c *Controller) leaseNow() (Clock, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease(bootclock.Now())
-}
-
 func (c *Controller) call(ctx context.Context, fn func(context.Context) (Clock, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -84,7 +84,7 @@
 			c := ready(api)
 			task := workflow.TaskID{Job: "a"}
 			c.runs[task] = &run{attempt: 1, starting: true}
-			c.start(context.Background(), "r", Start{Task: task, Attempt: 1})
+			c.start(context.Background(), Incarnation{ID: "r"}, Start{Task: task, Attempt: 1})
 			if got := api.seen(); !slices.Equal(got, test.want) {
 				t.Errorf("calls: got %v, want %v", got, test.want)
 			}
@@ -110,7 +110,7 @@
 	c := ready(api)
 	task := workflow.TaskID{Job: "a"}
 	c.runs[task] = &run{attempt: 1, starting: true}
-	c.start(context.Background(), "r", Start{Task: task, Attempt: 1})
+	c.start(context.Background(), Incarnation{ID: "r"}, Start{Task: task, Attempt: 1})
 	c.merge("r", Listing{Clock: 2000, Ended: []Ended{{Number: 1, Task: task, Attempt: 1, End: workflow.Done}}}, bootclock.Now())
 	report, _ := c.Report()
 	if len(report.GetEnded()) != 1 || len(report.GetRejected()) != 0 || len(report.GetRunning()) != 0 {
@@ -213,3 +213,85 @@
 	<-s.release
 	return 1, nil
 }
+
+// A start that gets no answer may be carried out by the life that was meant and
+// end well there. A further try that reaches another life under the same id runs
+// the task a second time.
+func TestStartIsNotRepeatedOnceTheListsTell(t *testing.T) {
+	task := workflow.TaskID{Job: "a"}
+	cases := map[string]struct {
+		between func(*Controller) // happens while the first try is unanswered
+		starts  int
+		running int // runs in the report afterwards
+	}{
+		"its end is listed": {func(c *Controller) {
+			c.merge("r", Listing{Clock: 2000, Ended: []Ended{{Number: 1, Task: task, Attempt: 1, End: workflow.Done}}}, bootclock.Now())
+		}, 1, 0},
+		"it is listed": {func(c *Controller) {
+			c.merge("r", Listing{Clock: 2000, Running: []Row{{Task: task, Attempt: 1}}}, bootclock.Now())
+		}, 1, 1},
+		"the runner is born again": {func(c *Controller) {
+			c.Announce(Info{Incarnation: Incarnation{ID: "r", Born: 2}}, 1)
+		}, 1, 1}, // until a listing of the new life says more
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			api := &interrupted{scripted: scripted{starts: []Kind{Unanswered, "", ""}}}
+			c := ready(api)
+			api.between = func() { test.between(c) }
+			c.runs[task] = &run{attempt: 1, starting: true}
+			c.start(context.Background(), Incarnation{ID: "r"}, Start{Task: task, Attempt: 1})
+			if got := len(api.seen()); got != test.starts {
+				t.Errorf("calls: got %v, want %d starts", api.seen(), test.starts)
+			}
+			report, rejections := c.Report()
+			if got := len(report.GetRunning()); got != test.running || rejections != 0 {
+				t.Errorf("got %d runs and %d rejections in the report, want %d and none", got, rejections, test.running)
+			}
+		})
+	}
+}
+
+// A start that was meant for an earlier life and arrives after the first call of
+// the new one must be refused by the runner: its token is lower. The next agent
+// process must have a higher one than both.
+func TestEachLifeRaisesTheFencingToken(t *testing.T) {
+	c := ready(&scripted{})
+	c.Token = 7
+	before, _, _ := c.nextHold()
+	c.Announce(Info{Incarnation: Incarnation{ID: "r", Born: 2}}, 1)
+	after, _, _ := c.nextHold()
+	if after.Token <= before.Token {
+		t.Errorf("token of the new life: got %d, want more than %d", after.Token, before.Token)
+	}
+	next := ready(&scripted{})
+	next.Token = 8
+	if got, _, _ := next.nextHold(); got.Token <= after.Token {
+		t.Errorf("token of the next process: got %d, want more than %d", got.Token, after.Token)
+	}
+}
+
+// A stop that went to the earlier life must be ordered again for a run that the
+// new life holds.
+func TestStopIsRepeatedAfterRebirth(t *testing.T) {
+	api := &scripted{}
+	c := ready(api)
+	task := workflow.TaskID{Job: "a"}
+	c.runs[task] = &run{attempt: 1, confirmed: bootclock.Now(), stopping: true}
+	c.Announce(Info{Incarnation: Incarnation{ID: "r", Born: 2}}, 1)
+	if c.runs[task].stopping {
+		t.Error("after the rebirth the run still counts as being stopped")
+	}
+}
+
+// interrupted calls between while its first start is under way.
+type interrupted struct {
+	scripted
+	between func()
+	once    sync.Once
+}
+
+func (i *interrupted) Start(ctx context.Context, call StartCall) (Clock, error) {
+	i.once.Do(i.between)
+	return i.scripted.Start(ctx, call)
+}
