Learn interference on rates instead of latencies

It took latency as a sum, but a queue's latency is reciprocal to what its load leaves; it let each task have a base that followed every reading, although the tasks of a step share one load; and it blamed what started while a reading still fell from an earlier peak. Ruled out: the learning rates (none within the old form came near). change: the model works on target / latency, from which each filling core takes a share; one base for the tasks of a step; the delay of a reading is taken out. Placement and paces decide on rates.

--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -1,45 +1,71 @@
-// Package interference learns how much tasks that fill raise the tail latency
-// of the serving tasks beside them, for each pair of images.
+// Package interference learns how much tasks that fill slow down the serving
+// tasks beside them, for each pair of images.
 //
-// The model is linear: latency = base of the serving task + sum over the
-// filling images of perCore x cores in use. Base and perCore change within
-// seconds, so both are tracked by a Kalman filter with a diagonal covariance
-// whose variances grow with time.
+// A serving task is a queue: its latency is reciprocal to what its load leaves
+// of its capacity. The model therefore works on rates, target / latency, which
+// are 1 at the target and fall in proportion to what takes from the task:
+//
+//	rate = base of the step - sum over the filling images of perCore x cores in use
+//
+// The tasks of a step share one load, so they share one base: a task that runs
+// alone tells what its siblings on other workers would reach. Base and perCore
+// change within seconds, so both are tracked by a Kalman filter with a diagonal
+// covariance whose variances grow with time.
 package interference
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
 	"wasabihill.example/wasabihill/internal/workflow"
 )
 
 const (
-	// firstPerCore is assumed of a pair that was never observed, in ms per core.
-	firstPerCore = 0.2
+	// firstPerCore is assumed of a pair that was never observed, in rate per core.
+	firstPerCore = 0.05
+	// firstBase is the least that is assumed of a step before it ran alone: half
+	// of its target.
+	firstBase = 2.0
 	// firstPairVariance and firstBaseVariance are those of a first observation.
-	firstPairVariance = 1.0
-	firstBaseVariance = 50.0
+	firstPairVariance = 0.1
+	firstBaseVariance = 0.6
 	// pairDrift and baseDrift are the variance added per second. The base
-	// follows the serving task's own load, which changes faster than a pair.
-	pairDrift = 0.01
-	baseDrift = 2.0
-	// measurement is the variance of a reading relative to its square.
-	measurement = 0.02
-	// worstRatio caps a reading relative to its target: a queue that builds up
-	// answers out of all proportion to its cause.
-	worstRatio = 2.5
+	// follows the step's own load, which changes faster than a pair.
+	pairDrift = 0.001
+	baseDrift = 0.3
+	// noise is the standard deviation of a reading relative to its rate, which
+	// counts as lowestNoiseRate at least: latencies are whole milliseconds and
+	// harm is not quite linear near saturation.
+	noise           = 0.1
+	lowestNoiseRate = 1.0
+	// lowestRate is the least rate that is told apart: beyond it a queue grows
+	// for as long as it lasts, whatever its cause.
+	lowestRate = 0.4
+	// maxPerCore bounds an estimate per core.
+	maxPerCore = 5.0
+	// readingFade is the time constant with which a reading follows the latency.
+	readingFade = 400 * time.Millisecond
+	// longestGap is the time after which an earlier reading no longer shows in
+	// the next one.
+	longestGap = 3 * readingFade
 	// knownVariance is below what two or three readings leave.
-	knownVariance = 0.1
-	// maxPerCore bounds an estimate in ms per core.
-	maxPerCore = 10.0
-	// maxTasks, maxPairs and maxImages bound the tables against ever new names.
+	knownVariance = 0.03
+	// leastCores are too few to show in a reading.
+	leastCores = 0.02
+	// maxTasks, maxSteps, maxPairs and maxImages bound the tables against ever
+	// new names.
 	maxTasks  = 4096
+	maxSteps  = 1024
 	maxPairs  = 4096
 	maxImages = 64
 )
 
+// HighestRate is the highest rate that is told apart.
+const HighestRate = 6.0
+
 // Serving is a reading of a serving task.
 type Serving struct {
 	Task    workflow.TaskID
@@ -68,15 +94,22 @@
 	e.at = at
 }
 
+// reading is the last one of a task.
+type reading struct {
+	latency float64 // relative to the target
+	at      bootclock.Instant
+}
+
 // Model holds the estimates. It is not safe for concurrent use.
 type Model struct {
-	filling []string // images that were observed filling, the newest last; at most maxImages
-	pairs   map[pair]*estimate
-	bases   map[workflow.TaskID]*estimate
+	filling  []string // images that were observed filling, the newest last; at most maxImages
+	pairs    map[pair]*estimate
+	bases    map[workflow.TaskID]*estimate // by the step's first task
+	readings map[workflow.TaskID]*reading
 }
 
-// PerCore returns by how many ms one core of the filling image raises the tail
-// latency of the serving image.
+// PerCore returns by how much one core of the filling image lowers the rate of
+// the serving image.
 func (m *Model) PerCore(serving, filling string) float64 {
 	if e := m.pairs[pair{serving, filling}]; e != nil {
 		return e.value
@@ -87,54 +120,93 @@
 // Filling returns the images that were observed filling.
 func (m *Model) Filling() []string { return m.filling }
 
-// Observe takes in the readings of one worker.
-func (m *Model) Observe(at bootclock.Instant, serving []Serving, filling []Filling) {
-	if m.pairs == nil {
-		m.pairs = make(map[pair]*estimate)
-		m.bases = make(map[workflow.TaskID]*estimate)
-	}
+// Observe takes in the readings of one worker, and returns the rate that each
+// serving task has reached now; it is HighestRate without a reading.
+func (m *Model) Observe(at bootclock.Instant, serving []Serving, filling []Filling) []float64 {
+	m.init()
 	cores := make(map[string]float64)
 	for _, f := range filling {
 		cores[f.Image] += f.Cores
 	}
 	images := make([]string, 0, len(cores))
-	for image := range cores {
-		images = append(images, image)
+	for image, n := range cores {
+		if n > leastCores {
+			images = append(images, image)
+		}
 	}
 	slices.Sort(images) // equal runs give equal sums
-	for _, s := range serving {
+	rates := make([]float64, len(serving))
+	for i, s := range serving {
+		rates[i] = HighestRate
 		if s.Latency > 0 && s.Target > 0 {
-			m.observe(at, s, images, cores)
+			rates[i] = m.observe(at, s, images, cores)
 		}
 	}
 	m.forget()
+	return rates
 }
 
-func (m *Model) observe(at bootclock.Instant, s Serving, images []string, cores map[string]float64) {
-	latency := min(s.Latency, worstRatio*s.Target)
-	base := m.bases[s.Task]
-	if base == nil {
-		base = &estimate{value: latency, variance: firstBaseVariance, at: at}
-		m.bases[s.Task] = base
+func (m *Model) init() {
+	if m.pairs == nil {
+		m.pairs = make(map[pair]*estimate)
+		m.bases = make(map[workflow.TaskID]*estimate)
+		m.readings = make(map[workflow.TaskID]*reading)
 	}
-	base.advance(at, baseDrift, firstBaseVariance)
+}
+
+func (m *Model) observe(at bootclock.Instant, s Serving, images []string, cores map[string]float64) float64 {
+	rate, stale := m.rate(at, s)
+	base := m.base(at, s.Task, rate)
 	predicted := base.value
-	spread := base.variance + measurement*latency*latency
+	deviation := noise * max(rate, lowestNoiseRate) / (1 - stale)
+	spread := base.variance + deviation*deviation
 	rows := make([]*estimate, len(images))
 	for i, image := range images {
 		e := m.pair(pair{s.Image, image}, at)
 		e.advance(at, pairDrift, firstPairVariance)
-		predicted += e.value * cores[image]
+		predicted -= e.value * cores[image]
 		spread += e.variance * cores[image] * cores[image]
 		rows[i] = e
 	}
-	surprise := latency - predicted
+	surprise := max(rate, lowestRate) - max(predicted, lowestRate)
 	base.correct(surprise, 1, spread)
-	base.value = max(base.value, 0)
+	base.value = min(max(base.value, lowestRate), HighestRate)
 	for i, e := range rows {
-		e.correct(surprise, cores[images[i]], spread)
+		e.correct(surprise, -cores[images[i]], spread)
 		e.value = min(max(e.value, 0), maxPerCore)
 	}
+	return rate
+}
+
+// rate returns the rate that a reading shows, and the share of the reading that
+// the one before it explains: a reading follows the latency with a delay, so that
+// what harmed a moment ago still shows when it has gone.
+func (m *Model) rate(at bootclock.Instant, s Serving) (rate, stale float64) {
+	latency := s.Latency / s.Target
+	last := m.readings[s.Task]
+	if last == nil {
+		last = &reading{}
+		m.readings[s.Task] = last
+	}
+	now := latency
+	if gap := at.Sub(last.at); last.latency > 0 && gap < longestGap {
+		stale = math.Exp(-gap.Seconds() / readingFade.Seconds())
+		now = (latency - stale*last.latency) / (1 - stale)
+	}
+	*last = reading{latency, at}
+	return 1 / max(now, 1/HighestRate), stale
+}
+
+// base returns the estimate of the step of a task.
+func (m *Model) base(at bootclock.Instant, task workflow.TaskID, rate float64) *estimate {
+	task.Index = 0
+	e := m.bases[task]
+	if e == nil {
+		e = &estimate{value: max(rate, firstBase), variance: firstBaseVariance, at: at}
+		m.bases[task] = e
+	}
+	e.advance(at, baseDrift, firstBaseVariance)
+	return e
 }
 
 // correct applies the share of the surprise that the estimate accounts for.
@@ -159,11 +231,13 @@
 
 // forget bounds the tables by dropping what was read longest ago.
 func (m *Model) forget() {
-	dropOldest(m.bases, maxTasks)
-	dropOldest(m.pairs, maxPairs)
+	dropOldest(m.readings, maxTasks, func(r *reading) bootclock.Instant { return r.at })
+	read := func(e *estimate) bootclock.Instant { return e.at }
+	dropOldest(m.bases, maxSteps, read)
+	dropOldest(m.pairs, maxPairs, read)
 }
 
-func dropOldest[K comparable](rows map[K]*estimate, limit int) {
+func dropOldest[K comparable, V any](rows map[K]V, limit int, at func(V) bootclock.Instant) {
 	if len(rows) <= limit {
 		return
 	}
@@ -171,7 +245,7 @@
 	for k := range rows {
 		keys = append(keys, k)
 	}
-	slices.SortFunc(keys, func(a, b K) int { return cmp.Compare(rows[a].at, rows[b].at) })
+	slices.SortFunc(keys, func(a, b K) int { return cmp.Compare(at(rows[a]), at(rows[b])) })
 	for _, k := range keys[:len(keys)-limit/2] {
 		delete(rows, k)
 	}
@@ -180,7 +254,7 @@
 // Estimate is what a model knows of a pair of images.
 type Estimate struct {
 	Serving, Filling string
-	PerCore          float64 // ms of tail latency per core
+	PerCore          float64 // loss of rate per core
 	Variance         float64 // of PerCore
 }
 
@@ -195,17 +269,11 @@
 	return known
 }
 
-// Suggest takes over another model's estimate when it is the surer one.
+// Suggest takes over the estimate of a model that has seen more workers.
 func (m *Model) Suggest(at bootclock.Instant, in Estimate) {
-	if m.pairs == nil {
-		m.pairs = make(map[pair]*estimate)
-		m.bases = make(map[workflow.TaskID]*estimate)
-	}
+	m.init()
 	e := m.pair(pair{in.Serving, in.Filling}, at)
-	e.advance(at, pairDrift, firstPairVariance)
-	if in.Variance < e.variance {
-		e.value, e.variance = in.PerCore, in.Variance
-	}
+	e.value, e.variance, e.at = in.PerCore, in.Variance, at
 }
 
 // Known reports whether enough was observed of a pair to trust the estimate.
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -43,6 +43,7 @@
 	checkpoint string
 	percent    int
 	load       int64
+	rate       float64           // of a serving task: target / latency, as the last reading shows it; 0 before the first
 	over       bootclock.Instant // since when a serving task exceeds its target; 0 while it does not
 	fills      bool
 	image      string
--- a/internal/runner/guard.go
+++ b/internal/runner/guard.go
@@ -18,15 +18,21 @@
 	// protected, and latencyGoal the share to which it is brought back.
 	latencyLimit = 0.95
 	latencyGoal  = 0.8
-	// latencyAlarm is the share of its target above which latency grows faster
-	// than the model knows; the pace then falls after alarmDelay already.
-	latencyAlarm = 1.3
-	alarmDelay   = 250 * time.Millisecond
+	// limitRate and goalRate are the rates that belong to them.
+	limitRate = 1 / latencyLimit
+	goalRate  = 1 / latencyGoal
+	// alarmRate is the rate below which latency grows faster than the model
+	// knows; the pace then falls after alarmDelay already.
+	alarmRate  = 1 / 1.3
+	alarmDelay = 250 * time.Millisecond
 	// haltAfter is how long a serving task may exceed its target before every
 	// task that fills beside it is halted, whatever the model says. With the
 	// delay of the readings it stays well below the time after which the excess
 	// counts as harm.
 	haltAfter = 1200 * time.Millisecond
+	// observeEvery spaces the readings that are taken in: between two that are
+	// nearer to each other little has changed but the noise.
+	observeEvery = 240 * time.Millisecond
 	// readingDelay is the time from a change of pace until the readings show
 	// it: the change's own delay and the window of a reading.
 	readingDelay = 600 * time.Millisecond
@@ -56,9 +62,8 @@
 
 // served is a running serving task.
 type served struct {
-	image   string
-	latency float64 // tail, in ms
-	target  float64 // in ms
+	image string
+	rate  float64 // target / latency, as the last reading shows it
 }
 
 // protectLatency adjusts the pace of the tasks that fill.
@@ -86,7 +91,11 @@
 		case r.fills:
 			filling = append(filling, neighbour{task, r, float64(r.load) / 1000})
 		case r.target > 0:
-			serving = append(serving, served{r.image, float64(r.load), float64(r.target.Milliseconds())})
+			rate := r.rate
+			if rate == 0 { // not read yet
+				rate = interference.HighestRate
+			}
+			serving = append(serving, served{r.image, rate})
 		}
 	}
 	slices.SortFunc(filling, func(a, b neighbour) int {
@@ -95,19 +104,24 @@
 	return serving, filling
 }
 
-// observe feeds the readings to the model. c.mu is held.
+// observe feeds the readings to the model and keeps the rates that they show.
+// c.mu is held.
 func (c *Controller) observe(now bootclock.Instant, filling []neighbour) {
 	var readings []interference.Serving
+	var rows []*run
 	for task, r := range c.runs {
 		if r.target > 0 && !r.starting {
 			readings = append(readings, interference.Serving{Task: task, Image: r.image, Latency: float64(r.load), Target: float64(r.target.Milliseconds())})
+			rows = append(rows, r)
 		}
 	}
 	uses := make([]interference.Filling, len(filling))
 	for i, f := range filling {
 		uses[i] = interference.Filling{Image: f.run.image, Cores: f.cores}
 	}
-	c.model.Observe(now, readings, uses)
+	for i, rate := range c.model.Observe(now, readings, uses) {
+		rows[i].rate = rate
+	}
 }
 
 // paces returns the changes of pace that the last lists ask for. c.mu is held.
@@ -116,15 +130,19 @@
 	if len(filling) == 0 {
 		return nil
 	}
+	if now.Sub(c.observed) >= observeEvery {
+		c.observed = now
+		c.observe(now, filling)
+		serving, filling = c.neighbours()
+	}
 	wanted := make([]int, len(filling))
 	for i, f := range filling {
 		wanted[i] = f.run.pace
 	}
-	if now.Sub(c.observed) >= readingDelay/2 {
-		c.observed = now
-		c.observe(now, filling)
+	var worst served
+	if len(serving) > 0 {
+		worst = worstServed(serving)
 	}
-	worst := worstServed(serving)
 	switch {
 	case c.overFor(now) >= haltAfter:
 		c.slowed = now
@@ -135,8 +153,8 @@
 		for i := range wanted {
 			wanted[i] = fullPace
 		}
-	case worst.latency > latencyLimit*worst.target:
-		if now.Sub(c.slowed) >= readingDelay || worst.latency > latencyAlarm*worst.target && now.Sub(c.slowed) >= alarmDelay {
+	case worst.rate < limitRate:
+		if now.Sub(c.slowed) >= readingDelay || worst.rate < alarmRate && now.Sub(c.slowed) >= alarmDelay {
 			c.slowed = now
 			c.slowDown(worst, filling, wanted)
 		}
@@ -154,14 +172,9 @@
 	return calls
 }
 
+// worstServed returns the serving task with the lowest rate.
 func worstServed(serving []served) served {
-	var worst served
-	for _, s := range serving {
-		if worst.target == 0 || s.latency*worst.target > worst.latency*s.target {
-			worst = s
-		}
-	}
-	return worst
+	return slices.MinFunc(serving, func(a, b served) int { return cmp.Compare(a.rate, b.rate) })
 }
 
 // overFor returns for how long a serving task has exceeded its target.
@@ -180,7 +193,7 @@
 // proportion to its cause: then part of all known harm goes with each reading.
 // What the model can't explain slows all those that it does not know yet.
 func (c *Controller) slowDown(s served, filling []neighbour, wanted []int) {
-	excess := s.latency - latencyGoal*s.target
+	excess := goalRate - s.rate
 	harm := make([]float64, len(filling))
 	order := make([]int, len(filling))
 	total := 0.0
@@ -225,7 +238,7 @@
 func (c *Controller) speedUp(serving []served, filling []neighbour, wanted []int) {
 	room := make([]float64, len(serving))
 	for i, s := range serving {
-		room[i] = latencyGoal*s.target - s.latency
+		room[i] = s.rate - goalRate
 	}
 	for i, f := range filling {
 		step := fullPace - wanted[i]
--- a/internal/scheduler/filling.go
+++ b/internal/scheduler/filling.go
@@ -40,8 +40,10 @@
 	// learnEvery is the window of the workers' readings.
 	learnEvery = 500 * time.Millisecond
 	// latencyRoom is the share of its target that a serving task may be
-	// predicted to reach beside one more task that fills.
+	// predicted to reach beside one more task that fills, and lowestRate the
+	// rate at which it does.
 	latencyRoom = 0.82
+	lowestRate  = 1 / latencyRoom
 	// estimatesEvery is how often an agent receives what is known of its images.
 	estimatesEvery = 2 * time.Second
 	// A task slowed below slowedPace percent for slowedFor moves to a better
@@ -64,10 +66,10 @@
 	serving  float64           // learned share of the request of serving tasks; 0 before the first reading
 	read     bootclock.Instant // of the last reading
 	latency  []interference.Serving
-	expected []float64           // of latency: what it will be, in ms, once it shows all that has started
+	rates    []float64           // of latency, as the readings show them
+	expected []float64           // rate of each serving task once it shows all that has started
 	rooms    map[string]fillRoom // by image, as expected says
-	// sensitivity is the latency that one core of an image adds here on average,
-	// as the largest share of a target.
+	// sensitivity is the rate that one core of an image takes here on average.
 	sensitivity   float64
 	estimatesSent bootclock.Instant // when the agent last received the estimates
 }
@@ -105,7 +107,7 @@
 			others += request
 		}
 	}
-	s.model.Observe(now.Boot, w.use.latency, filling)
+	w.use.rates = s.model.Observe(now.Boot, w.use.latency, filling)
 	s.expect(w, now)
 	w.use.sensitivity = s.sensitivityOf(w)
 	w.use.follow(w.cores()-others-got, servingRequest, steadyAsked > saturationCores && steadyGot < saturated*steadyAsked, elapsed)
@@ -139,16 +141,13 @@
 	return w.cores() - float64(w.otherCores)/1000 - serving
 }
 
-// expect predicts the latencies once they show all tasks that fill. Readings
-// are averages over a while, so a task that has just started, or runs at another
+// expect predicts the rates once they show all tasks that fill. Readings are
+// averages over a while, so a task that has just started, or runs at another
 // pace than a moment ago, shows in them in part. A burst that is placed over
 // several reports would otherwise be harmless until all of it runs.
 func (s *Scheduler) expect(w *worker, now Now) {
 	clear(w.use.rooms)
-	w.use.expected = w.use.expected[:0]
-	for _, reading := range w.use.latency {
-		w.use.expected = append(w.use.expected, reading.Latency)
-	}
+	w.use.expected = append(w.use.expected[:0], w.use.rates...)
 	for _, t := range w.tasks {
 		if !t.step.Fills || t.confirmed && now.Boot.Sub(t.paceSince) > settled {
 			continue
@@ -164,7 +163,7 @@
 func (s *Scheduler) addExpected(w *worker, image string, cores float64) {
 	clear(w.use.rooms)
 	for i, reading := range w.use.latency {
-		w.use.expected[i] += s.model.PerCore(reading.Image, image) * cores
+		w.use.expected[i] -= s.model.PerCore(reading.Image, image) * cores
 	}
 }
 
@@ -185,7 +184,7 @@
 // fillRoom is what the serving tasks of a worker bear of an image that fills.
 type fillRoom struct {
 	cores float64 // of the image, before a serving task nears its target
-	harm  float64 // latency that one core adds, as the largest share of a target
+	harm  float64 // rate that one core takes from the serving task that suffers most
 }
 
 // roomFor returns the worker's room for an image. It is kept while nothing
@@ -196,11 +195,11 @@
 	}
 	r := fillRoom{cores: math.Inf(1)}
 	for i, reading := range w.use.latency {
-		left := latencyRoom*reading.Target - w.use.expected[i]
+		left := w.use.expected[i] - lowestRate
 		switch perCore := s.model.PerCore(reading.Image, image); {
 		case perCore > 0:
 			r.cores = min(r.cores, left/perCore)
-			r.harm = max(r.harm, perCore/reading.Target)
+			r.harm = max(r.harm, perCore)
 		case left < 0:
 			r.cores = 0
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -135,7 +135,7 @@
 
 // The weights of a worker's score. Free room counts between 0 and 1.
 const (
-	harmWeight = 3.0 // latency that a task that fills adds, as a share of the target
+	harmWeight = 1.0 // rate that a task that fills takes from a serving task
 	// sensitivityWeight sends work that fills and harms little to workers whose
 	// serving tasks bear little of the rest, so that room is left elsewhere for
 	// what harms. At 1 it outweighs the task's own harm there.
@@ -188,8 +188,8 @@
 	return kinWeight * (2*share - 1)
 }
 
-// harm returns the latency that a task of the step adds to the serving task
-// that suffers most, weighed.
+// harm returns the rate that a task of the step takes from the serving task that
+// suffers most, weighed.
 func (s *Scheduler) harm(w *worker, st *step) float64 {
 	return harmWeight * s.roomFor(w, st.Image).harm * st.cores()
 }
