Bound the harm that starts before a reading shows it

cause: after a burst of equal tasks a serving task is saturated before the next reading: the small error of one estimate counts once for each of them. A task that ended just before a reading left its harm to those that ran on, which were slowed for it. Ruled out by trials: more distance to the target (worse), paces from the predicted base alone (worse). change: several tasks may take 0.8 of a serving task's rate at most before a reading; one may always start.

--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -53,6 +53,9 @@
 	longestGap = 3 * readingFade
 	// knownVariance is below what two or three readings leave.
 	knownVariance = 0.03
+	// endedShare is the part of a reading's window in which a task that has ended
+	// since the one before was at work, on average.
+	endedShare = 0.5
 	// leastCores are too few to show in a reading.
 	leastCores = 0.02
 	// maxTasks, maxSteps, maxPairs and maxImages bound the tables against ever
@@ -78,6 +81,7 @@
 type Filling struct {
 	Image string
 	Cores float64 // in use
+	Ended bool    // since the reading before this one
 }
 
 type pair struct{ serving, filling string }
@@ -121,11 +125,17 @@
 func (m *Model) Filling() []string { return m.filling }
 
 // Observe takes in the readings of one worker, and returns the rate that each
-// serving task has reached now; it is HighestRate without a reading.
+// serving task has beside the tasks that still run; it is HighestRate without a
+// reading.
 func (m *Model) Observe(at bootclock.Instant, serving []Serving, filling []Filling) []float64 {
 	m.init()
 	cores := make(map[string]float64)
+	var ended []Filling
 	for _, f := range filling {
+		if f.Ended {
+			f.Cores *= endedShare
+			ended = append(ended, f)
+		}
 		cores[f.Image] += f.Cores
 	}
 	images := make([]string, 0, len(cores))
@@ -141,6 +151,9 @@
 		if s.Latency > 0 && s.Target > 0 {
 			rates[i] = m.observe(at, s, images, cores)
 		}
+		for _, f := range ended {
+			rates[i] += m.PerCore(s.Image, f.Image) * f.Cores
+		}
 	}
 	m.forget()
 	return rates
--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -32,7 +32,7 @@
 		harmful, harmless := 4*random.Float64(), 8*random.Float64()
 		swing := 0.5 * math.Sin(float64(i)/20*math.Pi)
 		rate := (2.5 + swing - 0.3*harmful) * (1 + 0.05*random.NormFloat64())
-		m.Observe(now, []Serving{at(0, rate)}, []Filling{{"press", harmful}, {"quiet", harmless}})
+		m.Observe(now, []Serving{at(0, rate)}, []Filling{{Image: "press", Cores: harmful}, {Image: "quiet", Cores: harmless}})
 	}
 	if got := m.PerCore("web", "press"); got < 0.2 || got > 0.4 {
 		t.Errorf("harmful image: got %.3f per core, want about 0.3", got)
@@ -54,7 +54,7 @@
 		for sibling := 1; sibling < 4; sibling++ {
 			m.Observe(now, []Serving{at(sibling, rate)}, nil)
 		}
-		m.Observe(now, []Serving{at(0, rate)}, []Filling{{"quiet", 3}})
+		m.Observe(now, []Serving{at(0, rate)}, []Filling{{Image: "quiet", Cores: 3}})
 	}
 	if got := m.PerCore("web", "quiet"); got > 0.03 {
 		t.Errorf("image beside the rising load: got %.3f per core, want about 0", got)
@@ -75,7 +75,7 @@
 		}
 		s := at(0, base-0.5*cores)
 		s.Task.Job = workflow.JobID([]string{"busy", "idle"}[i%2])
-		m.Observe(now, []Serving{s}, []Filling{{"press", cores}})
+		m.Observe(now, []Serving{s}, []Filling{{Image: "press", Cores: cores}})
 	}
 	if got := m.PerCore("web", "press"); got < 0.4 || got > 0.6 {
 		t.Errorf("got %.3f per core, want about 0.5", got)
@@ -96,9 +96,9 @@
 	for range 20 {
 		read(2.5)
 	}
-	read(0.3, Filling{"press", 2})
+	read(0.3, Filling{Image: "press", Cores: 2})
 	for i := range 4 {
-		if got := read(2.5, Filling{"quiet", 3}); got < 2 {
+		if got := read(2.5, Filling{Image: "quiet", Cores: 3}); got < 2 {
 			t.Errorf("rate %d readings after the peak: got %.2f, want about 2.5", i+1, got)
 		}
 	}
@@ -107,6 +107,27 @@
 	}
 }
 
+// A harmful task ends shortly before a reading, which still shows its harm. What
+// runs on beside the serving task must not be blamed for it or slowed.
+func TestEndedTaskTakesItsHarmAlong(t *testing.T) {
+	var m Model
+	now := bootclock.Instant(0)
+	for i := range 60 {
+		now = now.Add(2 * time.Second)
+		busy := float64(i % 3)
+		m.Observe(now, []Serving{at(0, 2.5-0.6*busy)}, []Filling{{Image: "press", Cores: busy}, {Image: "quiet", Cores: float64(i % 2)}})
+	}
+	before := m.PerCore("web", "quiet")
+	now = now.Add(2 * time.Second)
+	rate := m.Observe(now, []Serving{at(0, 1.9)}, []Filling{{Image: "press", Cores: 2, Ended: true}, {Image: "quiet", Cores: 2}})[0]
+	if rate < 2.3 {
+		t.Errorf("rate beside what runs on: got %.2f, want about 2.5", rate)
+	}
+	if got := m.PerCore("web", "quiet"); got > before+0.02 {
+		t.Errorf("image that runs on: got %.3f per core, want about %.3f", got, before)
+	}
+}
+
 // An endless stream of new tasks must not fill the memory of an agent.
 func TestTablesAreBounded(t *testing.T) {
 	var m Model
--- a/internal/runner/guard.go
+++ b/internal/runner/guard.go
@@ -115,9 +115,10 @@
 			rows = append(rows, r)
 		}
 	}
-	uses := make([]interference.Filling, len(filling))
-	for i, f := range filling {
-		uses[i] = interference.Filling{Image: f.run.image, Cores: f.cores}
+	uses := c.finished
+	c.finished = nil
+	for _, f := range filling {
+		uses = append(uses, interference.Filling{Image: f.run.image, Cores: f.cores})
 	}
 	for i, rate := range c.model.Observe(now, readings, uses) {
 		rows[i].rate = rate
@@ -128,6 +129,7 @@
 func (c *Controller) paces(now bootclock.Instant) []PaceCall {
 	serving, filling := c.neighbours()
 	if len(filling) == 0 {
+		c.finished = nil
 		return nil
 	}
 	if now.Sub(c.observed) >= observeEvery {
--- a/internal/scheduler/filling.go
+++ b/internal/scheduler/filling.go
@@ -44,6 +44,10 @@
 	// rate at which it does.
 	latencyRoom = 0.82
 	lowestRate  = 1 / latencyRoom
+	// unseenLoss is the most that several tasks may be predicted to take from the
+	// rate of a serving task before a reading shows it: a burst of equal tasks
+	// repeats the error of one estimate. One task may always start.
+	unseenLoss = 0.8
 	// estimatesEvery is how often an agent receives what is known of its images.
 	estimatesEvery = 2 * time.Second
 	// A task slowed below slowedPace percent for slowedFor moves to a better
@@ -66,9 +70,11 @@
 	serving  float64           // learned share of the request of serving tasks; 0 before the first reading
 	read     bootclock.Instant // of the last reading
 	latency  []interference.Serving
-	rates    []float64           // of latency, as the readings show them
-	expected []float64           // rate of each serving task once it shows all that has started
-	rooms    map[string]fillRoom // by image, as expected says
+	rates    []float64              // of latency, as the readings show them
+	ended    []interference.Filling // tasks that fill and have left since the last reading
+	expected []float64              // rate of each serving task once it shows all that has started
+	unseen   []float64              // what expected has less than rates
+	rooms    map[string]fillRoom    // by image, as expected says
 	// sensitivity is the rate that one core of an image takes here on average.
 	sensitivity   float64
 	estimatesSent bootclock.Instant // when the agent last received the estimates
@@ -81,7 +87,8 @@
 		return
 	}
 	w.use.read = now.Boot
-	var filling []interference.Filling
+	filling := w.use.ended
+	w.use.ended = nil
 	var got, steadyGot, steadyAsked, servingRequest, others float64
 	w.use.latency = w.use.latency[:0]
 	for _, t := range w.tasks {
@@ -148,6 +155,7 @@
 func (s *Scheduler) expect(w *worker, now Now) {
 	clear(w.use.rooms)
 	w.use.expected = append(w.use.expected[:0], w.use.rates...)
+	w.use.unseen = append(w.use.unseen[:0], make([]float64, len(w.use.rates))...)
 	for _, t := range w.tasks {
 		if !t.step.Fills || t.confirmed && now.Boot.Sub(t.paceSince) > settled {
 			continue
@@ -163,7 +171,9 @@
 func (s *Scheduler) addExpected(w *worker, image string, cores float64) {
 	clear(w.use.rooms)
 	for i, reading := range w.use.latency {
-		w.use.expected[i] -= s.model.PerCore(reading.Image, image) * cores
+		loss := s.model.PerCore(reading.Image, image) * cores
+		w.use.expected[i] -= loss
+		w.use.unseen[i] += loss
 	}
 }
 
@@ -196,6 +206,9 @@
 	r := fillRoom{cores: math.Inf(1)}
 	for i, reading := range w.use.latency {
 		left := w.use.expected[i] - lowestRate
+		if unseen := w.use.unseen[i]; unseen > 0 {
+			left = min(left, unseenLoss-unseen)
+		}
 		switch perCore := s.model.PerCore(reading.Image, image); {
 		case perCore > 0:
 			r.cores = min(r.cores, left/perCore)
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -155,25 +155,32 @@
 	}
 }
 
-// A burst of harmful work comes in small parts, each placed when the readings
-// hardly show the part before. Judged by the readings alone, all of it lands on
-// one worker and its serving tasks miss their target by far.
-func TestBurstInPartsKeepsToLatencyRoom(t *testing.T) {
-	f := newFixture(t)
-	f.worker("a", 32)
+// harmed adds worker a of 32 cores with one serving task at a tail latency in ms,
+// for whose image each core of the image press is known to take perCore of the
+// rate, which is base alone. It returns the agent and the name of the run.
+func (f *fixture) harmed(latency int64, base, perCore float64) (*agent, string) {
+	a := f.worker("a", 32)
 	f.submit("quick", serving("web", 1))
 	f.tick()
-	a := f.agents["a"]
 	web := firstRun(a)
-	a.running[web].Load = 9
+	a.running[web].Load = latency
 	f.report("a")
-	for i := range 60 { // each core takes 0.15 of the rate
+	for i := range 60 {
 		busy := float64(i % 3)
 		f.pass(2 * time.Second)
-		f.s.model.Observe(f.now.Boot, []interference.Serving{{Task: workflow.TaskID{Job: "other"}, Image: "web", Latency: 18 / (2.5 - 0.15*busy), Target: 18}},
+		f.s.model.Observe(f.now.Boot, []interference.Serving{{Task: workflow.TaskID{Job: "other"}, Image: "web", Latency: 18 / (base - perCore*busy), Target: 18}},
 			[]interference.Filling{{Image: "press", Cores: busy}})
 	}
 	f.report("a")
+	return a, web
+}
+
+// A burst of harmful work comes in small parts, each placed when the readings
+// hardly show the part before. Judged by the readings alone, all of it lands on
+// one worker and its serving tasks miss their target by far.
+func TestBurstInPartsKeepsToLatencyRoom(t *testing.T) {
+	f := newFixture(t)
+	a, web := f.harmed(9, 2.5, 0.15)
 	started := 0
 	for range 3 { // within the time that a start needs to show
 		f.submit("runs", filling("press", 1))
@@ -223,3 +230,29 @@
 		}
 	}
 }
+
+// A burst of equal tasks comes when much of the rate is left. An estimate that is
+// a little too low, multiplied by all of them, saturates the serving task before
+// a reading tells; so only a part starts before one does.
+func TestBurstWaitsForReading(t *testing.T) {
+	f := newFixture(t)
+	a, web := f.harmed(6, 3, 0.06)
+	f.submit("runs", filling("press", 6))
+	started := len(f.tick())
+	// 18 / 6 - 1 / 0.82 leaves 1.78 of the rate, each task takes 0.24 of it, and
+	// three of them keep to what may be unseen.
+	if want := 3; started != want {
+		t.Errorf("started at once: got %d, want %d", started, want)
+	}
+	for task, row := range a.running { // the readings show what has started
+		if task != web {
+			row.Load = 4000
+		}
+	}
+	f.report("a")
+	f.pass(settled + learnEvery)
+	f.report("a")
+	if got := len(f.tick()); got == 0 {
+		t.Error("started after the readings: got 0, want more")
+	}
+}
