--- a/internal/scheduler/filling.go
+++ b/internal/scheduler/filling.go
@@ -257,8 +257,8 @@
 	return s.model.Estimates(serving, filling)
 }
 
-// relocate stops tasks that fill and are slowed down where they are, when
-// another worker has processors for them and nothing that they harm.
+// relocate stops tasks that are paced down or lag where they are, when another
+// worker has room for them and nothing that they harm.
 func (s *Scheduler) relocate(now Now, short *shortage) {
 	if now.Boot.Before(s.moveAt) {
 		return
@@ -267,7 +267,7 @@
 	moved := 0
 	for _, w := range s.workers {
 		for _, t := range w.tasks {
-			if !t.slowed(now) {
+			if !t.slowed(now) && !t.lags(now) {
 				continue
 			}
 			if s.findBetter(t, now, short) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -9,9 +9,11 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// place gives waiting tasks to workers, the most urgent first. What does not
-// fit waits; smaller or less urgent work may take the room that is left.
-func (s *Scheduler) place(now Now, short *shortage) {
+// place gives waiting tasks to workers, the most urgent first, and returns the
+// steps that found no room for all their tasks. What does not fit waits; smaller
+// or less urgent work may take the room that is left.
+func (s *Scheduler) place(now Now, short *shortage) []urgency {
+	var without []urgency
 	for _, u := range s.backlog(now) {
 		policy := s.policyOf(u.job)
 		pool := short.pool(policy.Service, now)
@@ -31,7 +33,11 @@
 			klog.InfoS("tasks placed", "job", u.job.ID, "occurrence", u.occurrence, "step", u.step.number, "placed", placed,
 				"waiting", u.step.idle, "grade", u.grade, "workers", len(pool))
 		}
+		if u.step.idle > 0 {
+			without = append(without, u)
+		}
 	}
+	return without
 }
 
 // pool returns the workers that may get new tasks of a service. Those that have
@@ -113,9 +119,11 @@
 }
 
 func (w *worker) fits(st *step) bool {
-	if !st.claim().Fits(w.capacity.Sub(w.used)) {
-		return false
-	}
+	return st.claim().Fits(w.capacity.Sub(w.used)) && w.accepts(st)
+}
+
+// accepts reports whether a task of the step may run on w, whatever its size.
+func (w *worker) accepts(st *step) bool {
 	if st.Requirement != "" && !slices.Contains(w.info.Labels, st.Requirement) {
 		return false
 	}
--- /dev/null
+++ b/internal/scheduler/preempt.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// Preemption answers the load at which less urgent work holds the room that more
+// urgent work needs: waiting for it to end would make the urgent work late. It
+// stops the tasks whose loss is smallest, and only where that makes room. The
+// urgent task starts when the runner has confirmed the stops.
+
+// preemptionsAtOnce bounds the tasks that one run of the rules stops, so that a
+// burst of urgent work does not empty all workers before its first tasks start.
+const preemptionsAtOnce = 20
+
+// preemptionCost is what a stop and a new start take of a task's processors, in
+// seconds.
+const preemptionCost = 0.3
+
+// preempt stops less urgent tasks for the steps that found no room, the most
+// urgent first.
+func (s *Scheduler) preempt(waiting []urgency, now Now, short *shortage) {
+	stops := 0
+	reserved := make(map[*worker]units.Resources)
+	for _, u := range waiting {
+		if u.step.Gang || u.step.Fills || u.grade != inTime || s.policyOf(u.job).Advice != nil || !s.outranks(u.priority) {
+			continue
+		}
+		for range u.step.idle {
+			w, victims := s.cheapest(u, short.pool(s.policyOf(u.job).Service, now), reserved)
+			if w == nil || stops+len(victims) > preemptionsAtOnce {
+				break // the other tasks of the step are equal
+			}
+			reserved[w] = reserved[w].Add(u.step.claim())
+			for _, t := range victims {
+				klog.InfoS("task is preempted", "task", t.id.String(), "attempt", t.attempt, "worker", w.id, "percent", t.percent, "for", u.job.ID, "priority", u.priority)
+				s.stop(t, now)
+				stops++
+			}
+		}
+	}
+}
+
+// outranks reports whether work of a less urgent queue runs.
+func (s *Scheduler) outranks(priority int) bool {
+	for _, j := range s.live {
+		if j.placed > 0 && s.policyOf(j).Priority > priority {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest returns the worker on which the step gets room at the smallest loss,
+// and the tasks to stop there; none when stops that are under way make the room.
+func (s *Scheduler) cheapest(u urgency, pool []*worker, reserved map[*worker]units.Resources) (*worker, []*task) {
+	var best *worker
+	var bestVictims []*task
+	lowest := 0.0
+	for _, w := range pool {
+		if !w.accepts(u.step) {
+			continue
+		}
+		victims, loss, ok := s.victims(w, u, reserved[w])
+		if ok && (best == nil || loss < lowest || loss == lowest && w.id < best.id) {
+			best, bestVictims, lowest = w, victims, loss
+		}
+	}
+	return best, bestVictims
+}
+
+// victims returns the less urgent tasks to stop on w so that a task of the step
+// fits beside what is reserved, those of the smallest loss first, and their loss.
+func (s *Scheduler) victims(w *worker, u urgency, reserved units.Resources) (stops []*task, loss float64, ok bool) {
+	free := w.capacity.Sub(w.used).Sub(reserved)
+	var running []*task
+	for _, t := range w.tasks {
+		switch {
+		case t.stopSent != 0:
+			free = free.Add(t.step.claim())
+		case s.preemptible(t, u.priority):
+			running = append(running, t)
+		}
+	}
+	slices.SortFunc(running, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.loss(), b.loss()), cmp.Compare(a.id.String(), b.id.String()))
+	})
+	for _, t := range running {
+		if u.step.claim().Fits(free) {
+			break
+		}
+		free = free.Add(t.step.claim())
+		stops = append(stops, t)
+	}
+	if !u.step.claim().Fits(free) {
+		return nil, 0, false
+	}
+	// What holds none of the resource that is short is stopped for nothing.
+	stops = slices.DeleteFunc(stops, func(t *task) bool {
+		without := free.Sub(t.step.claim())
+		if !u.step.claim().Fits(without) {
+			return false
+		}
+		free = without
+		return true
+	})
+	for _, t := range stops {
+		loss += t.loss()
+	}
+	return stops, loss, true
+}
+
+// preemptible reports whether a task may be stopped for work of the priority.
+// Tasks that last have users of their own, and a gang would lose all its members.
+func (s *Scheduler) preemptible(t *task, priority int) bool {
+	return t.confirmed && !t.done && !t.step.LongRunning && !t.step.Gang && t.percent < nearEnd && s.policyOf(t.job).Priority > priority
+}
+
+// loss returns the core-seconds that a stop of the task throws away. A task that
+// checkpoints also saves when it is stopped.
+func (t *task) loss() float64 {
+	loss := preemptionCost * t.step.cores()
+	if !t.step.Checkpointing {
+		loss += t.step.work() * float64(t.percent) / 100
+	}
+	return loss
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -134,7 +134,7 @@
 				s.loseTasks(w, now, func(t *task) bool { return true })
 			}
 		}
-		w.recordedEnd, w.ends, w.streak, w.avoidUntil = 0, nil, 0, 0
+		w.recordedEnd, w.ends, w.streak, w.avoidUntil, w.speed = 0, nil, 0, 0, speed{}
 	}
 	w.info, w.capacity = info, info.Capacity
 	if n := len(info.Labels); n > 1 {
@@ -320,6 +320,9 @@
 		if !t.confirmed || t.pace != int(row.GetPace()) {
 			t.paceSince = now.Boot
 		}
+		if !row.GetStarting() {
+			s.measure(w, t, int(row.GetPercent()), int(row.GetPace()), now)
+		}
 		t.confirmed = t.confirmed || !row.GetStarting()
 		t.percent, t.load, t.pace = int(row.GetPercent()), row.GetLoad(), int(row.GetPace())
 		if row.GetUnknown() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,15 +44,18 @@
 	advising bool                           // a queue needs advice
 	asked    int                            // questions for advice without an answer
 	meanWork map[workflow.QueueName]float64 // core-seconds of a job
-	moveAt   bootclock.Instant              // next search for better workers of slowed tasks
-	model    interference.Model
+	// usualSpeed is the logarithm of the speed of a queue's tasks on all workers,
+	// relative to their estimates.
+	usualSpeed map[workflow.QueueName]float64
+	moveAt     bootclock.Instant // next search for better workers of slowed tasks
+	model      interference.Model
 }
 
 // New returns a scheduler without jobs and workers.
 func New(grantBound, keepFinished time.Duration) *Scheduler {
 	return &Scheduler{
 		GrantBound: grantBound, KeepFinished: keepFinished,
-		jobs: make(map[workflow.JobID]*job), live: make(map[workflow.JobID]*job), meanWork: make(map[workflow.QueueName]float64), workers: make(map[units.WorkerID]*worker), dirty: make(map[workflow.JobID]*job),
+		jobs: make(map[workflow.JobID]*job), live: make(map[workflow.JobID]*job), meanWork: make(map[workflow.QueueName]float64), usualSpeed: make(map[workflow.QueueName]float64), workers: make(map[units.WorkerID]*worker), dirty: make(map[workflow.JobID]*job),
 	}
 }
 
@@ -120,6 +123,7 @@
 	confirmed    bool              // a report has shown the run at work
 	stopSent     bootclock.Instant // when a stop was ordered last; 0 for never
 	percent      int
+	lastProgress progressReading
 	load         int64             // of the last report: tail latency in ms, or processors in use
 	pace         int               // percent, of the last report
 	paceSince    bootclock.Instant // first report of that pace
@@ -149,6 +153,7 @@
 	use                      use // what the tasks really take
 	avoidUntil               bootclock.Instant
 	streak                   int // failures in a row
+	speed                    speed
 	recordedEnd              uint64
 	ends                     []recordedEnds // ends whose record is on its way
 	orders                   pending
@@ -222,7 +227,7 @@
 	if t.step.Fills {
 		w.filling--
 	}
-	t.worker, t.confirmed, t.ordered, t.stopSent = nil, false, false, 0
+	t.worker, t.confirmed, t.ordered, t.stopSent, t.lastProgress = nil, false, false, 0, progressReading{}
 	t.job.placed--
 	if !t.done {
 		t.step.idle++
--- /dev/null
+++ b/internal/scheduler/speed_test.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/internal/workflow"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+func urgent(count int) workflow.Step {
+	return workflow.Step{Count: count, Size: cores(1), Estimate: time.Second}
+}
+
+// progressed reports from every worker that its tasks have run for a while, at the
+// speed given by worker; 1 is what their estimates say.
+func (f *fixture) progressed(d time.Duration, speeds map[string]float64) {
+	f.pass(d)
+	for id, a := range f.agents {
+		for _, row := range a.running {
+			row.Percent = min(row.Percent+int32(100*speeds[string(id)]*d.Seconds()), 99)
+		}
+		f.report(id)
+	}
+}
+
+// slowFixture starts jobs of the urgent queue on worker a alone, then adds two
+// empty workers.
+func slowFixture(t *testing.T, jobs int) (*fixture, []workflow.JobID) {
+	f := newFixture(t)
+	f.worker("a", 16)
+	var ids []workflow.JobID
+	for range jobs {
+		ids = append(ids, f.submit("quick", urgent(2)))
+	}
+	f.tick()
+	f.report("a")
+	f.worker("b", 16)
+	f.worker("c", 16)
+	return f, ids
+}
+
+// wantAvoided checks that the worker may not get new tasks.
+func (f *fixture) wantAvoided(id units.WorkerID) {
+	f.Helper()
+	for _, w := range f.s.pool("desk", f.now) {
+		if w.id == id {
+			f.Errorf("worker %s may get new tasks, want it avoided", id)
+		}
+	}
+}
+
+// A worker that turns slow keeps the most free room and is healthy by its own
+// account. New urgent work must go elsewhere as soon as several jobs progress far
+// too slowly there, and what runs there must move when it ends earlier elsewhere.
+func TestSlowWorkerIsLeft(t *testing.T) {
+	f, _ := slowFixture(t, 2)
+	for range 3 {
+		f.progressed(300*time.Millisecond, map[string]float64{"a": 0.1})
+	}
+	f.wantAvoided("a")
+	moved := 0
+	for range 3 {
+		for _, worker := range f.tick() {
+			if worker != "a" {
+				moved++
+			}
+		}
+		f.report("a")
+		f.pass(relocateEvery)
+	}
+	if want := 4; moved != want {
+		t.Errorf("tasks that moved off the slow worker: got %d, want %d", moved, want)
+	}
+}
+
+// Tasks that stand still are the slowest: they must be left as well.
+func TestWorkerWithTasksThatStandStillIsLeft(t *testing.T) {
+	f, _ := slowFixture(t, 2)
+	for range 3 {
+		f.progressed(300*time.Millisecond, nil)
+	}
+	f.wantAvoided("a")
+}
+
+// One job whose estimate is far too low looks slow wherever it runs. The worker
+// must not be blamed for it, or estimates alone would empty workers.
+func TestEstimateOfOneJobBlamesNoWorker(t *testing.T) {
+	f, _ := slowFixture(t, 1)
+	for range 4 {
+		f.progressed(300*time.Millisecond, map[string]float64{"a": 0.1})
+	}
+	if w := f.s.workers["a"]; w.speed.slow() || f.now.Boot.Before(w.avoidUntil) {
+		t.Errorf("after readings of one job: got speed %+v, want not slow", w.speed)
+	}
+}
+
+// When the estimates of all jobs of a queue are too low, all workers look slow and
+// none is: the scheduler must learn what is usual instead of moving tasks around.
+func TestUsualSpeedIsLearned(t *testing.T) {
+	f := newFixture(t)
+	f.worker("a", 16)
+	f.worker("b", 16)
+	speeds := map[string]float64{"a": 0.3, "b": 0.3}
+	for range 30 {
+		f.submit("quick", urgent(2))
+		f.submit("quick", urgent(2))
+		f.tick()
+		for range 4 {
+			f.progressed(300*time.Millisecond, speeds)
+		}
+		for id, a := range f.agents {
+			for task := range a.running {
+				a.end(task, workflow.Done)
+			}
+			f.report(id)
+			f.tick()
+		}
+	}
+	for id, w := range f.s.workers {
+		if w.speed.slow() {
+			t.Errorf("worker %s at the usual speed: got slow (%+v), want not", id, w.speed)
+		}
+	}
+}
+
+// A slow worker is tried again: it must get work once it is as fast as the others.
+func TestSlowWorkerReturns(t *testing.T) {
+	f, _ := slowFixture(t, 2)
+	for range 3 {
+		f.progressed(300*time.Millisecond, map[string]float64{"a": 0.1})
+	}
+	f.wantAvoided("a")
+	f.agents["a"].running = make(map[string]*wire.RunRow)
+	f.pass(longestBackoff)
+	f.report("a")
+	if got := len(f.s.pool("desk", f.now)); got != 3 {
+		t.Errorf("workers in the pool after the pause: got %d, want 3", got)
+	}
+}
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -30,7 +30,7 @@
 }
 
 // Tick runs every rule over the tables: due occurrences, workers whose leases
-// have ended, workers that leave, then placement. mayStart is false while the
+// have ended, workers that leave, then placement, preemption and moves. mayStart is false while the
 // operators' state is not known to be current, so that nothing starts.
 func (s *Scheduler) Tick(now Now, mayStart bool) {
 	for _, j := range s.live {
@@ -46,7 +46,8 @@
 	}
 	if mayStart {
 		short := s.newShortage()
-		s.place(now, short)
+		waiting := s.place(now, short)
+		s.preempt(waiting, now, short)
 		s.relocate(now, short)
 	}
 }
