--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -128,6 +128,16 @@
 // serving task has beside the tasks that still run; it is HighestRate without a
 // reading.
 func (m *Model) Observe(at bootclock.Instant, serving []Serving, filling []Filling) []float64 {
+	return m.read(at, serving, filling, true)
+}
+
+// Rates returns what Observe does, and learns nothing: for a worker whose tasks
+// are slow for another reason.
+func (m *Model) Rates(at bootclock.Instant, serving []Serving, filling []Filling) []float64 {
+	return m.read(at, serving, filling, false)
+}
+
+func (m *Model) read(at bootclock.Instant, serving []Serving, filling []Filling, learn bool) []float64 {
 	m.init()
 	cores := make(map[string]float64)
 	var ended []Filling
@@ -138,18 +148,16 @@
 		}
 		cores[f.Image] += f.Cores
 	}
-	images := make([]string, 0, len(cores))
-	for image, n := range cores {
-		if n > leastCores {
-			images = append(images, image)
-		}
-	}
-	slices.Sort(images) // equal runs give equal sums
+	images := shown(cores)
 	rates := make([]float64, len(serving))
 	for i, s := range serving {
 		rates[i] = HighestRate
 		if s.Latency > 0 && s.Target > 0 {
-			rates[i] = m.observe(at, s, images, cores)
+			rate, stale := m.rate(at, s)
+			if learn {
+				m.learn(at, s, rate, stale, images, cores)
+			}
+			rates[i] = rate
 		}
 		for _, f := range ended {
 			rates[i] += m.PerCore(s.Image, f.Image) * f.Cores
@@ -159,6 +167,19 @@
 	return rates
 }
 
+// shown returns the images with enough cores to show in a reading, sorted, so that
+// equal runs give equal sums.
+func shown(cores map[string]float64) []string {
+	images := make([]string, 0, len(cores))
+	for image, n := range cores {
+		if n > leastCores {
+			images = append(images, image)
+		}
+	}
+	slices.Sort(images)
+	return images
+}
+
 func (m *Model) init() {
 	if m.pairs == nil {
 		m.pairs = make(map[pair]*estimate)
@@ -167,8 +188,9 @@
 	}
 }
 
-func (m *Model) observe(at bootclock.Instant, s Serving, images []string, cores map[string]float64) float64 {
-	rate, stale := m.rate(at, s)
+// learn corrects the estimates by one reading. stale is the share of it that the
+// reading before explains.
+func (m *Model) learn(at bootclock.Instant, s Serving, rate, stale float64, images []string, cores map[string]float64) {
 	base := m.base(at, s.Task, rate)
 	predicted := base.value
 	deviation := noise * max(rate, lowestNoiseRate) / (1 - stale)
@@ -188,7 +210,6 @@
 		e.correct(surprise, -cores[images[i]], spread)
 		e.value = min(max(e.value, 0), maxPerCore)
 	}
-	return rate
 }
 
 // rate returns the rate that a reading shows, and the share of the reading that
--- a/internal/scheduler/filling.go
+++ b/internal/scheduler/filling.go
@@ -114,7 +114,11 @@
 			others += request
 		}
 	}
-	w.use.rates = s.model.Observe(now.Boot, w.use.latency, filling)
+	if w.speed.slow(now) {
+		w.use.rates = s.model.Rates(now.Boot, w.use.latency, filling)
+	} else {
+		w.use.rates = s.model.Observe(now.Boot, w.use.latency, filling)
+	}
 	s.expect(w, now)
 	w.use.sensitivity = s.sensitivityOf(w)
 	w.use.follow(w.cores()-others-got, servingRequest, steadyAsked > saturationCores && steadyGot < saturated*steadyAsked, elapsed)
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -81,7 +81,7 @@
 	usual := s.usualSpeed[t.job.Queue]
 	s.usualSpeed[t.job.Queue] = usual + usualFollow*min(max(reading-usual, -usualClip), usualClip)
 	w.speed.take(reading-usual, t.job.ID, now)
-	if w.speed.slow() && !now.Boot.Before(w.avoidUntil) {
+	if w.speed.slow(now) && !now.Boot.Before(w.avoidUntil) {
 		w.avoid(now, min(slowBackoff<<min(w.speed.streak, 4), longestBackoff))
 		w.speed.streak++
 		klog.InfoS("worker is slow", "worker", w.id, "speed", math.Exp(w.speed.log), "readings", w.speed.readings, "avoidedUntil", w.avoidUntil.Sub(now.Boot))
@@ -104,16 +104,16 @@
 	}
 }
 
-// slow reports whether several jobs progress far too slowly.
-func (v *speed) slow() bool {
-	return v.log < slowLog && v.readings >= slowReadings && v.jobs[slowJobs-1] != ""
+// slow reports whether several jobs have progressed far too slowly lately.
+func (v *speed) slow(now Now) bool {
+	return v.log < slowLog && v.readings >= slowReadings && v.jobs[slowJobs-1] != "" && now.Boot.Sub(v.read) <= speedKept
 }
 
 // lags reports whether a task would end earlier if it were stopped and started on
 // another worker now.
 func (t *task) lags(now Now) bool {
 	w := t.worker
-	if !w.speed.slow() || now.Boot.Sub(w.speed.read) > speedKept {
+	if !w.speed.slow(now) {
 		return false
 	}
 	if t.step.LongRunning || t.step.Gang || !t.confirmed || t.stopSent != 0 || t.done {
--- a/internal/scheduler/speed_test.go
+++ b/internal/scheduler/speed_test.go
@@ -91,7 +91,7 @@
 	for range 4 {
 		f.progressed(300*time.Millisecond, map[string]float64{"a": 0.1})
 	}
-	if w := f.s.workers["a"]; w.speed.slow() || f.now.Boot.Before(w.avoidUntil) {
+	if w := f.s.workers["a"]; w.speed.slow(f.now) || f.now.Boot.Before(w.avoidUntil) {
 		t.Errorf("after readings of one job: got speed %+v, want not slow", w.speed)
 	}
 }
@@ -119,7 +119,7 @@
 		}
 	}
 	for id, w := range f.s.workers {
-		if w.speed.slow() {
+		if w.speed.slow(f.now) {
 			t.Errorf("worker %s at the usual speed: got slow (%+v), want not", id, w.speed)
 		}
 	}
@@ -139,3 +139,31 @@
 		t.Errorf("workers in the pool after the pause: got %d, want 3", got)
 	}
 }
+
+// Serving tasks on a slow worker are slow whatever fills beside them. The images
+// that do must not be blamed for it on all other workers.
+func TestSlowWorkerTeachesNoHarm(t *testing.T) {
+	f, _ := slowFixture(t, 2)
+	a := f.agents["a"]
+	a.runner.Labels = append(a.runner.Labels, "here")
+	f.report("a")
+	for queue, step := range map[workflow.QueueName]workflow.Step{"quick": serving("web", 1), "runs": filling("press", 1)} {
+		step.Requirement = "here"
+		f.submit(queue, step)
+	}
+	f.tick()
+	for range 8 {
+		for name, row := range a.running {
+			switch step := f.s.task(mustParse(t, name)).step; {
+			case step.LongRunning:
+				row.Load = 60 // of 18
+			case step.Fills:
+				row.Load = 4000
+			}
+		}
+		f.progressed(600*time.Millisecond, map[string]float64{"a": 0.05})
+	}
+	if got := f.s.model.PerCore("web", "press"); got > 0.1 {
+		t.Errorf("loss by the image beside the slow serving task: got %.2f per core, want about 0", got)
+	}
+}
