--- a/internal/scheduler/filling.go
+++ b/internal/scheduler/filling.go
@@ -50,19 +50,6 @@
 	unseenLoss = 0.8
 	// estimatesEvery is how often an agent receives what is known of its images.
 	estimatesEvery = 2 * time.Second
-	// A task slowed below slowedPace percent for slowedFor moves to a better
-	// worker, unless it is nearEnd (percent of its work).
-	slowedPace = 50
-	slowedFor  = 700 * time.Millisecond
-	nearEnd    = 90
-	// stayAway keeps a task that has moved from returning to the worker that
-	// slowed it, whose readings are better once it has left.
-	stayAway = 3 * time.Second
-	// relocateEvery spaces the searches; the readings change no faster, and a
-	// search looks at every worker for every kind of slowed task.
-	relocateEvery = 100 * time.Millisecond
-	// relocationsAtOnce keeps one search from moving more than its readings can tell.
-	relocationsAtOnce = 10
 )
 
 // use is what the tasks of a worker really take.
@@ -260,48 +247,3 @@
 	}
 	return s.model.Estimates(serving, filling)
 }
-
-// relocate stops tasks that are paced down or lag where they are, when another
-// worker has room for them and nothing that they harm.
-func (s *Scheduler) relocate(now Now, short *shortage) {
-	if now.Boot.Before(s.moveAt) {
-		return
-	}
-	s.moveAt = now.Boot.Add(relocateEvery)
-	moved := 0
-	for _, w := range s.workers {
-		for _, t := range w.tasks {
-			if !t.slowed(now) && !t.lags(now) {
-				continue
-			}
-			if s.findBetter(t, now, short) {
-				t.movedFrom, t.movedUntil = w, now.Boot.Add(stayAway)
-				s.stop(t, now)
-				moved++
-			}
-			if moved == relocationsAtOnce {
-				return
-			}
-		}
-	}
-}
-
-// findBetter reports whether another worker would take the task.
-func (s *Scheduler) findBetter(t *task, now Now, short *shortage) bool {
-	if short.covers(t.step) {
-		return false
-	}
-	pool := short.pool(s.policyOf(t.job).Service, now)
-	if s.choose(t.step, pool, t.worker) != nil {
-		return true
-	}
-	if s.choose(t.step, pool, nil) == nil {
-		short.add(t.step)
-	}
-	return false
-}
-
-func (t *task) slowed(now Now) bool {
-	return t.step.Fills && t.step.Checkpointing && t.confirmed && t.stopSent == 0 && !t.done &&
-		t.pace < slowedPace && t.percent < nearEnd && now.Boot.Sub(t.paceSince) > slowedFor
-}
