--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -29,9 +29,10 @@
 	clockSlowness = 0.02
 	// lapseMargin covers the time between a lease's end and the end of its runs.
 	lapseMargin = 200 * time.Millisecond
-	// lifeBits is the part of a fencing token that counts the lives of the runner;
-	// the rest still fits the integers that any JSON decoder keeps exactly.
-	lifeBits = 16
+	// lifeBits is the part of a fencing token that counts the lives of the runner:
+	// a million within one agent process. The rest still fits the integers that any
+	// JSON decoder keeps exactly.
+	lifeBits = 20
 )
 
 // run is a row of the controller's table.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -14,21 +14,26 @@
 // stops the tasks whose loss is smallest, and only where that makes room. The
 // urgent task starts when the runner has confirmed the stops.
 
-// preemptionsAtOnce bounds the tasks that one run of the rules stops, so that a
-// burst of urgent work does not empty all workers before its first tasks start.
-const preemptionsAtOnce = 20
-
-// preemptionCost is what a stop and a new start take of a task's processors, in
-// seconds.
-const preemptionCost = 0.3
+const (
+	// preemptionsAtOnce bounds the tasks that one run of the rules stops, so that a
+	// burst of urgent work does not empty all workers before its first tasks start.
+	preemptionsAtOnce = 20
+	// preemptionCost is what a stop and a new start take of a task's processors, in
+	// seconds.
+	preemptionCost = 0.3
+)
 
 // preempt stops less urgent tasks for the steps that found no room, the most
 // urgent first.
 func (s *Scheduler) preempt(waiting []urgency, now Now, short *shortage) {
+	if len(waiting) == 0 {
+		return
+	}
+	least := s.leastUrgent()
 	stops := 0
 	reserved := make(map[*worker]units.Resources)
 	for _, u := range waiting {
-		if u.step.Gang || u.step.Fills || u.grade != inTime || s.policyOf(u.job).Advice != nil || !s.outranks(u.priority) {
+		if u.priority >= least || u.step.Gang || u.step.Fills || u.grade != inTime || s.policyOf(u.job).Advice != nil {
 			continue
 		}
 		for range u.step.idle {
@@ -46,14 +51,16 @@
 	}
 }
 
-// outranks reports whether work of a less urgent queue runs.
-func (s *Scheduler) outranks(priority int) bool {
+// leastUrgent returns the priority of the least urgent job that runs; a higher
+// number is less urgent.
+func (s *Scheduler) leastUrgent() int {
+	least := 0
 	for _, j := range s.live {
-		if j.placed > 0 && s.policyOf(j).Priority > priority {
-			return true
+		if j.placed > 0 {
+			least = max(least, s.policyOf(j).Priority)
 		}
 	}
-	return false
+	return least
 }
 
 // cheapest returns the worker on which the step gets room at the smallest loss,
