--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -37,6 +37,10 @@
 	// claimAfter is the time without a renewal after which a follower claims;
 	// it exceeds authorityFor by what clocks may differ in that time.
 	claimAfter = 1900 * time.Millisecond
+	// claimTrusted is how long a claim without an answer is not denied. Others read
+	// it a few milliseconds before or after the answer; without one for so long the
+	// answer is probably lost, and somebody else should lead.
+	claimTrusted = 250 * time.Millisecond
 	// PromiseFor is how long a promise not to claim holds.
 	PromiseFor = 2 * time.Second
 	// startQuiet keeps a process that was restarted from claiming while a
@@ -90,6 +94,8 @@
 	mu        sync.Mutex
 	leader    Leader
 	claimed   Term              // highest term that this process has won
+	claiming  Term              // its claim is on its way; 0 for none
+	trusted   bootclock.Instant // until when the claim on its way is not denied
 	renounced Term              // this process has denied to lead this term and never will
 	authority bootclock.Instant // until when this process leads
 	promised  bootclock.Instant // no claim before
@@ -129,12 +135,14 @@
 	return true, false, e.leader.Term
 }
 
-// Renounce answers whether this process leads the term. When it does not, it
-// never will, so whoever asked may take the leadership over at once.
+// Renounce answers whether this process leads the term or is about to. When it
+// does not, it never will, so whoever asked may take the leadership over at once.
+// Others can read a claim before this process has the answer to it, so one that
+// has just been sent is not denied.
 func (e *Elector) Renounce(term Term) (leads bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.claimed == term {
+	if e.claimed == term || e.claiming == term && bootclock.Now().Before(e.trusted) {
 		return true
 	}
 	e.renounced = max(e.renounced, term)
@@ -319,9 +327,14 @@
 func (e *Elector) claim(ctx context.Context) (Term, bool) {
 	e.mu.Lock()
 	at := e.next
+	term, sent := Term(at+1), bootclock.Now()
+	e.claiming, e.trusted = term, sent.Add(claimTrusted)
 	e.mu.Unlock()
-	term := Term(at + 1)
-	sent := bootclock.Now()
+	defer func() {
+		e.mu.Lock()
+		e.claiming = 0
+		e.mu.Unlock()
+	}()
 	if _, err := e.append(ctx, at, term, false); err != nil {
 		klog.InfoS("claim of the leadership failed", "term", term, "err", err)
 		if !fault.Is(err, durable.Conflict) {
