--- a/internal/node/agentconn.go
+++ b/internal/node/agentconn.go
@@ -154,6 +154,7 @@
 	at := now()
 	l.metrics.countReport(len(in.GetEnded()), len(in.GetRejected()))
 	l.scheduler.ApplyReport(a.worker, in, at)
+	l.metrics.countSecondRuns(l.scheduler.TakeSecondRuns())
 	// Without a runner there are no runs, and a grant would hold for those of a runner
 	// that the agent finds later, without the scheduler's knowledge.
 	granted := l.isLeading() && in.GetRunner() != nil && l.endAbsence(a.worker)
@@ -191,7 +192,7 @@
 		}
 		l.enqueue(func() {
 			if a.session == session {
-				l.scheduler.ConfirmStarts(orders.Worker, tasks, reply.GetSequence())
+				l.scheduler.ConfirmStarts(orders.Worker, tasks, reply.GetSequence(), now())
 			}
 		})
 	}()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,10 @@
 	m.scope.Counter("starts_rejected").Inc(int64(rejected))
 }
 
+// countSecondRuns counts how often an agent has reported a run beside the current run of
+// its task.
+func (m metrics) countSecondRuns(n int) { m.scope.Counter("second_runs").Inc(int64(n)) }
+
 // recordFlush records how long records took to become durable.
 func (m metrics) recordFlush(took time.Duration) {
 	m.scope.Histogram("flush_seconds", latencyBuckets).RecordDuration(took)
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -129,7 +129,7 @@
 			}
 		}
 		a.acknowledge(orders.DurableEnds)
-		f.scheduler.ConfirmStarts(orders.Worker, tasks, a.sequence)
+		f.scheduler.ConfirmStarts(orders.Worker, tasks, a.sequence, f.now)
 	}
 	return started
 }
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -40,7 +40,7 @@
 			return false
 		}
 		t.checkpoint = checkpoint
-		s.startTask(t, w, attempt)
+		s.startTask(t, w, attempt, now)
 	}
 	return true
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -80,7 +80,7 @@
 		if w == nil {
 			return
 		}
-		s.startTask(t, w, t.nextAttempt())
+		s.startTask(t, w, t.nextAttempt(), now)
 	}
 }
 
@@ -102,8 +102,9 @@
 }
 
 // startTask places the task on w and queues its start order.
-func (s *Scheduler) startTask(t *task, w *worker, attempt workflow.Attempt) {
+func (s *Scheduler) startTask(t *task, w *worker, attempt workflow.Attempt, now Timestamp) {
 	t.assign(w, attempt)
+	s.recordEvent(t, startOrdered, w.reportSequence, "", now)
 	t.renumbered = true
 	if t.step.BestEffort {
 		s.predictLoss(w, t.step.Image, t.step.cores())
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -76,7 +76,7 @@
 
 // ConfirmStarts records that the agent has accepted the start orders of the tasks.
 // Reports with a sequence number above sequence show their runs.
-func (s *Scheduler) ConfirmStarts(id units.WorkerID, tasks []workflow.TaskID, sequence uint64) {
+func (s *Scheduler) ConfirmStarts(id units.WorkerID, tasks []workflow.TaskID, sequence uint64, now Timestamp) {
 	w := s.workers[id]
 	if w == nil {
 		return
@@ -84,6 +84,7 @@
 	for _, task := range tasks {
 		if t := w.tasks[task]; t != nil && t.startPending {
 			t.startPending, t.startSequence = false, sequence
+			s.recordEvent(t, startAccepted, sequence, "", now)
 		}
 	}
 }
@@ -107,7 +108,7 @@
 	if w.unresponsive {
 		w.synced = false
 		if w.runsEnded {
-			s.releaseTasks(w, now, func(*task) bool { return true })
+			s.releaseTasks(w, now, runnerSilent, func(*task) bool { return true })
 		}
 		return
 	}
@@ -115,7 +116,7 @@
 	s.applyEnds(w, r.GetEnded(), now)
 	listed := s.applyRuns(w, r.GetRunning(), now)
 	s.learnUsage(w, now)
-	s.releaseTasks(w, now, func(t *task) bool {
+	s.releaseTasks(w, now, runNotListed, func(t *task) bool {
 		return !listed[t.id] && !t.startPending && t.startSequence < r.GetSequence()
 	})
 }
@@ -135,7 +136,7 @@
 		if w.runner.ID != "" {
 			klog.InfoS("runner replaced", "worker", w.id, "old", w.runner.ID, "new", info.ID, "born", info.StartedUnixMs, "tasks", len(w.tasks))
 			if w.runner.ID != info.ID {
-				s.releaseTasks(w, now, func(t *task) bool { return true })
+				s.releaseTasks(w, now, runnerReplaced, func(t *task) bool { return true })
 			}
 		}
 		w.durableEnd, w.unflushedEnds, w.failureStreak, w.retryAt, w.speed = 0, nil, 0, 0, speed{}
@@ -144,18 +145,38 @@
 	if n := len(info.Labels); n > 1 {
 		w.rack = info.Labels[n-1]
 	}
+	if w.unresponsive != in.GetSilent() || w.runsEnded != in.GetEmpty() {
+		klog.InfoS("state of a runner changed", "worker", w.id, "runner", info.ID, "report", w.reportSequence, "unresponsive", in.GetSilent(), "runsEnded", in.GetEmpty())
+	}
 	w.unresponsive, w.runsEnded = in.GetSilent(), in.GetEmpty()
 }
 
+// releaseReason is why the tasks of a worker are released without an end of their runs.
+type releaseReason string
+
+const (
+	leasesEnded    releaseReason = "leasesEnded"    // no report shows the runs, and their leases have ended
+	runnerSilent   releaseReason = "runnerSilent"   // the agent reports that its silent runner has no run left
+	runNotListed   releaseReason = "runNotListed"   // the runner's list lacks the run
+	runnerReplaced releaseReason = "runnerReplaced" // another runner has taken the place of the previous one
+)
+
 // releaseTasks releases the tasks on w that lost reports as no longer running.
-func (s *Scheduler) releaseTasks(w *worker, now Timestamp, lost func(*task) bool) {
+func (s *Scheduler) releaseTasks(w *worker, now Timestamp, reason releaseReason, lost func(*task) bool) {
+	released := 0
 	for _, t := range w.tasks {
 		if lost(t) {
-			klog.InfoS("run is lost", "task", t.id.String(), "attempt", t.attempt, "worker", w.id)
+			klog.InfoS("run is lost", "task", t.id.String(), "attempt", t.attempt, "worker", w.id, "reason", reason, "report", w.reportSequence,
+				"startPending", t.startPending, "startSequence", t.startSequence)
+			s.recordEvent(t, runLost, w.reportSequence, string(reason), now)
 			t.release()
 			s.stopGang(t, now)
+			released++
 		}
 	}
+	if released > 0 {
+		klog.InfoS("runs of a worker are lost", "worker", w.id, "reason", reason, "report", w.reportSequence, "runs", released, "left", len(w.tasks))
+	}
 }
 
 // applyRejection releases a task whose start was rejected. A worker without capacity
@@ -172,6 +193,7 @@
 		return
 	}
 	klog.InfoS("start was refused", "task", in.GetTask(), "attempt", t.attempt, "worker", w.id, "reason", in.GetReason())
+	s.recordEvent(t, startRejected, w.reportSequence, in.GetReason(), now)
 	t.release()
 	s.stopGang(t, now)
 	switch runner.Kind(in.GetReason()) {
@@ -220,8 +242,12 @@
 		t.checkpoint = row.GetCheckpoint()
 	}
 	current := t.worker == w && w.tasks[t.id] == t && t.attempt == attempt
-	if current {
+	switch {
+	case current:
+		s.recordEvent(t, runEnded, w.reportSequence, row.GetEnd(), now)
 		t.release()
+	case t.worker != nil:
+		s.logSecondRun(w, t, attempt, "end "+row.GetEnd(), now)
 	}
 	switch workflow.End(row.GetEnd()) {
 	case workflow.Done:
@@ -319,7 +345,7 @@
 		}
 		attempt := workflow.Attempt(row.GetAttempt())
 		t := s.task(id)
-		if t == nil || !s.adopt(w, t, attempt) {
+		if t == nil || !s.adopt(w, t, attempt, now) {
 			s.orderStop(w, id, attempt)
 			continue
 		}
@@ -330,7 +356,10 @@
 		if !row.GetStarting() {
 			s.updateSpeed(w, t, int(row.GetPercent()), int(row.GetPace()), now)
 		}
-		t.confirmed = t.confirmed || !row.GetStarting()
+		if !t.confirmed && !row.GetStarting() {
+			t.confirmed = true
+			s.recordEvent(t, runListed, w.reportSequence, "", now)
+		}
 		t.percent, t.load, t.pace = int(row.GetPercent()), row.GetLoad(), int(row.GetPace())
 		if row.GetUnknown() {
 			w.orders.descriptions = append(w.orders.descriptions, t)
@@ -348,14 +377,19 @@
 // adopt reports whether the run on w is the current run of the task. It makes it the
 // current run if the task has none. The highest attempt does not tell which run is
 // active, because for a recovered step it is recorded only for all tasks together.
-func (s *Scheduler) adopt(w *worker, t *task, attempt workflow.Attempt) bool {
+func (s *Scheduler) adopt(w *worker, t *task, attempt workflow.Attempt, now Timestamp) bool {
 	if t.worker == w && t.attempt == attempt {
 		return true
 	}
-	if t.worker != nil || t.done || t.job.state.Final() {
+	if t.worker != nil {
+		s.logSecondRun(w, t, attempt, "run", now)
+		return false
+	}
+	if t.done || t.job.state.Final() {
 		return false
 	}
 	t.assign(w, attempt)
+	s.recordEvent(t, runAdopted, w.reportSequence, "", now)
 	return true
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,6 +52,8 @@
 	// longestStanding is how long the task that stands longest has stood.
 	longestStanding time.Duration
 	model           interference.Model
+	history         history
+	secondRuns      int // reports of a second run since TakeSecondRuns
 }
 
 // New returns a scheduler without jobs and workers.
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -67,7 +67,7 @@
 	}
 	if !w.synced && len(w.tasks) > 0 {
 		klog.InfoS("worker is given up", "worker", w.id, "tasks", len(w.tasks))
-		s.releaseTasks(w, now, func(*task) bool { return true })
+		s.releaseTasks(w, now, leasesEnded, func(*task) bool { return true })
 	}
 }
 
