--- a/internal/node/agentconn.go
+++ b/internal/node/agentconn.go
@@ -14,7 +14,6 @@
 	"wasabihill.example/wasabihill/internal/runner"
 	"wasabihill.example/wasabihill/internal/scheduler"
 	"wasabihill.example/wasabihill/internal/wire"
-	"wasabihill.example/wasabihill/internal/workflow"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -186,13 +185,9 @@
 			session.Close() // the reports of a new attachment show which orders were applied
 			return
 		}
-		tasks := make([]workflow.TaskID, len(orders.Starts))
-		for i, s := range orders.Starts {
-			tasks[i] = s.Task
-		}
 		l.enqueue(func() {
 			if a.session == session {
-				l.scheduler.ConfirmStarts(orders.Worker, tasks, reply.GetSequence(), now())
+				l.scheduler.ConfirmStarts(orders.Worker, orders.Starts, reply.GetSequence(), now())
 			}
 		})
 	}()
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -236,6 +236,7 @@
 	}
 	l.recordAbsences(at)
 	if !l.isLeading() {
+		l.scheduler.WithdrawStarts()
 		return nil
 	}
 	for _, orders := range l.scheduler.TakeOrders() {
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -86,7 +86,7 @@
 		request := t.step.cores()
 		switch {
 		case t.step.BestEffort:
-			if t.confirmed && t.load > 0 {
+			if t.isListed() && t.load > 0 {
 				cores := float64(t.load) / 1000
 				used += cores
 				if now.Boot.Sub(t.paceSince) > steadyDelay {
@@ -97,7 +97,7 @@
 			}
 		case t.step.LatencyTarget > 0:
 			latencyCriticalRequest += request
-			if t.confirmed {
+			if t.isListed() {
 				w.usage.readings = append(w.usage.readings, interference.LatencyReading{Task: t.id, Image: t.step.Image,
 					Latency: float64(t.load), Target: float64(t.step.LatencyTarget.Milliseconds())})
 			}
@@ -152,11 +152,11 @@
 	w.usage.predictedRates = append(w.usage.predictedRates[:0], w.usage.rates...)
 	w.usage.unobservedLoss = append(w.usage.unobservedLoss[:0], make([]float64, len(w.usage.rates))...)
 	for _, t := range w.tasks {
-		if !t.step.BestEffort || t.confirmed && now.Boot.Sub(t.paceSince) > readingDelay {
+		if !t.step.BestEffort || t.isListed() && now.Boot.Sub(t.paceSince) > readingDelay {
 			continue
 		}
 		cores := t.step.cores()
-		if t.confirmed {
+		if t.isListed() {
 			cores = cores*float64(t.pace)/100 - float64(t.load)/1000
 		}
 		s.predictLoss(w, t.step.Image, max(cores, 0))
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -117,11 +117,9 @@
 	started := make(map[string]units.WorkerID)
 	for _, orders := range f.scheduler.TakeOrders() {
 		a := f.agents[orders.Worker]
-		var tasks []workflow.TaskID
 		for _, start := range orders.Starts {
 			a.running[start.Task.String()] = &wire.RunRow{Task: start.Task.String(), Attempt: int64(start.Attempt), Pace: 100}
 			started[start.Task.String()] = orders.Worker
-			tasks = append(tasks, start.Task)
 		}
 		for _, stop := range orders.Stops {
 			if row := a.running[stop.Task.String()]; row != nil && row.GetAttempt() == int64(stop.Attempt) {
@@ -129,7 +127,7 @@
 			}
 		}
 		a.acknowledge(orders.DurableEnds)
-		f.scheduler.ConfirmStarts(orders.Worker, tasks, a.sequence, f.now)
+		f.scheduler.ConfirmStarts(orders.Worker, orders.Starts, a.sequence, f.now)
 	}
 	return started
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -129,7 +129,7 @@
 // Long-running tasks are excluded because users depend on them, and gangs because the
 // stop of one member stops all of them.
 func (s *Scheduler) preemptible(t *task, priority int) bool {
-	return t.confirmed && !t.done && !t.step.LongRunning && !t.step.Gang && t.percent < nearCompletion && s.currentPolicy(t.job).Priority > priority
+	return t.isListed() && !t.done && !t.step.LongRunning && !t.step.Gang && t.percent < nearCompletion && s.currentPolicy(t.job).Priority > priority
 }
 
 // preemptionLoss returns the core-seconds of work that are lost if the task is stopped.
--- a/internal/scheduler/relocate.go
+++ b/internal/scheduler/relocate.go
@@ -64,6 +64,6 @@
 
 // throttled reports whether the agent has throttled the task long enough to move it.
 func (t *task) throttled(now Timestamp) bool {
-	return t.step.BestEffort && t.step.Checkpointing && t.confirmed && t.stopOrderedAt == 0 && !t.done &&
+	return t.step.BestEffort && t.step.Checkpointing && t.isListed() && t.stopOrderedAt == 0 && !t.done &&
 		t.pace < throttledPace && t.percent < nearCompletion && now.Boot.Sub(t.paceSince) > throttledFor
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -43,7 +43,8 @@
 	w.reportSequence = 0
 	w.discardOrders()
 	for _, t := range w.tasks {
-		t.startPending, t.startSequence, t.stopOrderedAt = false, 0, 0
+		t.start.beginSession()
+		t.stopOrderedAt = 0
 	}
 }
 
@@ -65,6 +66,19 @@
 	}
 }
 
+// WithdrawStarts releases the tasks whose start order TakeOrders has not returned. The
+// leader calls it when it sends no orders, since the decisions may be outdated before it
+// sends the next ones.
+func (s *Scheduler) WithdrawStarts() {
+	for _, w := range s.workers {
+		starts := w.orders.starts
+		w.orders.starts = nil
+		for _, t := range starts {
+			t.release()
+		}
+	}
+}
+
 // ExtendLease records that the agent was granted a lease for its runs now. An agent
 // that reports no runner can't extend the lease of any run.
 func (s *Scheduler) ExtendLease(id units.WorkerID, r *wire.WorkerReport, now Timestamp) {
@@ -75,15 +89,15 @@
 }
 
 // ConfirmStarts records that the agent has accepted the start orders of the tasks.
-// Reports with a sequence number above sequence show their runs.
-func (s *Scheduler) ConfirmStarts(id units.WorkerID, tasks []workflow.TaskID, sequence uint64, now Timestamp) {
+// sequence is the number of the last report that it made before.
+func (s *Scheduler) ConfirmStarts(id units.WorkerID, starts []runner.StartOrder, sequence uint64, now Timestamp) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
-	for _, task := range tasks {
-		if t := w.tasks[task]; t != nil && t.startPending {
-			t.startPending, t.startSequence = false, sequence
+	for _, start := range starts {
+		if t := w.tasks[start.Task]; t != nil && t.attempt == start.Attempt {
+			t.start.accept(sequence)
 			s.recordEvent(t, startAccepted, sequence, "", now)
 		}
 	}
@@ -108,7 +122,7 @@
 	if w.unresponsive {
 		w.synced = false
 		if w.runsEnded {
-			s.releaseTasks(w, now, runnerSilent, func(*task) bool { return true })
+			s.releaseTasks(w, now, runnerSilent, w.decided)
 		}
 		return
 	}
@@ -116,9 +130,7 @@
 	s.applyEnds(w, r.GetEnded(), now)
 	listed := s.applyRuns(w, r.GetRunning(), now)
 	s.learnUsage(w, now)
-	s.releaseTasks(w, now, runNotListed, func(t *task) bool {
-		return !listed[t.id] && !t.startPending && t.startSequence < r.GetSequence()
-	})
+	s.releaseTasks(w, now, runNotListed, func(t *task) bool { return !listed[t.id] && w.decided(t) })
 }
 
 // setRunner updates the state of the worker's runner. The runs of the previous
@@ -167,7 +179,7 @@
 	for _, t := range w.tasks {
 		if lost(t) {
 			klog.InfoS("run is lost", "task", t.id.String(), "attempt", t.attempt, "worker", w.id, "reason", reason, "report", w.reportSequence,
-				"startPending", t.startPending, "startSequence", t.startSequence)
+				"start", t.start.phase, "startedAfterReport", t.start.afterReport)
 			s.recordEvent(t, runLost, w.reportSequence, string(reason), now)
 			t.release()
 			s.stopGang(t, now)
@@ -350,16 +362,17 @@
 			continue
 		}
 		listed[id] = true
-		if !t.confirmed || t.pace != int(row.GetPace()) {
+		if !t.isListed() || t.pace != int(row.GetPace()) {
 			t.paceSince = now.Boot
 		}
 		if !row.GetStarting() {
 			s.updateSpeed(w, t, int(row.GetPercent()), int(row.GetPace()), now)
 		}
-		if !t.confirmed && !row.GetStarting() {
-			t.confirmed = true
+		if !t.isListed() && !row.GetStarting() {
+			t.start.phase = startIsListed
 			s.recordEvent(t, runListed, w.reportSequence, "", now)
 		}
+		t.start.accept(w.reportSequence)
 		t.percent, t.load, t.pace = int(row.GetPercent()), row.GetLoad(), int(row.GetPace())
 		if row.GetUnknown() {
 			w.orders.descriptions = append(w.orders.descriptions, t)
@@ -389,6 +402,7 @@
 		return false
 	}
 	t.assign(w, attempt)
+	t.start.phase = startIsAccepted
 	s.recordEvent(t, runAdopted, w.reportSequence, "", now)
 	return true
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -123,9 +123,7 @@
 	failedAttempts []workflow.Attempt // attempts counted as failures, unordered
 	checkpoint     string
 	worker         *worker           // nil while the task is unplaced
-	startPending   bool              // the start order was sent and not acknowledged; reports can't show the run yet
-	startSequence  uint64            // reports with a higher sequence number show the run
-	confirmed      bool              // a report has shown that the run has started
+	start          startState        // of the run on worker
 	stopOrderedAt  bootclock.Instant // when a stop was last ordered; 0 if never
 	percent        int
 	lastProgress   progressReading
@@ -234,7 +232,7 @@
 	if t.step.BestEffort {
 		w.bestEffort--
 	}
-	t.worker, t.confirmed, t.startPending, t.stopOrderedAt, t.lastProgress = nil, false, false, 0, progressReading{}
+	t.worker, t.start, t.stopOrderedAt, t.lastProgress = nil, startState{}, 0, progressReading{}
 	t.job.placedTasks--
 	if !t.done {
 		t.step.unplaced++
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -120,7 +120,7 @@
 	if !w.speed.slow(now) {
 		return false
 	}
-	if t.step.LongRunning || t.step.Gang || !t.confirmed || t.stopOrderedAt != 0 || t.done {
+	if t.step.LongRunning || t.step.Gang || !t.isListed() || t.stopOrderedAt != 0 || t.done {
 		return false
 	}
 	left := time.Duration(float64(t.step.Estimate) * float64(100-t.percent) / 100)
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -66,16 +66,25 @@
 		klog.InfoS("all runs of the worker that an earlier leader ordered are in the tables", "worker", w.id, "attached", w.attached)
 	}
 	if !w.synced && len(w.tasks) > 0 {
-		klog.InfoS("worker is given up", "worker", w.id, "tasks", len(w.tasks))
-		s.releaseTasks(w, now, leasesEnded, func(*task) bool { return true })
+		s.giveUp(w, now)
 	}
 }
 
+// giveUp releases the tasks of a worker that can no longer run them.
+func (s *Scheduler) giveUp(w *worker, now Timestamp) {
+	if w.attached && w.unresponsive {
+		s.releaseTasks(w, now, runnerSilent, w.decided)
+		return
+	}
+	klog.InfoS("worker is given up", "worker", w.id, "tasks", len(w.tasks))
+	s.releaseTasks(w, now, leasesEnded, func(*task) bool { return true })
+}
+
 // drainWorker stops the long-running tasks of a draining worker, which would not
 // end by themselves, so that they restart elsewhere before the runner leaves.
 func (s *Scheduler) drainWorker(w *worker, now Timestamp) {
 	for _, t := range w.tasks {
-		if t.step.LongRunning && t.stopOrderedAt == 0 && t.confirmed {
+		if t.step.LongRunning && t.stopOrderedAt == 0 && t.isListed() {
 			s.stopTask(t, now)
 		}
 	}
@@ -90,7 +99,7 @@
 		}
 		orders := Orders{Worker: w.id, RunnerID: w.runner.ID, RunnerStartUnixMs: w.runner.StartedUnixMs, DurableEnds: w.durableEnd}
 		for _, t := range w.orders.starts {
-			t.startPending = true
+			t.start.phase = startIsSent
 			orders.Starts = append(orders.Starts, t.order())
 		}
 		if slices.ContainsFunc(w.orders.starts, func(t *task) bool { return t.step.BestEffort }) {
