--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// An end is reported until it is durable. One that was applied before is no second run, and
+// logging it would hide the real ones.
+func TestRepeatedEndIsNoSecondRun(t *testing.T) {
+	f := newFixture(t)
+	a := f.addWorker("a", 8)
+	f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})
+	f.tick()
+	a.end(anyRun(a), workflow.Stopped)
+	ends := a.ended
+	f.report("a")
+	f.tick()
+	a.ended = ends
+	f.report("a")
+	if got := f.scheduler.TakeSecondRuns(); got != 0 {
+		t.Errorf("second runs after an end that was reported twice: got %d, want 0", got)
+	}
+}
+
 // A history that grows without bound would exhaust the leader's memory.
 func TestHistoryKeepsOnlyTheLastEvents(t *testing.T) {
 	h := history{}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -181,6 +181,7 @@
 			klog.InfoS("run is lost", "task", t.id.String(), "attempt", t.attempt, "worker", w.id, "reason", reason, "report", w.reportSequence,
 				"start", t.start.phase, "startedAfterReport", t.start.afterReport)
 			s.recordEvent(t, runLost, w.reportSequence, string(reason), now)
+			t.lostAttempt = t.attempt
 			t.release()
 			s.stopGang(t, now)
 			released++
@@ -258,7 +259,7 @@
 	case current:
 		s.recordEvent(t, runEnded, w.reportSequence, row.GetEnd(), now)
 		t.release()
-	case t.worker != nil:
+	case t.worker != nil && attempt == t.lostAttempt:
 		s.logSecondRun(w, t, attempt, "end "+row.GetEnd(), now)
 	}
 	switch workflow.End(row.GetEnd()) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -119,6 +119,7 @@
 	done           bool
 	attempt        workflow.Attempt   // of the run on worker, or of the previous run
 	highestAttempt workflow.Attempt   // highest attempt that was ordered or reported
+	lostAttempt    workflow.Attempt   // of the last run that was released without an end; 0 if none
 	renumbered     bool               // placed by this leader, so attempts that an earlier one may have ordered but not recorded are skipped
 	failedAttempts []workflow.Attempt // attempts counted as failures, unordered
 	checkpoint     string
