Count a job as begun when a run of it has started

The state that clients read follows the same rule: queued until then. tests: pending_test.go fails before in all cases but the last. Four tests read the state right after the placement; they now send the agent's report first and check the same states. measured: go test ./internal/scheduler ./internal/node passes.

--- a/internal/scheduler/cancel_test.go
+++ b/internal/scheduler/cancel_test.go
@@ -13,6 +13,7 @@
 	f.addWorker("a", 4)
 	id := f.submit("quick", workflow.Step{Count: 1, Size: cores(1), LongRunning: true})
 	f.tick()
+	f.report("a")
 	first := f.scheduler.Cancel(id, f.now)
 	if second := f.scheduler.Cancel(id, f.now); first == 0 || second != first {
 		t.Errorf("flush of the second cancel: got %d, want that of the first, %d", second, first)
--- a/internal/scheduler/lost_test.go
+++ b/internal/scheduler/lost_test.go
@@ -39,6 +39,7 @@
 		if got := f.tick(); len(got) != 1 {
 			t.Fatalf("starts after a lost run: got %v, want one", got)
 		}
+		f.report("a")
 		delete(a.running, anyRun(a))
 		f.report("a")
 	}
@@ -134,6 +135,7 @@
 	if got := f.tick(); len(got) != 4 {
 		t.Errorf("starts once the runner is back: got %v, want 4 tasks", got)
 	}
+	f.report("a")
 	for _, id := range jobs {
 		f.wantState(id, workflow.Running)
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -251,6 +251,7 @@
 func (s *Scheduler) applyEnd(w *worker, t *task, row *wire.EndRow, now Timestamp) {
 	attempt := workflow.Attempt(row.GetAttempt())
 	t.highestAttempt = max(t.highestAttempt, attempt)
+	t.job.started = true
 	if row.GetCheckpoint() != "" && t.step.Checkpointing && !t.done && attempt >= t.highestAttempt {
 		t.checkpoint = row.GetCheckpoint()
 	}
@@ -371,6 +372,7 @@
 		}
 		if !t.isListed() && !row.GetStarting() {
 			t.start.phase = startIsListed
+			t.job.started = true
 			s.recordEvent(t, runListed, w.reportSequence, "", now)
 		}
 		t.start.accept(w.reportSequence)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,7 +88,7 @@
 	occurrences     []*occurrence // due and not complete
 	completed       int           // all occurrences below this number are complete
 	opened          int           // all occurrences below this number have become due
-	started         bool          // at least one task was assigned to a worker
+	started         bool          // a run of at least one task has started
 	recovered       bool          // accepted by an earlier leader
 	placedTasks     int           // tasks assigned to a worker
 }
@@ -256,7 +256,6 @@
 		w.bestEffort++
 	}
 	t.job.placedTasks++
-	t.job.started = true
 	if !t.done {
 		t.step.unplaced--
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -104,6 +104,7 @@
 			t.Errorf("%s started on %s, want b", task, worker)
 		}
 	}
+	f.report("b")
 	f.wantState(id, workflow.Running)
 }
 
