Order no attempt that an earlier leader may have ordered

An agent repeats a rejection until a leader has received it, and the rejection of the earlier leader's order then released the start of the later one, which the agent carried out.

--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -112,6 +112,7 @@
 		return err
 	}
 	l.scheduler = scheduler.New(grantDuration+grantMargin, l.settings.FinishedJobRetention)
+	l.scheduler.Term = uint64(l.term)
 	l.scheduler.SetOperatorState(l.operations.State())
 	if err := l.scheduler.Recover(items, now()); err != nil {
 		return err
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -20,6 +20,7 @@
 type fixture struct {
 	testing.TB
 	scheduler *Scheduler
+	term      uint64 // of the leader
 	now       Timestamp
 	agents    map[units.WorkerID]*fakeAgent
 	records   map[string][]byte
@@ -45,6 +46,8 @@
 // new leader does.
 func (f *fixture) startNewLeader() {
 	f.scheduler = New(testMaxLeaseDuration, 120*time.Second)
+	f.term += 2 // a leader that renews nothing is followed by one whose term is higher by 2
+	f.scheduler.Term = f.term
 	configuration := &operations.Configuration{Version: 1, Routes: []operations.Route{
 		{Queue: "quick", Host: "a", Prefix: "/q/", Policy: workflow.Policy{Service: "desk", MaxAttempts: 2, Stretch: 1.5, LatencyAllowance: 300 * time.Millisecond}},
 		{Queue: "runs", Host: "a", Prefix: "/r/", Policy: workflow.Policy{Service: "desk", Priority: 2, MaxAttempts: 2, Stretch: 2, LatencyAllowance: time.Second}},
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -30,7 +30,7 @@
 // placeMembers places all members on workers of the pool. It reports false and places
 // none of them if one does not fit.
 func (s *Scheduler) placeMembers(st *step, pool []*worker, now Timestamp) bool {
-	attempt, checkpoint := st.nextGangAttempt()
+	attempt, checkpoint := s.nextGangAttempt(st)
 	for i, t := range st.tasks {
 		w := s.bestWorker(st, pool, nil)
 		if w == nil {
@@ -47,10 +47,10 @@
 
 // nextGangAttempt returns the attempt number and the checkpoint for all members of the
 // next run. The checkpoint of any member is valid for the whole gang.
-func (st *step) nextGangAttempt() (attempt workflow.Attempt, checkpoint string) {
+func (s *Scheduler) nextGangAttempt(st *step) (attempt workflow.Attempt, checkpoint string) {
 	var newest workflow.Attempt
 	for _, t := range st.tasks {
-		attempt = max(attempt, t.nextAttempt())
+		attempt = max(attempt, s.nextAttempt(t))
 		if t.checkpoint != "" && t.attempt >= newest {
 			newest, checkpoint = t.attempt, t.checkpoint
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -80,7 +80,7 @@
 		if w == nil {
 			return
 		}
-		s.startTask(t, w, t.nextAttempt(), now)
+		s.startTask(t, w, s.nextAttempt(t), now)
 	}
 }
 
@@ -92,11 +92,11 @@
 	return nil
 }
 
-// nextAttempt returns the attempt number of the task's next run. It stays the same until
-// the run is placed.
-func (t *task) nextAttempt() workflow.Attempt {
-	if t.job.recovered && !t.renumbered {
-		return t.highestAttempt + attemptGap
+// nextAttempt returns the attempt number of the task's next run. No other leader orders the
+// same one. It stays the same until the run is placed.
+func (s *Scheduler) nextAttempt(t *task) workflow.Attempt {
+	if t.job.recovered {
+		return max(t.highestAttempt, workflow.Attempt(s.Term*attemptsPerTerm)) + 1
 	}
 	return t.highestAttempt + 1
 }
@@ -105,7 +105,6 @@
 func (s *Scheduler) startTask(t *task, w *worker, attempt workflow.Attempt, now Timestamp) {
 	t.assign(w, attempt)
 	s.recordEvent(t, startOrdered, w.reportSequence, "", now)
-	t.renumbered = true
 	if t.step.BestEffort {
 		s.predictLoss(w, t.step.Image, t.step.cores())
 	}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -20,9 +20,11 @@
 // JobKey returns the key of a job's record.
 func JobKey(id workflow.JobID) string { return jobPrefix + string(id) }
 
-// attemptGap is added to the highest recorded attempt of a recovered task, because
-// attempts that were ordered shortly before a change of leader may be unrecorded.
-const attemptGap = 8
+// attemptsPerTerm separates the attempts that consecutive leaders order for a recovered
+// task. Starts are not recorded, so a leader does not know which attempts its predecessors
+// have ordered; without the separation two leaders could order the same one, and an agent's
+// rejection of the first order would count for the second.
+const attemptsPerTerm = 100
 
 // Flush returns the records of all jobs that have changed since the last flush,
 // and the number of this flush, which is passed to CommitFlush once the records
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,8 @@
 	// MaxLeaseDuration is how long after the last extension of its lease an
 	// unreachable worker may still run tasks.
 	MaxLeaseDuration time.Duration
+	// Term is the term of the leader, which is higher than that of all its predecessors.
+	Term uint64
 	// FinishedRetention is how long the state of a finished job is kept.
 	FinishedRetention time.Duration
 
@@ -120,7 +122,6 @@
 	attempt        workflow.Attempt   // of the run on worker, or of the previous run
 	highestAttempt workflow.Attempt   // highest attempt that was ordered or reported
 	lostAttempt    workflow.Attempt   // of the last run that was released without an end; 0 if none
-	renumbered     bool               // placed by this leader, so attempts that an earlier one may have ordered but not recorded are skipped
 	failedAttempts []workflow.Attempt // attempts counted as failures, unordered
 	checkpoint     string
 	worker         *worker           // nil while the task is unplaced
--- a/internal/scheduler/standing.go
+++ b/internal/scheduler/standing.go
@@ -130,7 +130,7 @@
 				break
 			}
 			klog.InfoS("standing task is placed", "task", t.id.String(), "worker", w.id, "stood", now.Boot.Sub(t.standingSince), "avoided", now.Boot.Before(w.retryAt))
-			s.startTask(t, w, t.nextAttempt(), now)
+			s.startTask(t, w, s.nextAttempt(t), now)
 		}
 	}
 }
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -143,7 +143,7 @@
 	if got := f.tick(); len(got) != 2 {
 		t.Fatalf("got starts %v, want both members", got)
 	}
-	if got, want := b.running[string(id)+".0.0.0"].GetAttempt(), int64(attemptGap); got != want {
+	if got, want := b.running[string(id)+".0.0.0"].GetAttempt(), int64(f.term*attemptsPerTerm+1); got != want {
 		t.Errorf("attempt of the first start by the new leader: got %d, want %d", got, want)
 	}
 }
@@ -165,3 +165,50 @@
 		t.Errorf("starts after the lease: got %v, want one", got)
 	}
 }
+
+// An agent repeats its rejections until a leader has received them. The rejection of a start
+// that an earlier leader ordered must not release the same task's start of this leader, which
+// the agent carries out: the task would run twice.
+func TestRejectionOfEarlierLeadersOrderKeepsTheStart(t *testing.T) {
+	f := newFixture(t)
+	f.addWorker("a", 4)
+	id := f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})
+	var rejected *wire.RejectedStart
+	for range 3 { // leaders that order the same task and record nothing
+		f.startNewLeader()
+		f.scheduler.Attach("a", f.now)
+		f.agents["a"].sequence = 0
+		f.report("a")
+		starts := f.takeStarts()["a"]
+		if len(starts) != 1 {
+			t.Fatalf("starts in term %d: got %v, want one", f.term, starts)
+		}
+		if rejected != nil { // repeated before the agent has received the new order
+			f.agents["a"].sequence++
+			f.scheduler.ApplyReport("a", &wire.WorkerReport{Sequence: f.agents["a"].sequence, Runner: f.agents["a"].runner, Rejected: []*wire.RejectedStart{rejected}}, f.now)
+			f.wantNoStart("after the rejection of an earlier leader's order")
+		}
+		rejected = &wire.RejectedStart{Task: string(id) + ".0.0.0", Attempt: int64(starts[0].Attempt), Reason: "late"}
+	}
+}
+
+// The attempts of a task must not fall when the leader changes, since a runner rejects a
+// start that is not higher than one that it has stopped or ended.
+func TestAttemptsRiseWithEachLeader(t *testing.T) {
+	f := newFixture(t)
+	f.addWorker("a", 4)
+	f.submit("quick", workflow.Step{Count: 1, Size: cores(1), LongRunning: true})
+	last := workflow.Attempt(0)
+	for range 4 {
+		for _, start := range f.takeStarts()["a"] {
+			if start.Attempt <= last {
+				t.Errorf("attempt in term %d: got %d, want more than %d", f.term, start.Attempt, last)
+			}
+			last = start.Attempt
+		}
+		f.startNewLeader()
+		f.scheduler.Attach("a", f.now)
+		f.agents["a"].sequence = 0
+		f.report("a")
+	}
+}
