Fence the starts that an agent gives up without an answer

The next call to the runner extended its lease under the same fencing token, so that a late copy of the start could run beside the next attempt. The agent also reported an empty runner while it carried a start out, and carried out orders that arrived after that report. change: when an agent concludes that all leases have ended, it raises its fencing token before another call can extend the lease.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -38,9 +38,9 @@
 	// runs after the lease has expired.
 	leaseExpiryMargin = 200 * time.Millisecond
 	// ordinalBits is the number of low bits of a fencing token that hold the
-	// ordinal of the incarnation. 20 bits allow a million of them within one
-	// agent process, and the whole token still fits the integers that every JSON
-	// decoder represents exactly.
+	// ordinal. 20 bits allow a million of them within one agent process, and the
+	// whole token still fits the integers that every JSON decoder represents
+	// exactly.
 	ordinalBits = 20
 )
 
@@ -97,7 +97,7 @@
 
 	mu                  sync.Mutex
 	info                *Info        // nil before the first announcement
-	ordinal             FencingToken // of the current incarnation, counted by this process
+	ordinal             FencingToken // counts the incarnations and the ends of all leases; later calls have a higher one
 	listed              bool         // a listing of this incarnation has been received
 	unresponsive        bool         // the last poll failed
 	runs                map[workflow.TaskID]*run
@@ -108,6 +108,7 @@
 	runnerClock         ClockTime         // last reading of the runner's clock
 	clockReadAt         bootclock.Instant // when runnerClock was received
 	leaseUntil          ClockTime         // latest lease expiry sent to this incarnation
+	leaseSent           bool              // a call with the current fencing token may carry a lease
 	reportSequence      uint64            // sequence number of the last report
 	startedAt           bootclock.Instant // when Run was called
 	restartedAt         bootclock.Instant // when a new incarnation with the same id was first seen; 0 if the id is new
@@ -172,7 +173,7 @@
 	} else {
 		c.runs = make(map[workflow.TaskID]*run)
 	}
-	c.ended, c.recordedEnd, c.runnerClock, c.leaseUntil = nil, 0, 0, 0
+	c.ended, c.recordedEnd, c.runnerClock, c.leaseUntil, c.leaseSent = nil, 0, 0, 0, false
 	if c.incarnationAppeared != nil {
 		close(c.incarnationAppeared)
 	}
@@ -181,8 +182,8 @@
 
 // fencingToken returns the token for calls to the current incarnation. It is
 // higher than the tokens of all earlier incarnations with the same id, so that
-// the runner rejects a delayed call that was sent to one of them. The caller
-// holds c.mu.
+// the runner rejects a delayed call that was sent to one of them, and higher
+// than the tokens of the calls that endLeases has fenced. The caller holds c.mu.
 func (c *Controller) fencingToken() FencingToken { return c.BaseToken<<ordinalBits + c.ordinal }
 
 // MarkDraining marks the runner as draining after it has deregistered.
@@ -248,6 +249,7 @@
 	remaining := min(c.grantedUntil.Sub(c.clockReadAt), c.MaxLease, maxSilence)
 	until := c.runnerClock + ClockTime(float64(remaining.Milliseconds())*(1-maxClockDrift))
 	c.leaseUntil = max(c.leaseUntil, until)
+	c.leaseSent = true
 	return c.leaseUntil, true
 }
 
@@ -266,6 +268,21 @@
 	return now.After(end)
 }
 
+// endLeases reports whether every lease that the runner may hold has certainly expired. If
+// so, no run is active. A start call that is still on its way has an expired lease as well,
+// but the runner may carry it out once a later call has extended the lease. So endLeases
+// raises the fencing token before that. The caller holds c.mu.
+func (c *Controller) endLeases(now bootclock.Instant) bool {
+	if !c.allLeasesExpired(now) {
+		return false
+	}
+	if c.leaseSent {
+		c.ordinal++
+		c.leaseSent = false
+	}
+	return true
+}
+
 // Run polls the runner, which renews the lease and returns the lists, until ctx
 // is done.
 func (c *Controller) Run(ctx context.Context) error {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -35,11 +35,12 @@
 // caller holds c.mu.
 func (c *Controller) runnerState() *wire.RunnerState {
 	info := c.info
+	silent := c.unresponsive || !c.listed
 	return &wire.RunnerState{
 		Id: info.ID, BornUnixMs: info.StartedUnixMs, Service: string(info.Service), Domain: string(info.Domain), Labels: info.Labels,
 		Millicores: int64(info.Capacity.Processors), MemoryBytes: int64(info.Capacity.Memory), Accelerators: info.Capacity.Accelerators,
 		Draining: info.Draining, RemainingMs: info.Remaining.Milliseconds(),
-		Silent: c.unresponsive || !c.listed, Empty: (c.unresponsive || !c.listed) && c.allLeasesExpired(bootclock.Now()),
+		Silent: silent, Empty: silent && !c.isStarting() && c.endLeases(bootclock.Now()),
 	}
 }
 
@@ -56,3 +57,13 @@
 	defer c.mu.Unlock()
 	return c.reportSequence
 }
+
+// isStarting reports whether a start order is being carried out. The caller holds c.mu.
+func (c *Controller) isStarting() bool {
+	for _, r := range c.runs {
+		if r.starting {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -59,6 +59,8 @@
 		return Unavailable
 	case c.grantedUntil != 0 && !bootclock.Now().Before(c.grantedUntil):
 		return LeaseExpired
+	case c.unresponsive && c.endLeases(bootclock.Now()):
+		return LeaseExpired // the scheduler may have been told that no run is left
 	}
 	return ""
 }
@@ -97,6 +99,7 @@
 		// until a listing requested from now on contains the run, its end, or
 		// neither.
 		c.confirmStart(s)
+		c.notifyChange()
 		return
 	}
 	c.rejectStart(s, err)
@@ -146,7 +149,7 @@
 
 // cancelStart prevents an unanswered start from being carried out later, by
 // stopping the attempt: the runner rejects the start of an attempt for which it has
-// received a stop. It returns true once the start can no longer take effect, and
+// received a stop. Once all leases have ended, the fencing token does that. It returns true once the start can no longer take effect, and
 // false when a listing has shown the run, the run is no longer in the table, or ctx
 // is done.
 func (c *Controller) cancelStart(ctx context.Context, id string, s StartOrder) bool {
@@ -154,7 +157,7 @@
 		c.mu.Lock()
 		r := c.runs[s.Task]
 		settled := r == nil || r.attempt != s.Attempt || !r.starting
-		expired := c.allLeasesExpired(bootclock.Now())
+		expired := c.endLeases(bootclock.Now())
 		call := StopCall{Runner: id, Token: c.fencingToken(), Task: s.Task, Attempt: s.Attempt}
 		c.mu.Unlock()
 		if settled {
@@ -221,7 +224,7 @@
 			return
 		}
 		c.mu.Lock()
-		obsolete := c.allLeasesExpired(bootclock.Now()) || c.info == nil || c.info.ID != call.Runner
+		obsolete := c.endLeases(bootclock.Now()) || c.info == nil || c.info.ID != call.Runner
 		c.mu.Unlock()
 		if obsolete {
 			return
