--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -98,6 +98,7 @@
 	mu                  sync.Mutex
 	info                *Info        // nil before the first announcement
 	ordinal             FencingToken // counts the incarnations and the ends of all leases; later calls have a higher one
+	incarnations        int          // number of incarnations seen by this process
 	listed              bool         // a listing of this incarnation has been received
 	unresponsive        bool         // the last poll failed
 	runs                map[workflow.TaskID]*run
@@ -163,6 +164,7 @@
 	sameID := c.info != nil && c.info.ID == info.ID
 	c.info = &info
 	c.ordinal++
+	c.incarnations++
 	c.listed, c.unresponsive = false, false
 	c.restartedAt = 0
 	if sameID {
@@ -293,12 +295,12 @@
 	}
 	c.mu.Unlock()
 	for ctx.Err() == nil {
-		call, listed, ok := c.nextPoll()
+		call, mayWait, ok := c.nextPoll()
 		if !ok {
 			c.awaitRunner(ctx)
 			continue
 		}
-		if !listed {
+		if !mayWait {
 			call.Wait = 0
 		}
 		sent := bootclock.Now()
@@ -352,9 +354,10 @@
 	}
 }
 
-// nextPoll returns the next poll, and whether a listing of the current incarnation has
-// been received. ok is false if no runner has announced itself.
-func (c *Controller) nextPoll() (call PollCall, listed, ok bool) {
+// nextPoll returns the next poll, and whether its reply may wait for the end of a run. It
+// must not while the last poll has failed, or no listing of the current incarnation has been
+// received. ok is false if no runner has announced itself.
+func (c *Controller) nextPoll() (call PollCall, mayWait, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.info == nil {
@@ -367,7 +370,7 @@
 	if until, granted := c.extendLease(bootclock.Now()); granted {
 		call.Until = until
 	}
-	return call, c.listed, true
+	return call, c.listed && !c.unresponsive, true
 }
 
 // handlePollError marks the runner as unresponsive and waits before the next poll.
--- a/internal/runner/lateness_test.go
+++ b/internal/runner/lateness_test.go
@@ -116,3 +116,70 @@
 		t.Errorf("start after the report: got %d rejections and %d runs, want 1 and 0", len(report.GetRejected()), len(report.GetRunning()))
 	}
 }
+
+// clockAPI rejects each start with a lease that has expired by its clock.
+type clockAPI struct {
+	fakeAPI
+	clock  ClockTime
+	starts int
+}
+
+func (a *clockAPI) Start(_ context.Context, call StartCall) (ClockTime, error) {
+	a.starts++
+	if call.Until <= a.clock {
+		return a.clock, fault.New("start", LeaseExpired, "scripted")
+	}
+	return a.clock, nil
+}
+
+// After a freeze of the agent the reading of the runner's clock is old. A start whose lease
+// is computed from it is rejected, and so was each further one until the next listing. The
+// rejection contains the clock.
+func TestStartIsRepeatedWithTheClockOfItsRejection(t *testing.T) {
+	api := &clockAPI{clock: 20_000}
+	c := newReadyController(api)
+	task := workflow.TaskID{Job: "a"}
+	c.runs[task] = &run{attempt: 1, starting: true}
+	c.callStart(context.Background(), Incarnation{ID: "r"}, StartOrder{Task: task, Attempt: 1})
+	if api.starts != 2 || len(c.rejections) != 0 {
+		t.Errorf("start with an old reading of the clock: got %d calls and %d rejections, want 2 and none", api.starts, len(c.rejections))
+	}
+}
+
+// A rejection that brings no newer reading is final: a repetition would fail as well.
+func TestStartIsNotRepeatedWithoutALongerLease(t *testing.T) {
+	api := &fakeAPI{starts: []Kind{LeaseExpired}}
+	c := newReadyController(api)
+	task := workflow.TaskID{Job: "a"}
+	c.runs[task] = &run{attempt: 1, starting: true}
+	c.callStart(context.Background(), Incarnation{ID: "r"}, StartOrder{Task: task, Attempt: 1})
+	if got := api.recordedCalls(); len(got) != 1 || len(c.rejections) != 1 || c.rejections[0].Reason != LeaseExpired {
+		t.Errorf("got calls %v and rejections %v, want one start and one rejection as %s", got, c.rejections, LeaseExpired)
+	}
+}
+
+// A reply that arrives after the runner has been replaced says nothing about the clock of
+// the new incarnation. With the clock of the previous one its leases would be too long.
+func TestClockOfPreviousIncarnationIsIgnored(t *testing.T) {
+	c := newReadyController(&fakeAPI{})
+	err := c.callRunner(context.Background(), func(context.Context) (ClockTime, error) {
+		c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "r", StartedUnixMs: 2}}, 5)
+		return 90_000, nil
+	})
+	if err != nil || c.runnerClock != 5 {
+		t.Errorf("clock of the runner: got %d, %v, want 5", c.runnerClock, err)
+	}
+}
+
+// A poll after a failed one must not wait for the end of a run: until it is answered, the
+// lists and the clock of the runner are old.
+func TestPollAfterAFailedOneDoesNotWait(t *testing.T) {
+	c := newReadyController(&fakeAPI{})
+	if _, mayWait, _ := c.nextPoll(); !mayWait {
+		t.Error("poll of a runner that answers: got one that may not wait, want one that may")
+	}
+	c.unresponsive = true
+	if _, mayWait, _ := c.nextPoll(); mayWait {
+		t.Error("poll after a failed one: got one that may wait, want one that may not")
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -121,7 +121,8 @@
 type Error = fault.Error[Kind]
 
 // API is the interface of a runner. Its methods may be called concurrently and
-// return errors of type *Error.
+// return errors of type *Error. A call that the runner has answered returns the reading
+// of the runner's clock in the reply, even with an error; otherwise the reading is 0.
 type API interface {
 	Start(ctx context.Context, call StartCall) (ClockTime, error)
 	Stop(ctx context.Context, call StopCall) (ClockTime, error)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -81,7 +81,7 @@
 		}
 		err = c.callRunner(ctx, func(ctx context.Context) (ClockTime, error) { return c.API.Start(ctx, call) })
 		mayArrive = mayArrive || Is(err, Unanswered)
-		if err == nil || !Is(err, Unanswered) && !Is(err, NotSent) || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || !c.mayRepeat(err, call) {
 			break
 		}
 	}
@@ -105,6 +105,22 @@
 	c.rejectStart(s, err)
 }
 
+// mayRepeat reports whether a start call that has failed with err may succeed if it is
+// repeated: it was not answered, or its lease had expired because the last reading of the
+// runner's clock was old, and the reply contained a newer one.
+func (c *Controller) mayRepeat(err error, call StartCall) bool {
+	switch errorKind(err) {
+	case Unanswered, NotSent:
+		return true
+	case LeaseExpired:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		until, granted := c.extendLease(bootclock.Now())
+		return granted && until > call.Until
+	}
+	return false
+}
+
 // nextStartCall returns the next call for a start order, or why there is none: the
 // lease has expired, the incarnation has been replaced, or a listing has shown the
 // run or its end (duplicateStart). The call is not sent to a new incarnation with
@@ -233,10 +249,19 @@
 	}
 }
 
-// callRunner calls fn with a timeout of callTimeout.
+// callRunner calls fn with a timeout of callTimeout. It keeps the reading of the runner's
+// clock if the runner has not been replaced meanwhile.
 func (c *Controller) callRunner(ctx context.Context, fn func(context.Context) (ClockTime, error)) error {
+	c.mu.Lock()
+	before := c.incarnations
+	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := fn(ctx)
+	clock, err := fn(ctx)
+	c.mu.Lock()
+	if c.incarnations == before && clock > c.runnerClock {
+		c.setClock(clock)
+	}
+	c.mu.Unlock()
 	return err
 }
