--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -59,6 +59,8 @@
 		return Unavailable
 	case c.grantedUntil != 0 && !bootclock.Now().Before(c.grantedUntil):
 		return LeaseExpired
+	case c.unresponsive && c.endLeases(bootclock.Now()):
+		return LeaseExpired // the scheduler may have been told that no run is left
 	}
 	return ""
 }
@@ -79,7 +81,7 @@
 		}
 		err = c.callRunner(ctx, func(ctx context.Context) (ClockTime, error) { return c.API.Start(ctx, call) })
 		mayArrive = mayArrive || Is(err, Unanswered)
-		if err == nil || !Is(err, Unanswered) && !Is(err, NotSent) || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || !c.mayRepeat(err, call) {
 			break
 		}
 	}
@@ -97,11 +99,28 @@
 		// until a listing requested from now on contains the run, its end, or
 		// neither.
 		c.confirmStart(s)
+		c.notifyChange()
 		return
 	}
 	c.rejectStart(s, err)
 }
 
+// mayRepeat reports whether a start call that has failed with err may succeed if it is
+// repeated: it was not answered, or its lease had expired because the last reading of the
+// runner's clock was old, and the reply contained a newer one.
+func (c *Controller) mayRepeat(err error, call StartCall) bool {
+	switch errorKind(err) {
+	case Unanswered, NotSent:
+		return true
+	case LeaseExpired:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		until, granted := c.extendLease(bootclock.Now())
+		return granted && until > call.Until
+	}
+	return false
+}
+
 // nextStartCall returns the next call for a start order, or why there is none: the
 // lease has expired, the incarnation has been replaced, or a listing has shown the
 // run or its end (duplicateStart). The call is not sent to a new incarnation with
@@ -146,7 +165,7 @@
 
 // cancelStart prevents an unanswered start from being carried out later, by
 // stopping the attempt: the runner rejects the start of an attempt for which it has
-// received a stop. It returns true once the start can no longer take effect, and
+// received a stop. Once all leases have ended, the fencing token does that. It returns true once the start can no longer take effect, and
 // false when a listing has shown the run, the run is no longer in the table, or ctx
 // is done.
 func (c *Controller) cancelStart(ctx context.Context, id string, s StartOrder) bool {
@@ -154,7 +173,7 @@
 		c.mu.Lock()
 		r := c.runs[s.Task]
 		settled := r == nil || r.attempt != s.Attempt || !r.starting
-		expired := c.allLeasesExpired(bootclock.Now())
+		expired := c.endLeases(bootclock.Now())
 		call := StopCall{Runner: id, Token: c.fencingToken(), Task: s.Task, Attempt: s.Attempt}
 		c.mu.Unlock()
 		if settled {
@@ -221,7 +240,7 @@
 			return
 		}
 		c.mu.Lock()
-		obsolete := c.allLeasesExpired(bootclock.Now()) || c.info == nil || c.info.ID != call.Runner
+		obsolete := c.endLeases(bootclock.Now()) || c.info == nil || c.info.ID != call.Runner
 		c.mu.Unlock()
 		if obsolete {
 			return
@@ -230,10 +249,19 @@
 	}
 }
 
-// callRunner calls fn with a timeout of callTimeout.
+// callRunner calls fn with a timeout of callTimeout. It keeps the reading of the runner's
+// clock if the runner has not been replaced meanwhile.
 func (c *Controller) callRunner(ctx context.Context, fn func(context.Context) (ClockTime, error)) error {
+	c.mu.Lock()
+	before := c.incarnations
+	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := fn(ctx)
+	clock, err := fn(ctx)
+	c.mu.Lock()
+	if c.incarnations == before && clock > c.runnerClock {
+		c.setClock(clock)
+	}
+	c.mu.Unlock()
 	return err
 }
