Keep a run whose end a truncated list of ended runs lacks

While the store is away, ends stay unrecorded; a run that has ended after them is neither among the running nor among the ended runs, and was taken for lost. change: a listing says whether it is truncated; then an unlisted run is kept. measured: TestRunWhoseEndIsNotListedYetIsKept fails without the condition (got no run) and passes with it.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -419,7 +419,8 @@
 		c.mergeStatus(row)
 	}
 	for task, r := range c.runs {
-		if !listed[task] && !r.starting && r.confirmedAt.Before(sent) {
+		// The end of a run that is not listed may be among those that the listing lacks.
+		if !listed[task] && !l.Truncated && !r.starting && r.confirmedAt.Before(sent) {
 			delete(c.runs, task)
 			prompt = true
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -97,7 +97,8 @@
 	StartedUnixMs int64 // of the incarnation that replied; 0 if it is not in the reply
 	Clock         ClockTime
 	Running       []RunStatus
-	Ended         []EndedRun // ended runs that the runner has not dropped yet
+	Ended         []EndedRun // ended runs that the runner has not dropped yet, oldest first
+	Truncated     bool       // Ended lacks the latest ended runs
 }
 
 // Kind classifies the failures of a call.
--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -320,3 +320,21 @@
 	i.once.Do(i.duringStart)
 	return i.fakeAPI.Start(ctx, call)
 }
+
+// A runner lists a limited number of ended runs at a time. A run whose end is not among them
+// must not be taken for a lost one, whose task starts again although it is done.
+func TestRunWhoseEndIsNotListedYetIsKept(t *testing.T) {
+	c := newReadyController(&fakeAPI{})
+	task := workflow.TaskID{Job: "a"}
+	requested := bootclock.Now()
+	c.runs[task] = &run{attempt: 1, confirmedAt: requested.Add(-time.Second)}
+	other := EndedRun{Number: 1, Task: workflow.TaskID{Job: "b"}, Attempt: 1, End: workflow.Done}
+	c.mergeListing("r", Listing{Clock: 2000, Ended: []EndedRun{other}, Truncated: true}, requested)
+	if c.runs[task] == nil {
+		t.Error("after a listing that lacks the latest ends: got no run, want it kept")
+	}
+	c.mergeListing("r", Listing{Clock: 3000, Ended: []EndedRun{{Number: 2, Task: task, Attempt: 1, End: workflow.Done}}}, requested.Add(time.Second))
+	if report, _ := c.Report(); len(report.GetRunning()) != 0 || len(report.GetEnded()) != 2 {
+		t.Errorf("after the listing with the end: got %d runs and %d ends, want 0 and 2", len(report.GetRunning()), len(report.GetEnded()))
+	}
+}
