--- a/internal/scheduler/inflight_test.go
+++ b/internal/scheduler/inflight_test.go
@@ -34,6 +34,14 @@
 	f.scheduler.ApplyReport(id, &wire.WorkerReport{Sequence: a.sequence, Runner: state}, f.now)
 }
 
+// reportLate sends a report that the agent has rejected the start as late.
+func (f *fixture) reportLate(id units.WorkerID, start runner.StartOrder) {
+	a := f.agents[id]
+	a.sequence++
+	f.scheduler.ApplyReport(id, &wire.WorkerReport{Sequence: a.sequence, Runner: a.runner, Rejected: []*wire.RejectedStart{
+		{Task: start.Task.String(), Attempt: int64(start.Attempt), Reason: string(runner.LeaseExpired)}}}, f.now)
+}
+
 func (f *fixture) wantNoStart(when string) {
 	f.Helper()
 	for worker, starts := range f.takeStarts() {
@@ -75,9 +83,7 @@
 	f := newFixture(t)
 	worker, first := f.startOneTask()
 	a := f.agents[worker]
-	a.sequence++
-	f.scheduler.ApplyReport(worker, &wire.WorkerReport{Sequence: a.sequence, Runner: a.runner, Rejected: []*wire.RejectedStart{
-		{Task: first[0].Task.String(), Attempt: int64(first[0].Attempt), Reason: string(runner.LeaseExpired)}}}, f.now)
+	f.reportLate(worker, first[0])
 	for id, other := range f.agents {
 		if id != worker {
 			other.runner.Draining = true // so that the second start goes to the same worker
@@ -125,3 +131,16 @@
 		t.Errorf("starts once the runner takes tasks again: got %v, want one", got)
 	}
 }
+
+// An agent whose lease has ended rejects every start as late until the leader's next reply
+// has reached it. The same worker must not be chosen again at once, with the same result.
+func TestWorkerThatRejectsAsLateIsAvoided(t *testing.T) {
+	f := newFixture(t)
+	worker, starts := f.startOneTask()
+	f.reportLate(worker, starts[0])
+	for id, again := range f.takeStarts() {
+		if id == worker {
+			t.Errorf("start after the rejection: got %v on the same worker, want it elsewhere", again)
+		}
+	}
+}
--- a/internal/scheduler/pending_test.go
+++ b/internal/scheduler/pending_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"wasabihill.example/wasabihill/internal/runner"
-	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/internal/workflow"
 )
 
@@ -38,12 +36,10 @@
 // A rejected start begins nothing.
 func TestJobIsPendingAfterARejectedStart(t *testing.T) {
 	f := newFixture(t)
-	a := f.addWorker("a", 8)
+	f.addWorker("a", 8)
 	id := f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})
 	for _, starts := range f.takeStarts() {
-		a.sequence++
-		f.scheduler.ApplyReport("a", &wire.WorkerReport{Sequence: a.sequence, Runner: a.runner, Rejected: []*wire.RejectedStart{
-			{Task: starts[0].Task.String(), Attempt: int64(starts[0].Attempt), Reason: string(runner.LeaseExpired)}}}, f.now)
+		f.reportLate("a", starts[0])
 	}
 	f.wantPending("after a rejected start", 1)
 	f.wantState(id, workflow.Queued)
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -16,9 +16,9 @@
 	// stopRetryInterval is the time after which a stop is ordered again if the run is
 	// still listed.
 	stopRetryInterval = time.Second
-	// noCapacityBackoff is how long a worker that rejected a start for lack of
-	// capacity is avoided, which bridges the time until its next report.
-	noCapacityBackoff = 200 * time.Millisecond
+	// rejectionBackoff is how long a worker that rejected a start for lack of capacity or
+	// of a lease is avoided, which bridges the time until its next report.
+	rejectionBackoff = 200 * time.Millisecond
 	// failureBackoff is how long a worker is avoided after failureThreshold consecutive
 	// rejections or failed runs. It doubles with each further one up to maxBackoff.
 	failureBackoff   = time.Second
@@ -192,8 +192,8 @@
 	}
 }
 
-// applyRejection releases a task whose start was rejected. A worker without capacity
-// is avoided briefly. Other reasons count as a failure of the worker unless they only
+// applyRejection releases a task whose start was rejected. A worker without capacity or
+// without a lease is avoided briefly. Other reasons count as a failure of the worker unless they only
 // concern the order.
 func (s *Scheduler) applyRejection(w *worker, in *wire.RejectedStart, now Timestamp) {
 	id, err := workflow.ParseTaskID(in.GetTask())
@@ -210,9 +210,9 @@
 	t.release()
 	s.stopGang(t, now)
 	switch runner.Kind(in.GetReason()) {
-	case runner.InsufficientCapacity:
-		w.avoid(now, noCapacityBackoff)
-	case runner.Superseded, runner.WrongIncarnation, runner.LeaseExpired, runner.InvalidTicket:
+	case runner.InsufficientCapacity, runner.LeaseExpired:
+		w.avoid(now, rejectionBackoff)
+	case runner.Superseded, runner.WrongIncarnation, runner.InvalidTicket:
 	default:
 		w.recordFailure(now)
 	}
