Recognize a runner that started after the time of day was stepped back

With a step of the time of day, a later incarnation of a runner may state an earlier start. cause: incarnations were ordered by their start alone, so that such a runner counted as one that had been replaced: its announcements and lists were ignored for good, and its tasks were never seen to run or to end. change: a listing that was requested after the current incarnation had been seen is of that one or a later one; after another runner has answered a poll for the current one, the announcement of any other is accepted. measured: both tests of clockstep_test.go fail before (got start 9, want 5; got runner first, want second) and pass now.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -96,11 +96,13 @@
 	OnChange  func()        // called without locks after a change that the scheduler must receive promptly
 
 	mu                  sync.Mutex
-	info                *Info        // nil before the first announcement
-	ordinal             FencingToken // counts the incarnations and the ends of all leases; later calls have a higher one
-	incarnations        int          // number of incarnations seen by this process
-	listed              bool         // a listing of this incarnation has been received
-	unresponsive        bool         // the last poll failed
+	info                *Info             // nil before the first announcement
+	ordinal             FencingToken      // counts the incarnations and the ends of all leases; later calls have a higher one
+	incarnations        int               // number of incarnations seen by this process
+	incarnationSeenAt   bootclock.Instant // when the current incarnation was first seen
+	replaced            bool              // another runner has answered a poll for the current incarnation
+	listed              bool              // a listing of this incarnation has been received
+	unresponsive        bool              // the last poll failed
 	runs                map[workflow.TaskID]*run
 	ended               []EndedRun // listed but not recorded yet, ordered by number
 	rejections          []Rejection
@@ -129,7 +131,7 @@
 	c.mu.Lock()
 	changed := false
 	switch {
-	case c.info == nil || c.info.StartedUnixMs < info.StartedUnixMs || c.info.StartedUnixMs == info.StartedUnixMs && c.info.ID != info.ID:
+	case c.info == nil || c.isLater(info.Incarnation):
 		c.replaceIncarnation(info)
 		changed = true
 	case info.StartedUnixMs < c.info.StartedUnixMs:
@@ -154,6 +156,16 @@
 	return true
 }
 
+// isLater reports whether an announced incarnation is later than the current one. Its start
+// tells, unless the time of day was stepped back in between: then the runner's replies to
+// calls for the current incarnation tell that this one has ended. The caller holds c.mu.
+func (c *Controller) isLater(other Incarnation) bool {
+	if c.info.ID != other.ID && (c.replaced || c.info.StartedUnixMs == other.StartedUnixMs) {
+		return true
+	}
+	return c.info.StartedUnixMs < other.StartedUnixMs
+}
+
 // replaceIncarnation drops the state of the previous incarnation, which no longer
 // runs anything. If the new incarnation has the same id, it may have accepted
 // starts that were sent to the previous one, including starts that it confirmed
@@ -165,6 +177,7 @@
 	c.info = &info
 	c.ordinal++
 	c.incarnations++
+	c.incarnationSeenAt, c.replaced = bootclock.Now(), false
 	c.listed, c.unresponsive = false, false
 	c.restartedAt = 0
 	if sameID {
@@ -379,6 +392,9 @@
 		return
 	}
 	c.mu.Lock()
+	if Is(err, WrongIncarnation) && c.info != nil && c.info.ID == id {
+		c.replaced = true
+	}
 	first := !c.unresponsive && c.info != nil && c.info.ID == id
 	if first {
 		c.unresponsive = true
@@ -400,7 +416,7 @@
 		return false
 	}
 	if l.StartedUnixMs != 0 && l.StartedUnixMs != c.info.StartedUnixMs {
-		if l.StartedUnixMs < c.info.StartedUnixMs {
+		if l.StartedUnixMs < c.info.StartedUnixMs && !sent.After(c.incarnationSeenAt) {
 			return false // the reply of an incarnation that has been replaced
 		}
 		info := *c.info
