--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -165,9 +165,9 @@
 
 // cancelStart prevents an unanswered start from being carried out later, by
 // stopping the attempt: the runner rejects the start of an attempt for which it has
-// received a stop. Once all leases have ended, the fencing token does that. It returns true once the start can no longer take effect, and
-// false when a listing has shown the run, the run is no longer in the table, or ctx
-// is done.
+// received a stop. Once all leases have ended, the fencing token does that. It
+// returns true once the start can no longer take effect, and false when a listing
+// has shown the run, the run is no longer in the table, or ctx is done.
 func (c *Controller) cancelStart(ctx context.Context, id string, s StartOrder) bool {
 	for ctx.Err() == nil {
 		c.mu.Lock()
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -193,8 +193,8 @@
 }
 
 // applyRejection releases a task whose start was rejected. A worker without capacity or
-// without a lease is avoided briefly. Other reasons count as a failure of the worker unless they only
-// concern the order.
+// without a lease is avoided briefly. Other reasons count as a failure of the worker
+// unless they only concern the order.
 func (s *Scheduler) applyRejection(w *worker, in *wire.RejectedStart, now Timestamp) {
 	id, err := workflow.ParseTaskID(in.GetTask())
 	if err != nil {
