Send no lease to a runner that does not answer until its lists have come

It also carried the number up to which ends are recorded, by the count of the previous one, so that ends nobody has seen are forgotten. change: after a failed poll the next ones carry neither, until one is answered, and starts are rejected at once. The time from which a poll counts is taken before its token. tests: TestLeaseOfNewIncarnationEndsWithinGrant (the reviewer's) fails before: got 10s, want at most 6s. TestPollAfterAFailedOneAcknowledgesNoEnds and TestNoStartWhileTheRunnerDoesNotAnswer fail before.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -254,11 +254,13 @@
 }
 
 // extendLease returns the lease expiry that the grant allows, on the runner's
-// clock, or false when the grant has ended. The lease expires before the grant
-// ends, because the clock reading is older than the time of its receipt and
-// because the expiry allows for a slow clock. The caller holds c.mu.
+// clock, or false when the grant has ended or the runner does not answer: the reading
+// may be of an incarnation that has ended, and by the clock of the next one the lease
+// could outlast the grant. The lease expires before the grant ends, because the clock
+// reading is older than the time of its receipt and because the expiry allows for a
+// slow clock. The caller holds c.mu.
 func (c *Controller) extendLease(now bootclock.Instant) (ClockTime, bool) {
-	if !now.Before(c.grantedUntil) || c.runnerClock == 0 {
+	if !now.Before(c.grantedUntil) || c.runnerClock == 0 || c.unresponsive {
 		return 0, false
 	}
 	remaining := min(c.grantedUntil.Sub(c.clockReadAt), c.MaxLease, maxSilence)
@@ -308,6 +310,7 @@
 	}
 	c.mu.Unlock()
 	for ctx.Err() == nil {
+		sent := bootclock.Now()
 		call, mayWait, ok := c.nextPoll()
 		if !ok {
 			c.awaitRunner(ctx)
@@ -316,7 +319,6 @@
 		if !mayWait {
 			call.Wait = 0
 		}
-		sent := bootclock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, call.Wait+pollSlack)
 		listing, err := c.API.Poll(callCtx, call)
 		cancel()
@@ -376,7 +378,10 @@
 	if c.info == nil {
 		return PollCall{}, false, false
 	}
-	call = PollCall{Runner: c.info.ID, Token: c.fencingToken(), Recorded: c.recordedEnd, Wait: pollWait}
+	call = PollCall{Runner: c.info.ID, Token: c.fencingToken(), Wait: pollWait}
+	if !c.unresponsive { // the next incarnation counts its ended runs anew
+		call.Recorded = c.recordedEnd
+	}
 	if latencyCritical, bestEffort := c.activeTasks(); len(latencyCritical) > 0 && len(bestEffort) > 0 {
 		call.Wait = protectedPollWait
 	}
--- a/internal/runner/lateness_test.go
+++ b/internal/runner/lateness_test.go
@@ -88,8 +88,8 @@
 	c := newReadyController(&fakeAPI{})
 	task := workflow.TaskID{Job: "a"}
 	c.runs[task] = &run{attempt: 1, starting: true}
-	c.unresponsive = true
 	c.nextPoll()
+	c.unresponsive = true
 	c.expireLeases()
 	if report, _ := c.Report(); !report.GetRunner().GetSilent() || report.GetRunner().GetEmpty() {
 		t.Errorf("while a start is carried out: got silent %t, empty %t; want true, false", report.GetRunner().GetSilent(), report.GetRunner().GetEmpty())
@@ -105,8 +105,8 @@
 func TestNoStartAfterReportOfEmptyRunner(t *testing.T) {
 	api := &fakeAPI{}
 	c := newReadyController(api)
-	c.unresponsive = true
 	c.nextPoll()
+	c.unresponsive = true
 	c.expireLeases()
 	if report, _ := c.Report(); !report.GetRunner().GetEmpty() {
 		t.Fatal("got a runner that is not empty, want an empty one")
--- a/internal/runner/rebirthlease_test.go
+++ b/internal/runner/rebirthlease_test.go
@@ -55,3 +55,29 @@
 		t.Errorf("lease of the run on the new incarnation: got %v, want at most the grant of %v", left, grant)
 	}
 }
+
+// The next incarnation counts its ended runs anew. With the number up to which those of the
+// previous one are recorded, the poll that finds it would let it forget ends that nobody has
+// seen: tasks that are done would run again.
+func TestPollAfterAFailedOneAcknowledgesNoEnds(t *testing.T) {
+	c := newReadyController(&fakeAPI{})
+	c.recordedEnd = 57
+	if call, _, _ := c.nextPoll(); call.Recorded != 57 {
+		t.Errorf("recorded ends in a poll of a runner that answers: got %d, want 57", call.Recorded)
+	}
+	c.handlePollError(t.Context(), "r", fault.New("poll", Unanswered, "scripted"))
+	if call, _, _ := c.nextPoll(); call.Recorded != 0 || call.Until != 0 {
+		t.Errorf("poll after a failed one: got ends recorded up to %d and a lease until %d, want neither", call.Recorded, call.Until)
+	}
+}
+
+// A start whose lease ends by the clock of an incarnation that may have ended is not sent.
+func TestNoStartWhileTheRunnerDoesNotAnswer(t *testing.T) {
+	api := &fakeAPI{}
+	c := newReadyController(api)
+	c.handlePollError(t.Context(), "r", fault.New("poll", Unanswered, "scripted"))
+	c.Start(t.Context(), Incarnation{ID: "r"}, StartOrder{Task: workflow.TaskID{Job: "a"}, Attempt: 1})
+	if got := api.recordedCalls(); len(got) != 0 || len(c.rejections) != 1 || c.rejections[0].Reason != LeaseExpired {
+		t.Errorf("got calls %v and rejections %v, want none and one as %s", got, c.rejections, LeaseExpired)
+	}
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -59,8 +59,8 @@
 		return Unavailable
 	case c.grantedUntil != 0 && !bootclock.Now().Before(c.grantedUntil):
 		return LeaseExpired
-	case c.unresponsive && c.endLeases(bootclock.Now()):
-		return LeaseExpired // the scheduler may have been told that no run is left
+	case c.unresponsive:
+		return LeaseExpired // none can be extended, and the scheduler may have been told that no run is left
 	}
 	return ""
 }
--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -151,7 +151,10 @@
 	const longestGap = 9 * time.Second
 	c := newReadyController(&fakeAPI{})
 	begin := bootclock.Now()
-	c.runnerClock, c.clockReadAt, c.unresponsive = 1000, begin, true
+	c.runnerClock, c.clockReadAt = 1000, begin
+	c.grantedUntil = begin.Add(6 * time.Second)
+	c.extendLease(begin)
+	c.unresponsive = true
 	for at := begin; at.Before(begin.Add(longestGap)); at = at.Add(100 * time.Millisecond) {
 		c.grantedUntil = at.Add(6 * time.Second) // the leader still grants the agent's reports
 		c.extendLease(at)
