Do not repeat a start whose stop was ordered, nor forget the stop

A repeated stop carried the token of its first call, and a rejection as fenced counted as done. change: a start with an ordered stop is not repeated; a stop that is given up may be ordered again; each call of a stop carries the current token. measured: TestStopOfARepeatedStartIsNotForgotten (the reviewer's, its counters now under their lock) fails before with 1 runs and 0 stops and passes now.

--- a/internal/runner/forgottenstop_test.go
+++ b/internal/runner/forgottenstop_test.go
@@ -26,6 +26,8 @@
 }
 
 func (r *staleClockRunner) Stop(context.Context, StopCall) (ClockTime, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.muteStops {
 		return 0, fault.New("stop", Unanswered, "scripted")
 	}
@@ -54,7 +56,9 @@
 		c.callStop(context.Background(), call)
 	}
 	c.callStart(context.Background(), Incarnation{ID: "r"}, order)
+	r.mu.Lock()
 	r.muteStops = false
+	r.mu.Unlock()
 	for range 3 { // the scheduler orders the stop of a listed run again
 		c.Stop(context.Background(), task, 1)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -111,6 +111,7 @@
 	LeaseExpired         Kind = "late"        // the lease in the call, or the grant for it, has already expired
 	InsufficientCapacity Kind = "noRoom"      // the free resources do not suffice
 	InvalidTicket        Kind = "noTicket"    // the ticket is missing or no longer valid
+	Cancelled            Kind = "cancelled"   // a stop was ordered before the start took effect
 	Unavailable          Kind = "unhealthy"   // the runner or its agent rejected the call, which was not carried out
 	WrongIncarnation     Kind = "reborn"      // the call is for another incarnation than the current one
 	Invalid              Kind = "invalid"     // the call was rejected as malformed
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -122,7 +122,7 @@
 }
 
 // nextStartCall returns the next call for a start order, or why there is none: the
-// lease has expired, the incarnation has been replaced, or a listing has shown the
+// lease has expired, the incarnation has been replaced, a stop was ordered, or a listing has shown the
 // run or its end (duplicateStart). The call is not sent to a new incarnation with
 // the same id, which would carry it out although the run may already have ended in
 // the previous one.
@@ -135,6 +135,9 @@
 	if c.info.Incarnation != incarnation {
 		return StartCall{}, WrongIncarnation
 	}
+	if c.runs[s.Task].stopping {
+		return StartCall{}, Cancelled
+	}
 	until, granted := c.extendLease(bootclock.Now())
 	if !granted {
 		return StartCall{}, LeaseExpired
@@ -216,7 +219,6 @@
 func (c *Controller) Stop(ctx context.Context, task workflow.TaskID, attempt workflow.Attempt) {
 	c.mu.Lock()
 	id := ""
-	token := c.fencingToken()
 	if c.info != nil {
 		id = c.info.ID
 	}
@@ -228,19 +230,26 @@
 	}
 	c.mu.Unlock()
 	if id != "" {
-		go c.callStop(ctx, StopCall{Runner: id, Token: token, Task: task, Attempt: attempt})
+		go c.callStop(ctx, StopCall{Runner: id, Task: task, Attempt: attempt})
 	}
 }
 
-// callStop repeats a stop as described for Stop.
+// callStop repeats a stop as described for Stop, each time with the current token. A stop
+// that it gives up may be ordered again.
 func (c *Controller) callStop(ctx context.Context, call StopCall) {
 	for ctx.Err() == nil {
+		c.mu.Lock()
+		call.Token = c.fencingToken()
+		c.mu.Unlock()
 		err := c.callRunner(ctx, func(ctx context.Context) (ClockTime, error) { return c.API.Stop(ctx, call) })
 		if err == nil || !Is(err, Unanswered) && !Is(err, NotSent) && !Is(err, Unavailable) {
 			return
 		}
 		c.mu.Lock()
 		obsolete := c.endLeases(bootclock.Now()) || c.info == nil || c.info.ID != call.Runner
+		if r := c.runs[call.Task]; obsolete && r != nil && r.attempt == call.Attempt {
+			r.stopping = false
+		}
 		c.mu.Unlock()
 		if obsolete {
 			return
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -212,7 +212,7 @@
 	switch runner.Kind(in.GetReason()) {
 	case runner.InsufficientCapacity, runner.LeaseExpired:
 		w.avoid(now, rejectionBackoff)
-	case runner.Superseded, runner.WrongIncarnation, runner.InvalidTicket:
+	case runner.Superseded, runner.WrongIncarnation, runner.InvalidTicket, runner.Cancelled:
 	default:
 		w.recordFailure(now)
 	}
