--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -47,8 +47,9 @@
 // run is the state of a run on the runner, or of one that is being started.
 type run struct {
 	attempt         workflow.Attempt
-	starting        bool              // the runner has not confirmed the start yet
-	confirmedAt     bootclock.Instant // when the start was confirmed; zero while starting
+	starting        bool              // the start order is being carried out
+	undecided       bool              // it ended without an answer, and no listing has shown the run yet
+	confirmedAt     bootclock.Instant // when the start was confirmed or became undecided; zero while starting
 	stopping        bool
 	checkpoint      string
 	percent         int
@@ -465,6 +466,7 @@
 	if r.starting || r.confirmedAt == 0 {
 		r.starting, r.confirmedAt = false, bootclock.Now()
 	}
+	r.undecided = false
 	r.checkpoint, r.percent, r.load = row.Checkpoint, row.Percent, row.Load
 	switch {
 	case r.latencyTarget == 0 || time.Duration(r.load)*time.Millisecond <= r.latencyTarget:
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -21,7 +21,7 @@
 	}
 	report.Runner = c.runnerState()
 	for task, r := range c.runs {
-		report.Running = append(report.Running, &wire.RunRow{Task: task.String(), Attempt: int64(r.attempt), Starting: r.starting,
+		report.Running = append(report.Running, &wire.RunRow{Task: task.String(), Attempt: int64(r.attempt), Starting: r.starting || r.undecided,
 			Checkpoint: r.checkpoint, Percent: int32(r.percent), Load: r.load, Pace: int32(r.pace), Unknown: r.incomplete})
 	}
 	for _, e := range c.ended {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if err == nil {
-		c.confirmStart(s)
+		c.endStart(s, false)
 		return
 	}
 	klog.InfoS("failed to start a run", "task", s.Task.String(), "attempt", s.Attempt, "runner", incarnation.ID, "mayArrive", mayArrive, "err", err)
@@ -98,7 +98,7 @@
 		// completed. Only a listing can show that, so the run stays in the table
 		// until a listing requested from now on contains the run, its end, or
 		// neither.
-		c.confirmStart(s)
+		c.endStart(s, true)
 		c.notifyChange()
 		return
 	}
@@ -194,12 +194,12 @@
 	return false
 }
 
-// confirmStart marks a run as started.
-func (c *Controller) confirmStart(s StartOrder) {
+// endStart marks a run as started, or as undecided.
+func (c *Controller) endStart(s StartOrder, undecided bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r := c.runs[s.Task]; r != nil && r.attempt == s.Attempt && r.starting {
-		r.starting, r.confirmedAt = false, bootclock.Now()
+		r.starting, r.undecided, r.confirmedAt = false, undecided, bootclock.Now()
 	}
 }
 
