Repeat the stops that a lost session may have lost

What is stopped by a lasting condition was stopped again, a gang's member was not. change: the stop stays ordered and is repeated when the new session lists the run. measured: TestStopOfAGangMemberIsForgottenWithTheSession (the reviewer's) fails before (still runs 5 s later) and passes now.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -44,7 +44,9 @@
 	w.discardOrders()
 	for _, t := range w.tasks {
 		t.start.beginSession()
-		t.stopOrderedAt = 0
+		if t.stopOrderedAt != 0 { // the order may be lost; it is repeated if the run is listed
+			t.stopOrderedAt = now.Boot.Add(-2 * stopRetryInterval)
+		}
 	}
 }
 
