--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -165,6 +165,10 @@
 		delete(s.activeJobs, j.ID)
 		return
 	}
+	row.openUntil(row.completed - 1)
+	for _, op := range p.GetOccurrences() {
+		row.openUntil(int(op.GetNumber()))
+	}
 	kept := row.occurrences[:0]
 	for _, o := range row.occurrences {
 		if o.number >= row.completed {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -241,7 +241,7 @@
 			klog.ErrorS(err, "ended run in a worker report is ignored", "worker", w.id)
 			continue
 		}
-		if t := s.task(id); t != nil {
+		if t := s.reportedTask(id); t != nil {
 			s.applyEnd(w, t, row, now)
 		}
 	}
@@ -360,7 +360,7 @@
 			continue
 		}
 		attempt := workflow.Attempt(row.GetAttempt())
-		t := s.task(id)
+		t := s.reportedTask(id)
 		if t == nil || !s.adopt(w, t, attempt, now) {
 			s.orderStop(w, id, attempt)
 			continue
@@ -412,6 +412,15 @@
 	return true
 }
 
+// reportedTask returns the task of a run that an agent has reported, or nil if it does not
+// exist. The run's occurrence was due by the clock of the leader that ordered it.
+func (s *Scheduler) reportedTask(id workflow.TaskID) *task {
+	if j := s.jobs[id.Job]; j != nil && !j.state.Final() {
+		j.openUntil(id.Occurrence)
+	}
+	return s.task(id)
+}
+
 // task returns the task with the given id, or nil if it does not exist.
 func (s *Scheduler) task(id workflow.TaskID) *task {
 	j := s.jobs[id.Job]
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -24,12 +24,24 @@
 // openDueOccurrences adds the occurrences of the job that have become due.
 func (s *Scheduler) openDueOccurrences(j *job, now Timestamp) {
 	for j.opened < j.Occurrences() && !now.Wall.Before(j.Due(j.opened)) {
-		o := newOccurrence(j, j.opened)
-		j.occurrences = append(j.occurrences, o)
-		j.opened++
+		j.openNext()
 	}
 }
 
+// openUntil adds the occurrences up to number, which were due by the clock of an earlier
+// leader.
+func (j *job) openUntil(number int) {
+	for j.opened < j.Occurrences() && j.opened <= number {
+		j.openNext()
+	}
+}
+
+// openNext adds the next occurrence.
+func (j *job) openNext() {
+	j.occurrences = append(j.occurrences, newOccurrence(j, j.opened))
+	j.opened++
+}
+
 func newOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{number: number, stepsLeft: len(j.Steps)}
 	for i := range j.Steps {
