--- a/internal/node/startorder_test.go
+++ b/internal/node/startorder_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabihill.example/wasabihill/internal/runner"
+	"wasabihill.example/wasabihill/internal/scheduler"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/internal/workflow"
 )
@@ -67,3 +68,18 @@
 		}
 	}
 }
+
+// Orders that an agent may not have received are decided on by the next session. If the
+// session went on after a failed call, its tasks would count as starting for ever.
+func TestFailedOrdersEndTheSession(t *testing.T) {
+	_, address := testAgent(t)
+	session := attachTo(t, address, func(*wire.WorkerReport) (*wire.ReportReply, error) { return &wire.ReportReply{}, nil })
+	l := startTerm(t, &slowStore{})
+	l.agents["w"] = &agentConn{worker: "w", attachment: 99, session: session} // an attachment that the agent does not know
+	l.sendOrders(scheduler.Orders{Worker: "w"})
+	select {
+	case <-session.Done():
+	case <-time.After(5 * time.Second):
+		t.Error("session is still open 5s after orders that the agent has rejected, want it closed")
+	}
+}
