--- a/internal/node/agent_test.go
+++ b/internal/node/agent_test.go
@@ -57,7 +57,12 @@
 // leases of the runs expired.
 func TestRejectedReportEndsSession(t *testing.T) {
 	_, address := testAgent(t)
-	session := attachTo(t, address, func(*wire.WorkerReport) (*wire.ReportReply, error) { return nil, errTermEnded })
+	attached := make(chan struct{}) // the agent may report before its reply to the attach call has left
+	session := attachTo(t, address, func(*wire.WorkerReport) (*wire.ReportReply, error) {
+		<-attached
+		return nil, errTermEnded
+	})
+	close(attached)
 	select {
 	case <-session.Done():
 	case <-time.After(5 * time.Second):
