--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,8 +19,9 @@
 	toTarget       direction    // from the client to the target
 	fromTarget     direction
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{}
+	refused map[string]struct{} // addresses of clients whose last connection did not reach the target
 }
 
 // direction holds the faults of one direction of a relay.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: listener, conns: make(map[net.Conn]struct{})}
+	r := &Relay{target: target, listener: listener, conns: make(map[net.Conn]struct{}), refused: make(map[string]struct{})}
 	go r.accept()
 	return r, nil
 }
@@ -127,6 +128,7 @@
 // until both directions have ended.
 func (r *Relay) forwardConnection(client net.Conn) {
 	target, err := net.DialTimeout("tcp", r.target, 2*time.Second)
+	r.setRefused(client.RemoteAddr().String(), err != nil)
 	if err != nil {
 		client.Close()
 		return
@@ -139,6 +141,25 @@
 	wait.Wait()
 }
 
+func (r *Relay) setRefused(client string, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.refused, client)
+	if refused {
+		r.refused[client] = struct{}{}
+	}
+}
+
+// Refused reports whether the last connection from the client at address (IP:port) did not
+// reach the target. The client sees a reset instead of a refusal, because the relay has to
+// accept a connection before it can open its own.
+func (r *Relay) Refused(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, refused := r.refused[address]
+	return refused
+}
+
 func (r *Relay) track(conns ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -204,7 +204,7 @@
 	if a.Status != 0 {
 		g.responses++
 	}
-	if a.CutOff(abortTolerance) {
+	if a.CutOff(abortTolerance) && !g.fleet.entries[n].clients.Refused(a.From) {
 		g.abortedRequests = append(g.abortedRequests, abortedRequest{host: g.fleet.entries[n].name, sent: a.SentAt, abortedAt: a.SentAt.Add(a.Elapsed), reason: a.Err.Error()})
 	}
 	return a
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/relay"
+	"wasabihill.example/wasabihill/internal/standin/callers"
 	"wasabihill.example/wasabihill/internal/standin/taskrunner"
 )
 
@@ -112,6 +115,39 @@
 	}
 }
 
+// TestRefusalBehindARelayIsKnown guards against a connection that a stopped process has
+// refused and that counts as a request cut off: the relay before the process has accepted it,
+// so that the caller sees a reset, and late if the machine is busy.
+func TestRefusalBehindARelayIsKnown(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := relay.New(target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		if conn, err := target.Accept(); err == nil {
+			conn.Close()
+		}
+	}()
+	client := &callers.Client{Address: r.Address(), Timeout: 5 * time.Second}
+	cut := client.Cancel(t.Context(), "/q/1")
+	<-accepted
+	target.Close()
+	refused := client.Cancel(t.Context(), "/q/1")
+	if cut.Err == nil || refused.Err == nil {
+		t.Fatalf("errors of a closed and a refused connection: got %v and %v, want both", cut.Err, refused.Err)
+	}
+	if got := []bool{r.Refused(cut.From), r.Refused(refused.From)}; got[0] || !got[1] {
+		t.Errorf("refused: got %t for a connection that the target has closed and %t for one that it has refused, want false and true", got[0], got[1])
+	}
+}
+
 // TestScheduleIsSameForSeed guards against a failure that its seed does not
 // reproduce because the schedule of a seed varies.
 func TestScheduleIsSameForSeed(t *testing.T) {
--- a/internal/standin/callers/callers.go
+++ b/internal/standin/callers/callers.go
@@ -38,6 +38,7 @@
 	Malformed  bool          // the body cannot be decoded
 	SentAt     time.Time     // time at which the complete request had been written; zero if it was not
 	Elapsed    time.Duration // time from SentAt to the end of the request
+	From       string        // local address of the connection, IP:port; empty if there was none
 	Err        error
 }
 
@@ -89,7 +90,10 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	var written atomic.Int64
+	var from atomic.Value
+	from.Store("")
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { from.Store(i.Conn.LocalAddr().String()) },
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			if i.Err == nil {
 				written.Store(time.Now().UnixNano())
@@ -104,6 +108,7 @@
 	request.GetBody = nil // prevents net/http from retrying the request
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.Timeout.Milliseconds(), 10))
 	defer func() {
+		a.From, _ = from.Load().(string)
 		if at := written.Load(); at > 0 {
 			a.SentAt = time.Unix(0, at)
 			a.Elapsed = time.Since(a.SentAt)
