Show in the explanation of a job where its logs miss lines

callers saw: "wasabihill explain" left out the lines "log lines omitted", although it lists that message among those to show. A reader couldn't tell a line that was never written from one that the process had omitted.

cause: internal/logging wrote the line without the header of klog, and internal/explain reads structured lines only.

change: the line is structured, with the time of the first omitted line in its header and that of the last as "until", so that it is sorted to the place of the gap. internal/explain shows it if that period touches the job's. A process omits at most one such line per kind and second, as before; the kind in it is cut at 100 characters.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,6 +1,7 @@
 // Package explain extracts the history of one job from the logs of several processes: the
 // lines that contain the id of the job, and the lines from the same time that report
-// changes of a process's state, such as a change of leader or a failed worker.
+// changes of a process's state, such as a change of leader or a failed worker, or lines
+// that the process omitted.
 package explain
 
 import (
@@ -13,11 +14,14 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"wasabihill.example/wasabihill/internal/logging"
 )
 
 // Line is one line of a log.
 type Line struct {
 	Time    time.Time // by the clock of the process that wrote the line; log lines have no year
+	End     time.Time // of the period that the line reports; Time if it reports no period
 	Process string
 	Message string // quoted text
 	Values  string // key=value pairs after the message
@@ -34,14 +38,28 @@
 	if m == nil {
 		return Line{}, false
 	}
-	at, err := time.Parse("0102 15:04:05.000000", m[2])
+	at, err := time.Parse(logging.HeaderTimeLayout, m[2])
 	if err != nil {
 		return Line{}, false
 	}
 	if prefix := strings.Fields(m[1]); len(prefix) > 0 {
 		process = prefix[len(prefix)-1]
 	}
-	return Line{Time: at, Process: process, Message: m[3], Values: m[4]}, true
+	return Line{Time: at, End: periodEnd(at, m[4]), Process: process, Message: m[3], Values: m[4]}, true
+}
+
+// untilValue matches the end of the period in the line that reports omitted lines.
+var untilValue = regexp.MustCompile(`\buntil="(\d{4} \d\d:\d\d:\d\d\.\d{6})"$`)
+
+// periodEnd returns the end of the period that the values of a line report, or at, the time
+// of the line, if they report none.
+func periodEnd(at time.Time, values string) time.Time {
+	if m := untilValue.FindStringSubmatch(values); m != nil {
+		if end, err := time.Parse(logging.HeaderTimeLayout, m[1]); err == nil {
+			return end
+		}
+	}
+	return at
 }
 
 // Read returns the structured lines of a log. name is the name of the file; without its
@@ -72,7 +90,7 @@
 	"leader is ready": true, "connection to the leader is lost": true,
 	"worker is given up": true, "runner replaced": true, "runner does not answer": true, "runner answers again": true,
 	"session to agent ended": true, "operators' state is in force": true, "append to the jobs' topic is repeated": true,
-	"log lines omitted": true,
+	logging.OmittedMessage: true,
 }
 
 // margin is how long before the first and after the last line of the job state changes
@@ -95,7 +113,7 @@
 	var selected []Line
 	for _, line := range lines {
 		own := strings.Contains(line.Values, id)
-		near := !first.IsZero() && !line.Time.Before(first.Add(-margin)) && !line.Time.After(last.Add(margin))
+		near := !first.IsZero() && !line.End.Before(first.Add(-margin)) && !line.Time.After(last.Add(margin))
 		if own || near && stateChanges[line.Message] {
 			selected = append(selected, line)
 		}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,14 +1,16 @@
 // Package logging prevents log output from slowing down a process. A separate goroutine
 // writes the lines; if the output is blocked or slow, lines are dropped instead of
 // delaying decisions, and the lines of each kind are limited per second. The kind of a
-// line is its message. For each kind, one line per second reports the number of omitted
-// lines.
+// line is its message. For each kind, at most one line per second reports the number of
+// omitted lines, as a structured line with the header of klog.
 package logging
 
 import (
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +24,13 @@
 	// process writes at most 50 KB/s.
 	DefaultLinesPerSecond     = 200
 	DefaultKindLinesPerSecond = 60
+	// maxReportedKindRunes limits the length of a line that reports omitted lines.
+	maxReportedKindRunes = 100
+	// HeaderTimeLayout is the layout of the time in the header of a log line, which has no
+	// year.
+	HeaderTimeLayout = "0102 15:04:05.000000"
+	// OmittedMessage is the message of a line that reports omitted lines.
+	OmittedMessage = "log lines omitted"
 )
 
 // Writer is the output of a logger. The exported fields must be set before the first call
@@ -38,10 +47,24 @@
 	second        int64 // Unix time of the second to which the counts of written lines belong
 	written       int
 	writtenByKind map[string]int
-	omittedByKind map[string]int
+	omittedByKind map[string]omission
 	closed        bool
 }
 
+// omission describes the omitted lines of one kind that no line has reported yet.
+type omission struct {
+	count       int
+	first, last time.Time // of the omitted lines
+}
+
+// line returns the line that reports the omission. Its time is that of the first omitted
+// line, so that it is sorted to the place where lines are missing. Its header names no line
+// of source code, because the omitted lines may come from several.
+func (o omission) line(kind string) []byte {
+	return fmt.Appendf(nil, "I%s %7d logging.go:1] %q kind=%.*q count=%d until=%q\n",
+		o.first.Format(HeaderTimeLayout), os.Getpid(), OmittedMessage, maxReportedKindRunes, kind, o.count, o.last.Format(HeaderTimeLayout))
+}
+
 func (w *Writer) start() {
 	w.once.Do(func() {
 		if w.LinesPerSecond == 0 {
@@ -51,7 +74,7 @@
 			w.KindLinesPerSecond = DefaultKindLinesPerSecond
 		}
 		w.lines, w.done = make(chan []byte, queueCapacity), make(chan struct{})
-		w.writtenByKind, w.omittedByKind = make(map[string]int), make(map[string]int)
+		w.writtenByKind, w.omittedByKind = make(map[string]int), make(map[string]omission)
 		go func() {
 			defer close(w.done)
 			for line := range w.lines {
@@ -70,18 +93,30 @@
 	if w.closed {
 		return len(line), nil
 	}
-	w.startSecond(time.Now().Unix())
+	now := time.Now()
+	w.startSecond(now.Unix())
 	kind := kindOf(line)
 	if w.written >= w.LinesPerSecond || w.writtenByKind[kind] >= w.KindLinesPerSecond {
-		w.omittedByKind[kind]++
+		w.omit(kind, now)
 		return len(line), nil
 	}
 	w.written++
 	w.writtenByKind[kind]++
-	w.enqueue(kind, bytes.Clone(line))
+	w.enqueue(kind, now, bytes.Clone(line))
 	return len(line), nil
 }
 
+// omit counts a line that is omitted at the given time.
+func (w *Writer) omit(kind string, now time.Time) {
+	o := w.omittedByKind[kind]
+	if o.count == 0 {
+		o.first = now
+	}
+	o.count++
+	o.last = now
+	w.omittedByKind[kind] = o
+}
+
 // startSecond resets the counts if a new second has begun, and writes a summary of the
 // lines that were omitted before.
 func (w *Writer) startSecond(second int64) {
@@ -94,27 +129,20 @@
 }
 
 func (w *Writer) summarize() {
-	if len(w.omittedByKind) == 0 {
-		return
-	}
-	kinds := make([]string, 0, len(w.omittedByKind))
-	for kind := range w.omittedByKind {
-		kinds = append(kinds, kind)
-	}
-	slices.Sort(kinds)
-	for _, kind := range kinds {
-		n := w.omittedByKind[kind]
+	for _, kind := range slices.Sorted(maps.Keys(w.omittedByKind)) {
+		o := w.omittedByKind[kind]
 		delete(w.omittedByKind, kind)
-		w.enqueue(kind, fmt.Appendf(nil, "log lines omitted kind=%q count=%d\n", kind, n))
+		w.enqueue(kind, o.last, o.line(kind))
 	}
 }
 
-// enqueue adds a line to the queue, or counts it as omitted if the queue is full.
-func (w *Writer) enqueue(kind string, line []byte) {
+// enqueue adds a line of the given time to the queue, or counts it as omitted if the queue
+// is full.
+func (w *Writer) enqueue(kind string, at time.Time, line []byte) {
 	select {
 	case w.lines <- line:
 	default:
-		w.omittedByKind[kind]++
+		w.omit(kind, at)
 	}
 }
 
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -14,8 +14,9 @@
 
 const explainDescription = `Merges the logs of several processes by time and prints the lines that name the
 job, marked with *. Between them it prints changes that affect every job, such as
-a new leader, a worker that was declared lost or a store that did not respond. It
-reads files and needs no server.
+a new leader, a worker that was declared lost or a store that did not respond, and
+lines that tell where a process omitted lines from its log. It reads files and
+needs no server.
 
 Examples:
   wasabihill explain 5c0e7a21d94b36f8 edge-1.log edge-2.log agent-7.log`
