--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,7 +35,9 @@
 	maxConfigAge = 2500 * time.Millisecond
 	// startGracePeriod bounds how long after the configuration has become stale a
 	// start that was sent in time may still take effect. The sum of maxConfigAge
-	// and startGracePeriod must stay below 3 s.
+	// and startGracePeriod must stay below 3 s, because from 3 s after a failure
+	// domain was taken out no task may start there, and the change may follow
+	// directly after the read that confirmed the configuration.
 	startGracePeriod = 400 * time.Millisecond
 	// workerCallTimeout bounds one call to the worker.
 	workerCallTimeout = time.Second
--- a/internal/trial/simulation.go
+++ b/internal/trial/simulation.go
@@ -64,7 +64,7 @@
 	if v == Naive {
 		x.scheduler = &naive{}
 	}
-	for i := range f.Workers {
+	for i := range f.Workers { // a rack belongs to a domain: of nine workers each domain has three
 		x.machines = append(x.machines, &machine{id: workerID(i), epoch: 1, domain: domainName(i % 3),
 			rack: units.RackName(fmt.Sprint("rack-", i/9)), alive: true})
 	}
