Word the acceptance run for a reader who sees it first

cause: the run printed "3 of 4 tasks started" for an urgent job whose four tasks had all run, because it counts first attempts only; two literals stood for states that pkg/workerapi names; the prefix "order-" stood in two files.

What is checked stays the same.

--- a/internal/acceptance/checks.go
+++ b/internal/acceptance/checks.go
@@ -136,7 +136,7 @@
 // checkAtMostOnce checks the requests whose ID has the prefix of non-idempotent ones.
 func (f *firmRun) checkAtMostOnce() (broken []string, observed int) {
 	for id, n := range f.executions() {
-		if strings.HasPrefix(id, "order-") {
+		if strings.HasPrefix(id, orderPrefix) {
 			observed++
 			if n > 1 {
 				broken = append(broken, fmt.Sprintf("%s was executed %d times", id, n))
--- a/internal/acceptance/drive.go
+++ b/internal/acceptance/drive.go
@@ -149,9 +149,9 @@
 	sampling, stopSampling := context.WithCancel(ctx)
 	defer stopSampling()
 	group, ctx := errgroup.WithContext(ctx)
-	followed := make(chan struct{})
+	timetableEnded := make(chan struct{})
 	group.Go(func() error {
-		defer close(followed)
+		defer close(timetableEnded)
 		return f.runTimetable(ctx)
 	})
 	group.Go(func() error { f.sample(sampling); return nil })
@@ -160,7 +160,7 @@
 		if err := f.sendRequests(ctx); err != nil {
 			return err
 		}
-		<-followed // the timetable submits jobs until it ends
+		<-timetableEnded // which submits jobs until then
 		return f.waitForJobs(ctx)
 	})
 	if err := group.Wait(); err != nil {
--- a/internal/acceptance/summary.go
+++ b/internal/acceptance/summary.go
@@ -14,6 +14,7 @@
 
 	"wasabihill.example/wasabihill/internal/standin/worker"
 	"wasabihill.example/wasabihill/internal/timeline"
+	"wasabihill.example/wasabihill/pkg/workerapi"
 )
 
 // maxViolationsShown bounds the number of violations printed for one guarantee.
@@ -54,18 +55,18 @@
 	fmt.Fprintf(f.Progress, "  outcomes: %s; non-idempotent: %s\n", formatCounts(o.quick.Outcomes), formatCounts(o.order.Outcomes))
 	completed, evicted, during := 0, 0, 0
 	for _, r := range o.runs {
-		if r.State == "completed" {
+		if r.State == workerapi.Completed {
 			completed++
 			if r.End.After(o.domainOut) && r.End.Before(o.domainIn) {
 				during++
 			}
 		}
-		if r.State == "checkpointed" {
+		if r.State == workerapi.Checkpointed {
 			evicted++
 		}
 	}
 	fmt.Fprintf(f.Progress, "  batch: %d tasks completed, %d evictions, %d tasks completed while a failure domain was out\n", completed, evicted, during)
-	fmt.Fprintf(f.Progress, "  urgent job: %d of %d tasks started, the last %s after its acceptance (target 1.4s)\n",
+	fmt.Fprintf(f.Progress, "  urgent job: %d of %d tasks started at their first attempt, the last %s after its acceptance (target 1.4s)\n",
 		len(f.urgentStarts()), urgentTasks, longestDuration(f.urgentStarts()).Round(time.Millisecond))
 	for i, name := range f.firm.Watchers {
 		note := ""
@@ -77,7 +78,7 @@
 }
 
 // urgentStarts returns the time from the acceptance of the urgent job to the start
-// of each of its tasks.
+// of each of its tasks that started at its first attempt.
 func (f *firmRun) urgentStarts() (after []time.Duration) {
 	for _, r := range f.observed.runs {
 		if r.Attempt == 1 && strings.HasPrefix(r.Task, string(f.observed.urgent)+"/") {
--- a/internal/acceptance/work.go
+++ b/internal/acceptance/work.go
@@ -114,25 +114,31 @@
 	latency    time.Duration
 }
 
+// The prefixes of request IDs: latency-critical and idempotent, or non-idempotent.
+const (
+	quickPrefix = "quick-"
+	orderPrefix = "order-"
+)
+
 // sendRequests sends the callers' requests to the entry processes whose readiness
 // check passes, as the platform's load balancer does.
 func (f *firmRun) sendRequests(ctx context.Context) error {
 	targets := f.startBalancer(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	for _, class := range []struct {
-		name          string
+		prefix        string
 		rate          float64
 		nonIdempotent float64
 		into          **load.Report
 	}{
-		{"quick", quickRate, 0, &f.observed.quick},
-		{"order", orderRate, 1, &f.observed.order},
+		{quickPrefix, quickRate, 0, &f.observed.quick},
+		{orderPrefix, orderRate, 1, &f.observed.order},
 	} {
 		group.Go(func() error {
 			report, err := load.Run(ctx, load.Options{
 				Target: targets, Service: string(f.firm.Service), Rate: class.rate, Duration: trafficTime, MaxInFlight: 256,
 				BodyBytes: 200, Deadline: requestLimit, NonIdempotentShare: class.nonIdempotent, Poisson: true, Seed: 1,
-				Prefix: class.name + "-", Observe: f.recordSample,
+				Prefix: class.prefix, Observe: f.recordSample,
 			})
 			*class.into = report
 			return err
@@ -184,6 +190,8 @@
 	}
 }
 
+// entryReady reports whether the entry process passes its readiness check. It records a
+// refused connection, which shows that the process does not run.
 func (f *firmRun) entryReady(ctx context.Context, e Entry) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Admin+"/readyz", nil)
 	if err != nil {
@@ -218,6 +226,7 @@
 	return err
 }
 
+// openJobs returns the number of submitted jobs that have not ended or still run tasks.
 func (f *firmRun) openJobs(ctx context.Context) (int, error) {
 	open := 0
 	for _, id := range append(append([]units.JobID(nil), f.observed.jobs...), f.observed.cancelled...) {
@@ -232,6 +241,7 @@
 	return open, nil
 }
 
+// postFault sets the fault of a stand-in.
 func (f *firmRun) postFault(ctx context.Context, url, body string) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -248,4 +258,5 @@
 	return nil
 }
 
+// notRun is the outcome of a request that the product rejected as not executed.
 const notRun = string(headers.NotRun)
