--- a/internal/capacity/agents.go
+++ b/internal/capacity/agents.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -12,10 +11,10 @@
 
 	"wasabihill.example/wasabihill/internal/agent"
 	"wasabihill.example/wasabihill/internal/guard"
+	"wasabihill.example/wasabihill/internal/process"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/environment"
 	"wasabihill.example/wasabihill/pkg/units"
-	"wasabihill.example/wasabihill/pkg/workerapi"
 )
 
 // agentsSettings are the settings of the role that runs all agents.
@@ -25,9 +24,6 @@
 	Entries []string // addresses of entry processes to which agents connect first
 }
 
-// workerConnections is the value that the agent's program uses.
-const workerConnections = 8
-
 // startAgents starts all agents for serveChild. Traffic is classified as "worker", "entries"
 // or "leases", which is traffic between agents.
 func startAgents(ctx context.Context, s agentsSettings) (any, func(Detail) Sample, func(), error) {
@@ -77,14 +73,20 @@
 func newAgent(i int, s agentsSettings) *agent.Agent {
 	name := workerName(i)
 	return &agent.Agent{
-		WorkerID: name, Domain: domains[i%len(domains)], Rack: units.RackName(fmt.Sprintf("rack-%03d", i/3)), Region: region(i),
+		WorkerID: name, Domain: domains[i%len(domains)], Rack: rackName(i), Region: region(i),
 		LinkAddress: "127.0.0.1:0", EntryAddresses: s.Entries, Guard: &guard.Controller{}, OmitUnchanged: true,
-		Worker: &workerapi.Client{BaseURL: "http://" + s.Workers + "/" + string(name), HTTP: &http.Client{
-			Transport: &http.Transport{MaxIdleConnsPerHost: workerConnections, IdleConnTimeout: time.Minute}}},
+		Worker: process.NewWorkerClient("http://" + s.Workers + "/" + string(name)),
 		EndpointReports: func() []*wire.EndpointReport {
 			return []*wire.EndpointReport{{Service: "mouldDesk", State: wire.EndpointState_ENDPOINT_STATE_READY, Slots: 8, Connections: 64, Busy: 3, LatencyMicroseconds: 18000}}
 		},
 	}
 }
 
+// workersPerRack is the number of workers of each rack.
+const workersPerRack = 3
+
+func rackName(i int) units.RackName {
+	return units.RackName(fmt.Sprintf("rack-%03d", i/workersPerRack))
+}
+
 func workerName(i int) units.WorkerID { return units.WorkerID(fmt.Sprintf("worker-%04d", i+1)) }
--- a/internal/capacity/cluster.go
+++ b/internal/capacity/cluster.go
@@ -81,7 +81,7 @@
 	if r.EntriesIdle, err = c.entries.sample(FullAfterGC); err != nil {
 		return r, err
 	}
-	if err := c.phase(ctx, &r, "idle", nil); err != nil {
+	if err := c.measurePhase(ctx, &r, "idle", nil); err != nil {
 		return r, err
 	}
 	if err := c.measureChanges(ctx, &r); err != nil {
@@ -91,7 +91,7 @@
 		if err := c.startLongTasks(ctx); err != nil {
 			return r, err
 		}
-		if err := c.phase(ctx, &r, fmt.Sprintf("%d tasks", o.Tasks), nil); err != nil {
+		if err := c.measurePhase(ctx, &r, fmt.Sprintf("%d tasks", o.Tasks), nil); err != nil {
 			return r, err
 		}
 	}
@@ -102,7 +102,7 @@
 		return r, err
 	}
 	if o.Starts > 0 {
-		err = c.phase(ctx, &r, fmt.Sprintf("%g starts/s", o.Starts), func(ctx context.Context) error { return c.submitSteadily(ctx, &r) })
+		err = c.measurePhase(ctx, &r, fmt.Sprintf("%g starts/s", o.Starts), func(ctx context.Context) error { return c.submitSteadily(ctx, &r) })
 	}
 	return r, err
 }
@@ -193,9 +193,9 @@
 	return sleep(ctx, settleTime)
 }
 
-// phase measures one window while load runs. load must return when its context is
-// done.
-func (c *cluster) phase(ctx context.Context, r *Result, name string, load func(context.Context) error) error {
+// measurePhase measures one window while load runs and adds the result to r. load must
+// return when its context is done; nil means no load.
+func (c *cluster) measurePhase(ctx context.Context, r *Result, name string, load func(context.Context) error) error {
 	loading, end := context.WithCancel(ctx)
 	defer end()
 	var group errgroup.Group
--- a/internal/capacity/command.go
+++ b/internal/capacity/command.go
@@ -35,7 +35,7 @@
 	return &cli.Command{
 		Name:  "cluster",
 		Usage: "measure agents, entry processes and the log of one cluster",
-		Description: `Measures an idle window, one with long tasks running and one with starts going on.
+		Description: `Measures an idle window, one with long tasks running and one in which short tasks start.
 
 Example:
   wasabihill-capacity cluster --workers 100 --entries 3 --starts 98`,
@@ -45,7 +45,7 @@
 			&cli.IntFlag{Name: "tasks", Value: 10, Usage: "long tasks per worker; 0 skips the window"},
 			&cli.FloatFlag{Name: "starts", Usage: "short tasks per second; 0 skips the window"},
 			&cli.IntFlag{Name: "job-tasks", Value: 10, Usage: "tasks of each short job"},
-			&cli.FloatFlag{Name: "rate", Value: 400, Usage: "appends per second that the log takes"},
+			&cli.FloatFlag{Name: "rate", Value: 400, Usage: "appends per second that the log accepts"},
 			&cli.DurationFlag{Name: "window", Value: 15 * time.Second, Usage: "length of each window"},
 			&cli.IntFlag{Name: "changes", Value: 3, Usage: "documents to publish"},
 		},
--- a/internal/capacity/recovery.go
+++ b/internal/capacity/recovery.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/entry"
 	"wasabihill.example/wasabihill/internal/ledger"
 	"wasabihill.example/wasabihill/internal/roster"
 	"wasabihill.example/wasabihill/internal/stream"
@@ -27,10 +28,6 @@
 	ResidentBeforeGC     uint64 // resident set size in bytes before the garbage collection
 }
 
-// snapshotInterval is the value that entry processes use: the maximum number of
-// entries that follow the newest snapshot.
-const snapshotInterval = 20_000
-
 const (
 	dayTasks          = 10   // tasks of each job
 	registeredWorkers = 1000 // workers registered in the log
@@ -93,7 +90,7 @@
 		return err
 	}
 	day := dayOfJobs(r.Jobs, r.Running)
-	r.Entries, r.EntriesAfterSnapshot = len(day), min(snapshotInterval, len(day))
+	r.Entries, r.EntriesAfterSnapshot = len(day), min(entry.EntriesPerSnapshot, len(day))
 	offset, err := appendAll(ctx, jobs, day[:len(day)-r.EntriesAfterSnapshot])
 	if err != nil {
 		return err
@@ -120,7 +117,7 @@
 func registrations() (entries [][]byte) {
 	for i := range registeredWorkers {
 		entries = append(entries, roster.EncodeRegistered(roster.Worker{
-			ID: workerName(i), Epoch: 4, Domain: domains[i%len(domains)], Rack: units.RackName(fmt.Sprintf("rack-%03d", i/3)), Region: region(i),
+			ID: workerName(i), Epoch: 4, Domain: domains[i%len(domains)], Rack: rackName(i), Region: region(i),
 			LinkAddress: "10.0.0.1:7100", Capacity: units.Resources{Processors: 32000, Memory: 125e9},
 			Lessor: roster.WorkerEpoch{Worker: workerName((i + len(domains)) % registeredWorkers), Epoch: 4},
 		}))
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -24,7 +24,7 @@
 		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.1f\t\n", p.Name, e.Payload("agents")/n, e.Payload("log")/n,
 			e.Count("heartbeats")/n, 100*e.Cores/n, e.Allocations()/n, e.Count("proposals")/n)
 	}
-	fmt.Fprintln(t, "log\tappends/s\tB/s\tturned away/s\tstarts/s\tB/start\t\t")
+	fmt.Fprintln(t, "log\tappends/s\tB/s\trejected/s\tstarts/s\tB/start\t\t")
 	for _, p := range r.Phases {
 		bytes := "-"
 		if p.Started > 0 {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -18,8 +18,8 @@
 	"wasabihill.example/wasabihill/internal/stream"
 )
 
-// entriesPerSnapshot is the number of entries between two snapshots of a stream.
-const entriesPerSnapshot = 20_000
+// EntriesPerSnapshot is the number of entries between two snapshots of a stream.
+const EntriesPerSnapshot = 20_000
 
 // Run serves until ctx ends and then stops gracefully, in this order: readiness
 // ends, the process records that it leaves, the listeners close when DrainDelay has
@@ -101,7 +101,7 @@
 // this process owns the stream.
 func newSnapshotter[S stream.State](e *Entry, f *stream.Follower[S], w *stream.Writer) *stream.Snapshotter[S] {
 	return &stream.Snapshotter[S]{
-		Follower: f, Writer: w, EntryInterval: entriesPerSnapshot, Retention: e.Settings.LogRetention,
+		Follower: f, Writer: w, EntryInterval: EntriesPerSnapshot, Retention: e.Settings.LogRetention,
 		IsOwner: func() bool { return e.ownership.Load().owns("stream/" + f.Stream) },
 	}
 }
--- a/internal/process/agent.go
+++ b/internal/process/agent.go
@@ -73,8 +73,8 @@
 	if err != nil {
 		return err
 	}
-	// The listeners stay open after ctx ends, so that the endpoint can announce
-	// that it is leaving while the agent drains.
+	// The listeners stay open until the agent has ended, so that the endpoint can
+	// announce that it is leaving while the agent drains.
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	serve(serveCtx, group, announceListener, forwarder.AnnounceHandler())
@@ -106,10 +106,7 @@
 	a := &agent.Agent{
 		WorkerID: s.Worker, Domain: s.FailureDomain, Rack: s.Rack, Region: s.Region,
 		LinkAddress: s.LinkAddress.String(), AdvertisedLinkAddress: s.AdvertisedLinkAddress.String(), ProcessName: recorder.Process(),
-		Worker: &workerapi.Client{
-			BaseURL: "http://" + s.WorkerAddress.String(),
-			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleWorkerConnections, IdleConnTimeout: time.Minute}},
-		},
+		Worker:         NewWorkerClient("http://" + s.WorkerAddress.String()),
 		RequestHandler: forwarder, EndpointReports: forwarder.EndpointReports, Guard: &guard.Controller{},
 		OmitUnchanged: true,
 		RecordEvent: func(kind, subject, text string) {
@@ -131,6 +128,12 @@
 	return a
 }
 
+// NewWorkerClient returns the client of an agent for the worker at the base URL.
+func NewWorkerClient(baseURL string) *workerapi.Client {
+	return &workerapi.Client{BaseURL: baseURL, HTTP: newHTTPClient(maxIdleWorkerConnections)}
+}
+
+// statusHandler serves the health and the metrics of an agent.
 func statusHandler(metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
@@ -138,13 +141,19 @@
 	return mux
 }
 
-// serveStopTimeout bounds the time for local requests in flight when the agent ends.
-const serveStopTimeout = time.Second
+// Limits of the servers of local APIs.
+const (
+	readHeaderTimeout = 5 * time.Second  // for the header of a request
+	readTimeout       = 10 * time.Second // for a whole request
+	maxHeaderBytes    = 16 << 10
+	// serveStopTimeout bounds the time for requests in flight when the agent ends.
+	serveStopTimeout = time.Second
+)
 
 // serve runs an HTTP server for a local API in group until ctx ends, and then answers
 // the requests that have been sent until then.
 func serve(ctx context.Context, group *errgroup.Group, l net.Listener, handler http.Handler) {
-	server := &drain.Server{HTTP: &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, MaxHeaderBytes: 16 << 10}}
+	server := &drain.Server{HTTP: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes}}
 	group.Go(func() error { return server.Serve(l) })
 	group.Go(func() error {
 		<-ctx.Done()
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -1,10 +1,7 @@
-// Package process implements the commands `wasabihill entry` and `wasabihill
-// agent`, which run a process as its settings file describes.
 package process
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -63,7 +60,7 @@
 		Settings: s, MetricsScope: scope, NewRequestServer: newRequestServer(s, scope),
 		Log: &logservice.Client{
 			BaseURL: "http://" + s.LogAddress.String(),
-			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleLogConnections, IdleConnTimeout: time.Minute}},
+			HTTP:    newHTTPClient(maxIdleLogConnections),
 		},
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -1,8 +1,12 @@
+// Package process implements the commands `wasabihill entry` and `wasabihill
+// agent`, which run a process as its settings file describes.
 package process
 
 import (
 	"context"
 	"crypto/rand"
+	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
@@ -43,6 +47,15 @@
 	return fn(ctx)
 }
 
+// idleConnectionTimeout closes a connection to the log service or to the worker that
+// has not been used for this long.
+const idleConnectionTimeout = time.Minute
+
+// newHTTPClient returns a client that keeps at most maxIdle unused connections open.
+func newHTTPClient(maxIdle int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleConnectionTimeout}}
+}
+
 // newIncarnationID returns a random ID for one incarnation of a process. It
 // distinguishes the events of successive incarnations on the timeline.
 func newIncarnationID() string { return rand.Text()[:8] }
