Share how the ledger removes the oldest entry of a full table

change: one generic removeOldest; TestSameOldestIsRemoved. Same order as before: lowest offset, then lowest key.

measured: internal/ledger passed with -race.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -235,3 +235,17 @@
 		t.Errorf("got %d buckets, want at most 2", got)
 	}
 }
+
+// TestSameOldestIsRemoved guards against processes whose states differ because they
+// remove different entries of a full table, whose order differs between processes.
+func TestSameOldestIsRemoved(t *testing.T) {
+	for range 100 { // the order of a map changes with each loop
+		entries := map[string]units.Offset{"c": 5, "b": 3, "a": 4, "d": 3, "e": 3}
+		for _, want := range []string{"b", "d", "e", "a", "c"} {
+			removeOldest(entries, func(o units.Offset) units.Offset { return o })
+			if _, kept := entries[want]; kept {
+				t.Fatalf("entries: got %v, want %q removed", entries, want)
+			}
+		}
+	}
+}
--- a/internal/ledger/usage.go
+++ b/internal/ledger/usage.go
@@ -104,7 +104,7 @@
 	k := l.usageByKind[kind]
 	if k == nil {
 		if len(l.usageByKind) >= maxKinds {
-			l.removeOldestKind()
+			removeOldest(l.usageByKind, func(k *KindUsage) units.Offset { return k.UpdatedOffset })
 		}
 		k = &KindUsage{}
 		l.usageByKind[kind] = k
@@ -119,15 +119,17 @@
 	}
 }
 
-func (l *Ledger) removeOldestKind() {
-	var oldest units.JobKind
-	var at *KindUsage
-	for name, k := range l.usageByKind {
-		if at == nil || k.UpdatedOffset < at.UpdatedOffset || (k.UpdatedOffset == at.UpdatedOffset && name < oldest) {
-			oldest, at = name, k
+// removeOldest removes the entry with the lowest offset, and among those with the same
+// offset the one with the lowest key, so that all processes remove the same entry.
+func removeOldest[K cmp.Ordered, V any](entries map[K]V, offset func(V) units.Offset) {
+	var oldest K
+	found := false
+	for key, v := range entries {
+		if !found || cmp.Or(cmp.Compare(offset(v), offset(entries[oldest])), cmp.Compare(key, oldest)) < 0 {
+			oldest, found = key, true
 		}
 	}
-	delete(l.usageByKind, oldest)
+	delete(entries, oldest)
 }
 
 // KindUsage returns the usage statistics of a job kind, or nil.
@@ -150,7 +152,7 @@
 	f := l.failureStreaks[w]
 	if f == nil {
 		if len(l.failureStreaks) >= maxFailureStreaks {
-			l.removeOldestStreak()
+			removeOldest(l.failureStreaks, func(f *failureStreak) units.Offset { return f.updated })
 		}
 		f = &failureStreak{}
 		l.failureStreaks[w] = f
@@ -161,17 +163,6 @@
 	f.lastJob, f.updated = job, offset
 }
 
-func (l *Ledger) removeOldestStreak() {
-	var oldest units.WorkerID
-	var at *failureStreak
-	for w, f := range l.failureStreaks {
-		if at == nil || f.updated < at.updated || (f.updated == at.updated && w < oldest) {
-			oldest, at = w, f
-		}
-	}
-	delete(l.failureStreaks, oldest)
-}
-
 func (l *Ledger) recordSuccess(w units.WorkerID) { delete(l.failureStreaks, w) }
 
 // ConsecutiveFailures returns how many attempts have failed on the worker since one
