Word the fault tests for a reader who sees them first

change: runsOf returns worker.Run; endpointReservation; comments. What the tests check stays the same.

--- a/internal/faulttest/domain_test.go
+++ b/internal/faulttest/domain_test.go
@@ -52,12 +52,15 @@
 	}
 }
 
+// silenceEntries drops the data between the victim's agent and the entry processes;
+// forward is the direction from the agent.
 func silenceEntries(s *System, forward, backward bool) {
 	for _, r := range s.Victim.ToEntry {
 		r.SetBlackhole(forward, backward)
 	}
 }
 
+// clearFaults clears the faults of all relays, of the victim's worker and of the log.
 func (s *System) clearFaults() {
 	restoreRelays(s.relays...)
 	s.SetFault(s.Victim.WorkerAddress, `{}`)
@@ -76,6 +79,8 @@
 	return time.Now()
 }
 
+// checkDomainOut checks that no task started in the victim's domain between
+// maxReactionTime after out and in.
 func (s *System) checkDomainOut(out, in time.Time) {
 	s.t.Helper()
 	before, elsewhere := 0, 0
@@ -123,6 +128,8 @@
 	}
 }
 
+// executedRequests returns the number of different requests that the node's endpoint
+// has executed.
 func (s *System) executedRequests(n *Node) int {
 	s.t.Helper()
 	var reply struct{ Executed map[string]int }
--- a/internal/faulttest/fault_test.go
+++ b/internal/faulttest/fault_test.go
@@ -43,7 +43,8 @@
 // the machine is shared.
 var systemSlots = make(chan struct{}, 4)
 
-// startSystem starts a system as soon as a slot is free.
+// startSystem marks the test as parallel, and starts a system as soon as a slot is
+// free. The system is stopped when the test ends.
 func startSystem(t *testing.T) *System {
 	t.Helper()
 	t.Parallel()
@@ -66,7 +67,8 @@
 	trafficDuration = 15 * time.Second
 )
 
-// fault is a named fault; inject injects it and may clear it before it returns.
+// fault is a named fault; inject injects it and may clear it before it returns. An
+// uncleared fault ends with the system or by clearFaults.
 type fault struct {
 	name   string
 	inject func(*System)
@@ -105,7 +107,8 @@
 	}
 }
 
-// faults are shorter than a lease, or do not affect the leases.
+// faults need not end the lease of the victim. Most are shorter than a lease; those
+// that silence the requests for leases last longer.
 var faults = []fault{
 	{"agentKilledAtRandom", agentKilledAtRandom},
 	{"entryPaused", func(s *System) { pauseProcess(silenceDuration, s.Entries[0].Process) }},
@@ -168,7 +171,7 @@
 			return errors.New("no run")
 		}
 		for _, n := range s.Nodes {
-			if n.ID == runs[0].worker {
+			if n.ID == runs[0].Worker {
 				node = n
 			}
 		}
@@ -181,7 +184,7 @@
 func (s *System) checkWatcherRuns(context.Context) error {
 	running := 0
 	for _, r := range s.runsOf(watcherJob) {
-		if r.running {
+		if r.Open {
 			running++
 		}
 	}
@@ -201,6 +204,8 @@
 	return ids
 }
 
+// leaseRelays returns the relays of the lease requests, one for each agent that
+// receives them.
 func (s *System) leaseRelays() []*relay.Relay {
 	var relays []*relay.Relay
 	for _, n := range s.Nodes {
@@ -209,12 +214,15 @@
 	return relays
 }
 
+// restoreRelays clears the faults of the relays.
 func restoreRelays(relays ...*relay.Relay) {
 	for _, r := range relays {
 		r.ClearFaults()
 	}
 }
 
+// silenceRelays drops the data of the given directions for silenceDuration, without
+// closing the connections.
 func silenceRelays(forward, backward bool, relays ...*relay.Relay) {
 	silenceRelaysFor(silenceDuration, forward, backward, relays...)
 }
--- a/internal/faulttest/jobs_test.go
+++ b/internal/faulttest/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"wasabihill.example/wasabihill/internal/standin/worker"
 	"wasabihill.example/wasabihill/pkg/administration"
 	"wasabihill.example/wasabihill/pkg/units"
 )
@@ -32,11 +34,11 @@
 	}
 	attempts, workers := make(map[string]int), make(map[string]map[units.WorkerID]bool)
 	for _, r := range s.runsOf(job.ID) {
-		attempts[r.task]++
-		if workers[r.task] == nil {
-			workers[r.task] = make(map[units.WorkerID]bool)
+		attempts[r.Task]++
+		if workers[r.Task] == nil {
+			workers[r.Task] = make(map[units.WorkerID]bool)
 		}
-		workers[r.task][r.worker] = true
+		workers[r.Task][r.Worker] = true
 	}
 	ended := 0
 	for task, n := range attempts {
@@ -58,22 +60,13 @@
 	recorder.Check()
 }
 
-// taskRun is one run of a task on a worker.
-type taskRun struct {
-	task    string
-	worker  units.WorkerID
-	running bool
-	start   time.Time
-}
-
-func (s *System) runsOf(ids ...units.JobID) []taskRun {
+// runsOf returns the runs of the jobs' tasks that the workers recorded.
+func (s *System) runsOf(ids ...units.JobID) []worker.Run {
 	s.t.Helper()
-	var list []taskRun
+	var list []worker.Run
 	for _, r := range s.Runs() {
-		for _, id := range ids {
-			if strings.HasPrefix(r.Task, string(id)+"/") {
-				list = append(list, taskRun{r.Task, r.Worker, r.Open, r.Start})
-			}
+		if slices.ContainsFunc(ids, func(id units.JobID) bool { return strings.HasPrefix(r.Task, string(id)+"/") }) {
+			list = append(list, r)
 		}
 	}
 	return list
@@ -104,8 +97,8 @@
 			s.WaitForJobs(jobsTimeout, "cancelled", ids...)
 			s.WaitUntil(jobsTimeout, "every cancelled run has ended", func(context.Context) error {
 				for _, r := range s.runsOf(ids...) {
-					if r.running {
-						return fmt.Errorf("%s runs on %s", r.task, r.worker)
+					if r.Open {
+						return fmt.Errorf("%s runs on %s", r.Task, r.Worker)
 					}
 				}
 				return nil
--- a/internal/faulttest/recorder.go
+++ b/internal/faulttest/recorder.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return
 	}
-	sum := units.Resources{Processors: 2000, Memory: 2e9}
+	sum := endpointReservation
 	for _, t := range table.Tasks {
 		if t.State == workerapi.Running || t.State == workerapi.Standby {
 			sum = sum.Add(t.Size)
--- a/internal/faulttest/system.go
+++ b/internal/faulttest/system.go
@@ -37,6 +37,10 @@
 // WorkerCapacity is the capacity of each worker.
 var WorkerCapacity = units.Resources{Processors: 8000, Memory: 16e9}
 
+// endpointReservation is what the document of the system reserves on each worker for
+// its endpoint.
+var endpointReservation = units.Resources{Processors: 2000, Memory: 2e9}
+
 // System is a log service, entry processes and workers, connected over relays
 // that inject faults.
 type System struct {
@@ -78,10 +82,10 @@
 	ToWorker         *relay.Relay
 	ToEndpoint       *relay.Relay
 	ToLink           *relay.Relay // lease requests from other agents to this agent
-	linkAddress      string
-	announceAddress  string
-	announceProxyURL string // receives the endpoint's announcements
-	leaving          atomic.Bool
+	linkAddress      string       // of the agent
+	announceAddress  string       // of the agent
+	announceProxyURL string       // receives the endpoint's announcements
+	leaving          atomic.Bool  // the proxy announces that the endpoint is leaving
 }
 
 // Start starts a system and waits until every worker and endpoint is ready.
--- a/internal/faulttest/watcher_test.go
+++ b/internal/faulttest/watcher_test.go
@@ -33,7 +33,7 @@
 	})
 	s.WaitUntil(25*time.Second, "the standby runs", func(context.Context) error {
 		for _, r := range s.runsOf(watcherJob) {
-			if r.running && r.worker != s.Victim.ID {
+			if r.Open && r.Worker != s.Victim.ID {
 				return nil
 			}
 		}
