Share the last part of two tests of internal/jobstore

cause: two tests repeated how an append is accepted and read by the next leader; only one of them noticed at once that the writer had ended.

change: checkAccepted, which both use; the other test is stricter by that.

measured: internal/jobstore passed with -race.

--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -50,6 +50,22 @@
 	return keys
 }
 
+// checkAccepted checks that an append is accepted within 5 s, while the writer runs, and
+// that the leader of term 2 reads its key.
+func (w *term) checkAccepted(t *testing.T, accepted <-chan struct{}, log *metastore.Log, key string) {
+	t.Helper()
+	select {
+	case <-accepted:
+	case err := <-w.failed:
+		t.Fatalf("writer ended with %v, want the append accepted", err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("not accepted 5s after the store answers again")
+	}
+	if got := newTerm(t, log, 2).keys(t); !got[key] {
+		t.Errorf("keys that the next leader reads: got %v, want %s among them", got, key)
+	}
+}
+
 func record(key string) []durable.Record { return []durable.Record{{Key: key, Value: []byte("x")}} }
 
 // A job whose append got no reply must be accepted only once it is certainly in the store.
@@ -66,14 +82,7 @@
 	case <-time.After(300 * time.Millisecond):
 	}
 	w.connection.Set(metastore.Fault{})
-	select {
-	case <-accepted:
-	case <-time.After(5 * time.Second):
-		t.Fatal("not accepted 5s after the store answers again")
-	}
-	if got := newTerm(t, log, 2).keys(t); !got["job/1"] {
-		t.Errorf("keys that the next leader reads: got %v, want job/1 among them", got)
-	}
+	w.checkAccepted(t, accepted, log, "job/1")
 }
 
 // An append that the store executed without a reply must be known to the leader that
@@ -86,16 +95,7 @@
 	w.Write(record("job/1"), func() { close(accepted) })
 	time.Sleep(300 * time.Millisecond) // executed, and its reply lost
 	w.connection.Set(metastore.Fault{})
-	select {
-	case <-accepted:
-	case err := <-w.failed:
-		t.Fatalf("writer ended with %v, want the append accepted", err)
-	case <-time.After(5 * time.Second):
-		t.Fatal("not accepted 5s after the store answers again")
-	}
-	if got := newTerm(t, log, 2).keys(t); !got["job/1"] {
-		t.Errorf("keys that the next leader reads: got %v, want job/1 among them", got)
-	}
+	w.checkAccepted(t, accepted, log, "job/1")
 }
 
 // An append of an earlier leader that the store executes late, after the next leader has
