Share how the verbs workers, teams, entries and jobs print their list

cause: the four verbs repeated the same steps: no arguments, read, print a header, print rows.

change: printList in internal/operator. The outputs stay the same, letter for letter, as the recorded cases of the package check.

measured: internal/operator, cmd/wasabihill and internal/pages passed with -race.

--- a/internal/operator/entries.go
+++ b/internal/operator/entries.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/administration"
 )
 
 func newEntries() *cli.Command {
@@ -23,24 +25,14 @@
 }
 
 func entries(inv *invocation) error {
-	if _, err := arguments(inv.cmd); err != nil {
-		return err
-	}
-	list, err := inv.Entries(inv.ctx)
-	if err != nil {
-		return err
-	}
-	return inv.print(list, func(w io.Writer) {
-		fmt.Fprintln(w, "ENTRY\tDOMAIN\tREGION\tLINK ADDRESS\tSTATE")
-		for _, e := range list {
-			name, state := string(e.ID), "silent"
-			if e.Answering {
-				name += " *"
-			}
-			if e.Live {
-				state = "live"
-			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", name, e.FailureDomain, e.Region, e.LinkAddress, state)
+	return printList(inv, inv.Entries, "ENTRY\tDOMAIN\tREGION\tLINK ADDRESS\tSTATE", func(w io.Writer, e administration.Entry) {
+		name, state := string(e.ID), "silent"
+		if e.Answering {
+			name += " *"
+		}
+		if e.Live {
+			state = "live"
 		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", name, e.FailureDomain, e.Region, e.LinkAddress, state)
 	})
 }
--- a/internal/operator/invocation.go
+++ b/internal/operator/invocation.go
@@ -198,6 +198,24 @@
 	return table.Flush()
 }
 
+// printList prints the list that read returns; as text, with a header and one row for each
+// element. The verb has no arguments.
+func printList[T any](inv *invocation, read func(context.Context) ([]T, error), header string, printRow func(io.Writer, T)) error {
+	if _, err := arguments(inv.cmd); err != nil {
+		return err
+	}
+	list, err := read(inv.ctx)
+	if err != nil {
+		return err
+	}
+	return inv.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, header)
+		for _, element := range list {
+			printRow(w, element)
+		}
+	})
+}
+
 func (inv *invocation) printPublished(p administration.Published) error {
 	return inv.print(p, func(w io.Writer) {
 		if len(p.Changes) == 0 {
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -32,19 +33,12 @@
 }
 
 func jobs(inv *invocation) error {
-	if _, err := arguments(inv.cmd); err != nil {
-		return err
+	read := func(ctx context.Context) ([]administration.Job, error) {
+		return inv.Jobs(ctx, administration.JobFilter{
+			Team: units.TeamName(inv.cmd.String("team")), State: inv.cmd.String("state"), Limit: inv.cmd.Int("limit")})
 	}
-	list, err := inv.Jobs(inv.ctx, administration.JobFilter{
-		Team: units.TeamName(inv.cmd.String("team")), State: inv.cmd.String("state"), Limit: inv.cmd.Int("limit")})
-	if err != nil {
-		return err
-	}
-	return inv.print(list, func(w io.Writer) {
-		fmt.Fprintln(w, "JOB\tTEAM\tNAME\tPRIORITY\tSTATE\tDONE\tSUBMITTED")
-		for _, j := range list {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d/%d\t%s\n", j.ID, j.Team, j.Name, j.Priority, j.State,
-				j.Tasks.Completed, j.Tasks.Total, j.Submitted.UTC().Format("2006-01-02 15:04:05"))
-		}
+	return printList(inv, read, "JOB\tTEAM\tNAME\tPRIORITY\tSTATE\tDONE\tSUBMITTED", func(w io.Writer, j administration.Job) {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d/%d\t%s\n", j.ID, j.Team, j.Name, j.Priority, j.State,
+			j.Tasks.Completed, j.Tasks.Total, j.Submitted.UTC().Format("2006-01-02 15:04:05"))
 	})
 }
--- a/internal/operator/teams.go
+++ b/internal/operator/teams.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"wasabihill.example/wasabihill/pkg/administration"
 )
 
 func newTeams() *cli.Command {
@@ -23,21 +25,11 @@
 }
 
 func teams(inv *invocation) error {
-	if _, err := arguments(inv.cmd); err != nil {
-		return err
-	}
-	list, err := inv.Teams(inv.ctx)
-	if err != nil {
-		return err
-	}
-	return inv.print(list, func(w io.Writer) {
-		fmt.Fprintln(w, "TEAM\tUSED\tQUOTA\tMAY BORROW\tPENDING")
-		for _, t := range list {
-			borrow := "no"
-			if t.MayBorrow {
-				borrow = "yes"
-			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", t.Name, formatSize(t.Used), formatSize(t.Quota), borrow, t.Pending)
+	return printList(inv, inv.Teams, "TEAM\tUSED\tQUOTA\tMAY BORROW\tPENDING", func(w io.Writer, t administration.Team) {
+		borrow := "no"
+		if t.MayBorrow {
+			borrow = "yes"
 		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", t.Name, formatSize(t.Used), formatSize(t.Quota), borrow, t.Pending)
 	})
 }
--- a/internal/operator/workers.go
+++ b/internal/operator/workers.go
@@ -24,19 +24,10 @@
 }
 
 func workers(inv *invocation) error {
-	if _, err := arguments(inv.cmd); err != nil {
-		return err
-	}
-	list, err := inv.Workers(inv.ctx)
-	if err != nil {
-		return err
-	}
-	return inv.print(list, func(w io.Writer) {
-		fmt.Fprintln(w, "WORKER\tDOMAIN\tRACK\tSTATE\tEPOCH\tCOMMITTED\tCAPACITY\tTASKS\tENDPOINTS")
-		for _, o := range list {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", o.ID, o.FailureDomain, o.Rack, o.State, o.Epoch,
-				formatSize(o.Committed), formatSize(o.Capacity), o.Running, formatEndpoints(o.Endpoints))
-		}
+	const header = "WORKER\tDOMAIN\tRACK\tSTATE\tEPOCH\tCOMMITTED\tCAPACITY\tTASKS\tENDPOINTS"
+	return printList(inv, inv.Workers, header, func(w io.Writer, o administration.Worker) {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", o.ID, o.FailureDomain, o.Rack, o.State, o.Epoch,
+			formatSize(o.Committed), formatSize(o.Capacity), o.Running, formatEndpoints(o.Endpoints))
 	})
 }
 
