Split the append of a batch from the loop of the job writer

cause: Writer.Run of internal/jobstore had two jobs and five levels.

change: appendBatch, without a change of behaviour.

measured: internal/jobstore passed with -race.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -110,29 +110,34 @@
 		case <-w.wakeup:
 		}
 		pause.For(ctx, batchDelay)
-		for {
-			batch := w.takeBatch()
-			if len(batch) == 0 {
-				break
-			}
-			var records []durable.Record
-			for _, e := range batch {
-				records = append(records, e.records...)
-			}
-			if len(records) > 0 {
-				if err := w.append(ctx, records); err != nil {
-					return err
-				}
-			}
-			for _, e := range batch {
-				if e.onDurable != nil {
-					e.onDurable()
-				}
+		for batch := w.takeBatch(); len(batch) > 0; batch = w.takeBatch() {
+			if err := w.appendBatch(ctx, batch); err != nil {
+				return err
 			}
 		}
 	}
 }
 
+// appendBatch appends the records of the writes in one call, and then calls their
+// onDurable functions. Writes without records need no call.
+func (w *Writer) appendBatch(ctx context.Context, batch []write) error {
+	var records []durable.Record
+	for _, e := range batch {
+		records = append(records, e.records...)
+	}
+	if len(records) > 0 {
+		if err := w.append(ctx, records); err != nil {
+			return err
+		}
+	}
+	for _, e := range batch {
+		if e.onDurable != nil {
+			e.onDurable()
+		}
+	}
+	return nil
+}
+
 // takeBatch removes and returns the oldest writes, about maxBatchBytes of records but at
 // least one write.
 func (w *Writer) takeBatch() []write {
