Share how the fault tests and make run sum up what a worker has committed

cause: internal/acceptance and internal/faulttest repeated the loop on which their check of guarantee 1 depends, and nothing tested it.

The checks are as strict as before.

--- a/internal/acceptance/observations.go
+++ b/internal/acceptance/observations.go
@@ -131,12 +131,7 @@
 	if err != nil {
 		return
 	}
-	sum := document.Services[0].PerEndpoint
-	for _, t := range table.Tasks {
-		if t.State == workerapi.Running || t.State == workerapi.Standby {
-			sum = sum.Add(t.Size)
-		}
-	}
+	sum := document.Services[0].PerEndpoint.Add(worker.Committed(table))
 	if !sum.Fits(f.firm.Capacity) {
 		f.observed.mu.Lock()
 		defer f.observed.mu.Unlock()
--- a/internal/faulttest/recorder.go
+++ b/internal/faulttest/recorder.go
@@ -97,12 +97,7 @@
 	if err != nil {
 		return
 	}
-	sum := endpointReservation
-	for _, t := range table.Tasks {
-		if t.State == workerapi.Running || t.State == workerapi.Standby {
-			sum = sum.Add(t.Size)
-		}
-	}
+	sum := endpointReservation.Add(worker.Committed(table))
 	if !sum.Fits(WorkerCapacity) {
 		rec.mu.Lock()
 		defer rec.mu.Unlock()
--- a/internal/standin/worker/runs.go
+++ b/internal/standin/worker/runs.go
@@ -59,6 +59,18 @@
 	return runs
 }
 
+// Committed returns the sum of the sizes of the tasks in a table that run or are standbys.
+// The reservation for an endpoint is not in the table.
+func Committed(table workerapi.Table) units.Resources {
+	var sum units.Resources
+	for _, t := range table.Tasks {
+		if t.State == workerapi.Running || t.State == workerapi.Standby {
+			sum = sum.Add(t.Size)
+		}
+	}
+	return sum
+}
+
 // Overlaps returns a description of each pair of runs of one task that overlap in
 // time, and of each attempt that ran twice, on one worker or on two.
 func Overlaps(runs []Run) []string {
