Let a promise hold on every way to a claim

callers saw: TWICE could follow from two leaders at once: a leader that leads on promises and one that had promised not to claim, both of which start tasks and grant leases. A follower that read its own claim, which the store had executed late, or that heard from the leader's machine that the leader's process had ended, claimed at once. Between the decision and the call to the store a promise could be given as well. change: leaderExited is not consulted while a promise holds, and the claim checks the promise again, under the lock, as it is sent. Claims move into claim.go and promises into promise.go. measured: on the code before, TestOwnLateClaimDoesNotBreakPromise: "b leads term 3 after 7.559565ms, want it to wait for 1.95s", TestEndOfLeader...: "term 2 after 25.35831ms", TestPromiseGivenAfterDecision...: "term 2 after 1.606269ms".

--- /dev/null
+++ b/internal/leadership/claim.go
@@ -0,0 +1,94 @@
+package leadership
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/internal/durable"
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/pause"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// claimAttempt is a claim that is sent.
+type claimAttempt struct {
+	term Term
+	at   units.Offset // where the topic must end
+	sent bootclock.Instant
+}
+
+// claim tries to become the leader. It returns the term if it succeeds.
+func (e *Elector) claim(ctx context.Context) (Term, bool) {
+	c, ok := e.beginClaim()
+	if !ok {
+		return 0, false
+	}
+	if _, err := e.append(ctx, c.at, c.term, false); err != nil {
+		e.dropClaim()
+		klog.InfoS("leadership claim failed", "term", c.term, "err", err)
+		if !fault.Is(err, durable.Conflict) {
+			pause.Jittered(ctx, retryDelay)
+		}
+		return 0, false // if the claim succeeded nevertheless, it is read back later and not renewed
+	}
+	withdrawn, ok := e.finishClaim(c)
+	if !ok {
+		return 0, false
+	}
+	if withdrawn {
+		klog.InfoS("leadership won while this process stops; it is released", "term", c.term)
+		e.resign(c.term)
+		return 0, false
+	}
+	klog.InfoS("leadership won", "term", c.term)
+	return c.term, true
+}
+
+// beginClaim returns the claim to send, or false if this process has promised meanwhile
+// not to claim.
+func (e *Elector) beginClaim() (claimAttempt, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if left := e.promiseLeft(); left > 0 {
+		klog.InfoS("leadership is not claimed: this process has promised not to", "promiseLeft", left)
+		return claimAttempt{}, false
+	}
+	c := claimAttempt{term: Term(e.nextOffset + 1), at: e.nextOffset, sent: bootclock.Now()}
+	e.pendingClaim, e.pendingClaimUntil = c.term, c.sent.Add(pendingClaimTimeout)
+	return c, true
+}
+
+func (e *Elector) dropClaim() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pendingClaim = 0
+}
+
+// finishClaim makes this process the leader after its claim has succeeded. It returns
+// false if the term may not be led, and also reports whether this process is withdrawn.
+func (e *Elector) finishClaim(c claimAttempt) (withdrawn, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pendingClaim = 0
+	if c.term <= e.renouncedTerm {
+		klog.InfoS("leadership claim is given up: this process has renounced the term", "term", c.term)
+		return false, false
+	}
+	e.wonTerm, e.previousTerm = c.term, e.leader.Term
+	e.nextOffset, e.released, e.renewalSeenAt = c.at+1, false, c.sent
+	e.leader = Leader{Name: e.Name, Address: e.Address, Term: c.term}
+	e.leaseEnd = c.sent.Add(leaseDuration)
+	return e.withdrawn, true
+}
+
+func (e *Elector) append(ctx context.Context, at units.Offset, term Term, released bool) (units.Offset, error) {
+	value, err := proto.Marshal(&wire.LeadershipRecord{Name: e.Name, Address: e.Address, Term: uint64(term), Released: released})
+	if err != nil {
+		return 0, fault.Wrap("claim", durable.Invalid, err)
+	}
+	return e.Store.Append(ctx, durable.AppendRequest{Topic: Topic, ExpectedEnd: &at, Records: []durable.Record{{Value: value}}})
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -147,21 +147,6 @@
 	return e.storeAnsweredAt != 0 && now.Sub(e.storeAnsweredAt) < reachableTimeout
 }
 
-// Promise handles a leader's request for a promise not to claim for PromiseDuration. It
-// gives none if the store is reachable for this process, which can then become leader, or
-// if it has seen a later term. It also returns the highest term that it has seen.
-func (e *Elector) Promise(term Term) (promised, reachable bool, highest Term) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := bootclock.Now()
-	reachable = e.storeReachable(now)
-	if reachable || e.leader.Term > term {
-		return false, reachable, e.leader.Term
-	}
-	e.promisedUntil = max(e.promisedUntil, now.Add(PromiseDuration))
-	return true, false, e.leader.Term
-}
-
 // ConfirmOrRenounce reports whether this process leads the term or is about to. If it
 // reports false, this process never leads the term, so the caller may claim the
 // leadership at once. Other processes can read a claim before this process receives the
@@ -290,11 +275,12 @@
 
 func (e *Elector) connected() bool { return e.Connected == nil || e.Connected() }
 
-// leaderExited reports whether the last leader's process has certainly ended: it was an
-// earlier incarnation of this process, or its machine runs another process.
+// leaderExited reports whether no promise prevents a claim and the last leader's process
+// has certainly ended: it was an earlier incarnation of this process, or its machine runs
+// another process.
 func (e *Elector) leaderExited(ctx context.Context) bool {
-	leader := e.Leader()
-	if leader.Term == 0 || e.connected() {
+	leader, ok := e.leaderToCheck()
+	if !ok || e.connected() {
 		return false
 	}
 	if leader.Name == e.Name {
@@ -308,16 +294,20 @@
 	return true
 }
 
+// leaderToCheck returns the last leader if this process may claim once that leader's
+// process has ended.
+func (e *Elector) leaderToCheck() (Leader, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader, e.leader.Term != 0 && e.promiseLeft() <= 0
+}
+
 // mayClaim reports whether no promise prevents a claim and the leadership was released or
 // not renewed for claimTimeout.
 func (e *Elector) mayClaim() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := bootclock.Now()
-	if now.Before(e.promisedUntil) {
-		return false
-	}
-	return e.released || now.Sub(e.renewalSeenAt) > claimTimeout
+	return e.promiseLeft() <= 0 && (e.released || bootclock.Now().Sub(e.renewalSeenAt) > claimTimeout)
 }
 
 // read reads and applies the records since the last read. It returns errRecordsDeleted if
@@ -370,50 +360,3 @@
 		e.OnChange(leader)
 	}
 }
-
-// claim tries to become the leader. It returns the term if it succeeds.
-func (e *Elector) claim(ctx context.Context) (Term, bool) {
-	e.mu.Lock()
-	at := e.nextOffset
-	term, sent := Term(at+1), bootclock.Now()
-	e.pendingClaim, e.pendingClaimUntil = term, sent.Add(pendingClaimTimeout)
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.pendingClaim = 0
-		e.mu.Unlock()
-	}()
-	if _, err := e.append(ctx, at, term, false); err != nil {
-		klog.InfoS("leadership claim failed", "term", term, "err", err)
-		if !fault.Is(err, durable.Conflict) {
-			pause.Jittered(ctx, retryDelay)
-		}
-		return 0, false // if the claim succeeded nevertheless, it is read back later and not renewed
-	}
-	e.mu.Lock()
-	if term <= e.renouncedTerm {
-		e.mu.Unlock()
-		return 0, false // this process has renounced the term in a reply
-	}
-	e.wonTerm, e.previousTerm = term, e.leader.Term
-	e.nextOffset, e.released, e.renewalSeenAt = at+1, false, sent
-	e.leader = Leader{Name: e.Name, Address: e.Address, Term: term}
-	e.leaseEnd = sent.Add(leaseDuration)
-	withdrawn := e.withdrawn
-	e.mu.Unlock()
-	if withdrawn {
-		klog.InfoS("leadership won while this process stops; it is released", "term", term)
-		e.resign(term)
-		return 0, false
-	}
-	klog.InfoS("leadership won", "term", term)
-	return term, true
-}
-
-func (e *Elector) append(ctx context.Context, at units.Offset, term Term, released bool) (units.Offset, error) {
-	value, err := proto.Marshal(&wire.LeadershipRecord{Name: e.Name, Address: e.Address, Term: uint64(term), Released: released})
-	if err != nil {
-		return 0, fault.Wrap("claim", durable.Invalid, err)
-	}
-	return e.Store.Append(ctx, durable.AppendRequest{Topic: Topic, ExpectedEnd: &at, Records: []durable.Record{{Value: value}}})
-}
--- /dev/null
+++ b/internal/leadership/promise.go
@@ -0,0 +1,33 @@
+package leadership
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+)
+
+// Promise handles a leader's request for a promise not to claim for PromiseDuration. It
+// gives none if the store is reachable for this process, which can then become leader, or
+// if it has seen a later term. It also returns the highest term that it has seen.
+func (e *Elector) Promise(term Term) (promised, reachable bool, highest Term) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := bootclock.Now()
+	reachable = e.storeReachable(now)
+	if reachable || e.leader.Term > term {
+		return false, reachable, e.leader.Term
+	}
+	if !now.Before(e.promisedUntil) {
+		klog.InfoS("promised not to claim the leadership", "term", term)
+	}
+	e.promisedUntil = max(e.promisedUntil, now.Add(PromiseDuration))
+	return true, false, e.leader.Term
+}
+
+// promiseLeft returns for how long a promise prevents a claim, or a value that is not
+// positive if none does. The caller holds mu.
+func (e *Elector) promiseLeft() time.Duration {
+	return e.promisedUntil.Sub(bootclock.Now())
+}
--- /dev/null
+++ b/internal/leadership/promise_test.go
@@ -0,0 +1,168 @@
+package leadership_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/internal/durable"
+	"wasabihill.example/wasabihill/internal/fault"
+	"wasabihill.example/wasabihill/internal/leadership"
+	"wasabihill.example/wasabihill/internal/standin/metastore"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+const (
+	// unreachableAfter is how long a store has to be silent until a process promises.
+	unreachableAfter = 900 * time.Millisecond
+	// quick bounds a claim that waits for nothing.
+	quick = time.Second
+)
+
+// heldStore answers no call while it is held, and keeps the first append for the test,
+// which can execute it later.
+type heldStore struct {
+	durable.Store
+	mu       sync.Mutex
+	held     bool // no call is answered
+	holdNext bool // the next append is not executed, and the store is held from then on
+	appended chan durable.AppendRequest
+}
+
+func (s *heldStore) Append(ctx context.Context, in durable.AppendRequest) (units.Offset, error) {
+	s.mu.Lock()
+	first := s.holdNext
+	s.held = s.held || first
+	s.holdNext = false
+	held := s.held
+	s.mu.Unlock()
+	if first {
+		s.appended <- in
+	}
+	if held {
+		return 0, fault.New("append", durable.Unknown, "no reply")
+	}
+	return s.Store.Append(ctx, in)
+}
+
+func (s *heldStore) Read(ctx context.Context, t durable.Topic, keyed bool, from units.Offset, wait time.Duration) (durable.Batch, error) {
+	if s.isHeld() {
+		return durable.Batch{}, fault.New("read", durable.Unavailable, "no reply")
+	}
+	return s.Store.Read(ctx, t, keyed, from, wait)
+}
+
+func (s *heldStore) isHeld() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+func (s *heldStore) hold(held bool) {
+	s.mu.Lock()
+	s.held = held
+	s.mu.Unlock()
+}
+
+// putRecord appends a record of the leadership as another process would.
+func putRecord(log *metastore.Log, name string, term leadership.Term, released bool) {
+	value, err := proto.Marshal(&wire.LeadershipRecord{Name: name, Address: name, Term: uint64(term), Released: released})
+	if err != nil {
+		panic(err)
+	}
+	log.Put(string(leadership.Topic), "", value)
+}
+
+func disconnected() bool { return false }
+
+// wantNoTerm fails if the candidate leads within the duration.
+func (c *candidate) wantNoTerm(t *testing.T, within time.Duration, why string) {
+	t.Helper()
+	begin := bootclock.Now()
+	select {
+	case term := <-c.terms:
+		t.Fatalf("%s leads term %d after %v, want it to wait for %v: %s", c.Name, term, bootclock.Now().Sub(begin), within, why)
+	case <-time.After(within):
+	}
+}
+
+// wantPromise requests a promise until the candidate gives it.
+func (c *candidate) wantPromise(t *testing.T, term leadership.Term) {
+	t.Helper()
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if promised, _, _ := c.Promise(term); promised {
+			return
+		}
+	}
+	t.Fatalf("%s gives no promise", c.Name)
+}
+
+// A claim that the store executes late names its sender as the leader. The sender took
+// the leadership for vacant then, although it had promised another leader not to claim.
+func TestOwnLateClaimDoesNotBreakPromise(t *testing.T) {
+	log := metastore.NewLog()
+	putRecord(log, "a", 1, false)
+	store := &heldStore{holdNext: true, appended: make(chan durable.AppendRequest, 1)}
+	b := start(t, log, "b", func(e *leadership.Elector) {
+		store.Store, e.Store = e.Store, store
+		e.Connected = disconnected
+	})
+	claim := <-store.appended
+	b.wantPromise(t, 1)
+	if _, err := store.Store.Append(context.Background(), claim); err != nil {
+		t.Fatal(err)
+	}
+	store.hold(false)
+	b.wantNoTerm(t, leadership.PromiseDuration-50*time.Millisecond, "it has promised not to claim")
+	b.wantTerm(t, quick)
+}
+
+// A process that learns that the leader's process has ended may have promised another
+// leader not to claim, for example if the leader is named by a claim that was executed late.
+func TestEndOfLeaderDoesNotBreakPromise(t *testing.T) {
+	log := metastore.NewLog()
+	putRecord(log, "c", 1, false)
+	store := &heldStore{}
+	b := start(t, log, "b", func(e *leadership.Elector) {
+		store.Store, e.Store = e.Store, store
+		e.Connected = disconnected
+		e.LeaderExited = func(context.Context, leadership.Leader) bool { return !store.isHeld() }
+		e.ClaimDelay = 200 * time.Millisecond
+	})
+	time.Sleep(100 * time.Millisecond)
+	store.hold(true)
+	b.wantPromise(t, 1)
+	store.hold(false)
+	b.wantNoTerm(t, leadership.PromiseDuration-50*time.Millisecond, "it has promised not to claim")
+	b.wantTerm(t, quick)
+}
+
+// A promise may be given between the decision to claim and the call to the store, for
+// example while the process waits for the answer of the leader's machine.
+func TestPromiseGivenAfterDecisionPreventsClaim(t *testing.T) {
+	log := metastore.NewLog()
+	putRecord(log, "c", 1, false)
+	promised := make(chan bool, 64)
+	var b *candidate
+	ready := make(chan struct{})
+	b = start(t, log, "b", func(e *leadership.Elector) {
+		e.Connected = disconnected
+		e.LeaderExited = func(context.Context, leadership.Leader) bool {
+			<-ready
+			time.Sleep(unreachableAfter)
+			ok, _, _ := b.Promise(1)
+			promised <- ok
+			return true
+		}
+	})
+	close(ready)
+	if !<-promised {
+		t.Fatal("no promise without a reply of the store for 900 ms")
+	}
+	b.wantNoTerm(t, leadership.PromiseDuration-50*time.Millisecond, "it has promised not to claim")
+}
