Keep a promise that was given before the elector runs

cause: an entry process answers requests for promises as soon as it listens; its elector runs after it has registered. At the first start of a deployment Run set the end of all promises to the present. change: Run only adds the delay after a restart. measured: on the code before, TestPromiseBeforeRunHolds: "b leads term 1 after 1.361009ms, want it to wait for 1.95s". It passes now.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -189,12 +189,11 @@
 // Run follows the leader and claims the leadership if it is not renewed. When ctx ends,
 // it releases the leadership if this process has it.
 func (e *Elector) Run(ctx context.Context) error {
-	e.mu.Lock()
-	e.promisedUntil = bootclock.Now()
 	if !e.FirstStart {
-		e.promisedUntil = e.promisedUntil.Add(restartDelay)
+		e.mu.Lock()
+		e.promisedUntil = max(e.promisedUntil, bootclock.Now().Add(restartDelay))
+		e.mu.Unlock()
 	}
-	e.mu.Unlock()
 	for ctx.Err() == nil {
 		if err := e.seekLastRecord(ctx); err == nil {
 			break
--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -211,3 +211,16 @@
 	})
 	return offset, err
 }
+
+// A process answers requests for promises before its elector runs. At the first start of
+// a deployment, Run forgot what had been promised.
+func TestPromiseBeforeRunHolds(t *testing.T) {
+	log := metastore.NewLog()
+	b := start(t, log, "b", func(e *leadership.Elector) {
+		if promised, _, _ := e.Promise(1); !promised {
+			t.Error("before Run: got no promise, want one")
+		}
+	})
+	b.wantNoTerm(t, leadership.PromiseDuration-50*time.Millisecond, "it has promised not to claim")
+	b.wantTerm(t, quick)
+}
