Ask no earlier leader whether it has ended after records were deleted

cause: if the store deletes records before a follower reads them, the last leader that the follower knows need not be the last one.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -98,6 +98,7 @@
 	mu                sync.Mutex
 	leader            Leader
 	leaderLed         bool              // leader has certainly led its term: a record other than its claim was read, or this process led
+	recordsMissed     bool              // there may have been a later leader: records were deleted, and none was read since
 	wonTerm           Term              // highest term won by this process
 	previousTerm      Term              // term of the leader before wonTerm; 0 if there was none
 	pendingClaim      Term              // term of a claim that has no reply and was not given up; 0 if there is none
@@ -212,7 +213,8 @@
 	return nil
 }
 
-// seekLastRecord sets the read position to the last record of the topic.
+// seekLastRecord sets the read position to the last record of the topic. The leader is not
+// known until it is read.
 func (e *Elector) seekLastRecord(ctx context.Context) error {
 	first, end, err := e.Store.Range(ctx, Topic)
 	if err != nil {
@@ -227,6 +229,7 @@
 		e.nextOffset = end - 1 // read the newest record
 	}
 	e.released = end == 0
+	e.recordsMissed = true
 	return nil
 }
 
@@ -345,8 +348,9 @@
 		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: term}
 		e.leaderLed = false
 	}
-	if term == e.leader.Term && term != claimedTerm(at) {
-		e.leaderLed = true
+	if term == e.leader.Term {
+		e.recordsMissed = false
+		e.leaderLed = e.leaderLed || term != claimedTerm(at)
 	}
 	leader := e.leader
 	e.mu.Unlock()
--- a/internal/leadership/promise.go
+++ b/internal/leadership/promise.go
@@ -41,7 +41,7 @@
 func (e *Elector) leaderToCheck() (Leader, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader.Term == 0 {
+	if e.leader.Term == 0 || e.recordsMissed {
 		return Leader{}, false
 	}
 	return e.leader, e.promiseLeft() <= 0 || e.leaderLed && !bootclock.Now().Before(e.promisedUntil)
--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -263,3 +263,25 @@
 		})
 	}
 }
+
+// Records may be deleted before a follower reads them. The last leader that it knows is
+// then not the last one, whose lease is valid: the end of the former proves nothing.
+func TestEndOfLeaderBeforeDeletedRecordsPermitsNoClaim(t *testing.T) {
+	log := metastore.NewLog()
+	putRecord(log, "c", 1, false)
+	store := &heldStore{}
+	b := start(t, log, "b", func(e *leadership.Elector) {
+		store.Store, e.Store = e.Store, store
+		e.Connected = disconnected
+		e.LeaderExited = func(context.Context, leadership.Leader) bool { return !store.isHeld() }
+		e.ClaimDelay = 200 * time.Millisecond
+	})
+	time.Sleep(100 * time.Millisecond)
+	store.hold(true)
+	time.Sleep(800 * time.Millisecond) // a long poll that was in progress has ended
+	putRecord(log, "a", 2, false)
+	log.DeleteHistory()
+	store.hold(false)
+	b.wantNoTerm(t, 1700*time.Millisecond, "the lease of term 2 is valid")
+	b.wantTerm(t, quick)
+}
