Let only the last leader release the leadership

cause: a leader that finds its records deleted gives up, because another claim may have been among them.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -334,6 +334,7 @@
 var errRecordsDeleted = fault.New("read", durable.Expired, "records were deleted before they were read")
 
 // apply updates the leader and the time of the last renewal from the record at an offset.
+// Only the leader with the highest term can release the leadership.
 func (e *Elector) apply(at units.Offset, value []byte) {
 	record := &wire.LeadershipRecord{}
 	if err := proto.Unmarshal(value, record); err != nil {
@@ -342,7 +343,8 @@
 	}
 	term := Term(record.GetTerm())
 	e.mu.Lock()
-	e.renewalSeenAt, e.released, e.eligibleSince = bootclock.Now(), record.GetReleased(), 0
+	e.renewalSeenAt, e.eligibleSince = bootclock.Now(), 0
+	e.released = record.GetReleased() && term >= e.leader.Term
 	changed := term > e.leader.Term
 	if changed {
 		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: term}
--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -285,3 +285,36 @@
 	b.wantNoTerm(t, 1700*time.Millisecond, "the lease of term 2 is valid")
 	b.wantTerm(t, quick)
 }
+
+// A leader whose records were deleted cannot know whether it is the last leader. It must
+// not release the leadership, or a third process would claim it from a later leader.
+func TestLeaderWithDeletedRecordsReleasesNothing(t *testing.T) {
+	log := metastore.NewLog()
+	a := start(t, log, "a", nil)
+	term := a.wantTerm(t, 3*time.Second)
+	a.storeConnection.Set(metastore.Fault{NoReply: true})
+	time.Sleep(700 * time.Millisecond) // a renewal that was in progress has ended
+	putRecord(log, "c", term+10, false)
+	log.DeleteHistory()
+	a.storeConnection.Set(metastore.Fault{})
+	time.Sleep(quick)
+	if value := log.LastValue(string(leadership.Topic)); value != nil {
+		record := &wire.LeadershipRecord{}
+		if err := proto.Unmarshal(value, record); err != nil {
+			t.Fatal(err)
+		}
+		t.Errorf("record after the deletion: got %v, want none", record)
+	}
+}
+
+// Only the last leader may release the leadership.
+func TestReleaseOfEarlierTermIsIgnored(t *testing.T) {
+	log := metastore.NewLog()
+	putRecord(log, "c", 1, false)
+	b := start(t, log, "b", nil)
+	time.Sleep(200 * time.Millisecond)
+	putRecord(log, "d", 2, false)
+	putRecord(log, "c", 1, true)
+	b.wantNoTerm(t, 1700*time.Millisecond, "the lease of term 2 is valid")
+	b.wantTerm(t, quick)
+}
--- a/internal/leadership/renewal.go
+++ b/internal/leadership/renewal.go
@@ -104,13 +104,13 @@
 	return retryNow
 }
 
-// resign ends the lease at once. If this process still leads, it also appends a release
+// resign ends the lease at once. If this process is the last leader, it also appends a release
 // record, so that the other processes need not wait before they claim.
 func (e *Elector) resign(term Term) {
 	e.mu.Lock()
 	e.leaseEnd = 0
 	at := e.nextOffset
-	current := e.leader.Term == term
+	current := e.leader.Term == term && !e.recordsMissed
 	e.renewalSeenAt = bootclock.Now()
 	e.mu.Unlock()
 	if !current {
