Report no previous term if records were deleted before they were read

cause: a leader trusts the absences that its predecessor has recorded. After missed records it took the last leader that it knew for its predecessor. change: PreviousTerm is 0, unknown, then. measured: on the code before, TestPreviousTermIsUnknownAfterDeletedRecords: "term before: got 1, want 0, unknown". It passes now.

--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -86,6 +86,9 @@
 		return false, false
 	}
 	e.wonTerm, e.previousTerm = c.term, e.leader.Term
+	if e.recordsMissed {
+		e.previousTerm = 0
+	}
 	e.nextOffset, e.released, e.recordsMissed, e.renewalSeenAt = c.at+1, false, false, c.sent
 	e.leader, e.leaderLed = Leader{Name: e.Name, Address: e.Address, Term: c.term}, true
 	e.leaseEnd = c.sent.Add(leaseDuration)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -100,7 +100,7 @@
 	leaderLed         bool              // leader has certainly led its term: a record other than its claim was read, or this process led
 	recordsMissed     bool              // there may have been a later leader: records were deleted, and none was read since
 	wonTerm           Term              // highest term won by this process
-	previousTerm      Term              // term of the leader before wonTerm; 0 if there was none
+	previousTerm      Term              // term of the leader before wonTerm; 0 if there was none or it is unknown
 	pendingClaim      Term              // term of a claim that has no reply and was not given up; 0 if there is none
 	pendingClaimUntil bootclock.Instant // the pending claim's term is not renounced before this time
 	renouncedTerm     Term              // highest term that this process has renounced and therefore never leads
@@ -124,7 +124,7 @@
 }
 
 // PreviousTerm returns the term of the leader before this process last became leader. It is
-// 0 if there was none.
+// 0 if there was none or it is unknown.
 func (e *Elector) PreviousTerm() Term {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -318,3 +318,22 @@
 	b.wantNoTerm(t, 1700*time.Millisecond, "the lease of term 2 is valid")
 	b.wantTerm(t, quick)
 }
+
+// A leader trusts what its predecessor has recorded. The last leader that it knows is not
+// its predecessor if records were deleted before it read them.
+func TestPreviousTermIsUnknownAfterDeletedRecords(t *testing.T) {
+	log := metastore.NewLog()
+	putRecord(log, "c", 1, false)
+	store := &heldStore{}
+	b := start(t, log, "b", func(e *leadership.Elector) { store.Store, e.Store = e.Store, store })
+	time.Sleep(100 * time.Millisecond)
+	store.hold(true)
+	time.Sleep(800 * time.Millisecond) // a long poll that was in progress has ended
+	putRecord(log, "a", 2, false)
+	log.DeleteHistory()
+	store.hold(false)
+	b.wantTerm(t, 4*time.Second)
+	if got := b.PreviousTerm(); got != 0 {
+		t.Errorf("term before: got %d, want 0, unknown", got)
+	}
+}
