End the lease for good when a later term is known

cause: ObserveTerm set the end of the lease to 0, but the renewal or the promises that were in flight set it again: a leader that had heard of a later term led on. change: a later term renounces all earlier ones; a lease is extended in one place, which ends the leadership if its term is renounced. Such a term is not released in the store either. measured: on the code before, TestLeaseEndsForGoodWithLaterTerm, both cases: "leads term 1 after it has heard of a later one".

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -164,12 +164,13 @@
 	return false
 }
 
-// ObserveTerm ends this process's lease if another process has seen a later term.
+// ObserveTerm ends this process's lease for good if another process has seen a later term.
 func (e *Elector) ObserveTerm(term Term) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if term > e.leader.Term {
 		e.leaseEnd = 0
+		e.renouncedTerm = max(e.renouncedTerm, term-1)
 	}
 }
 
--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -319,6 +319,80 @@
 	b.wantTerm(t, quick)
 }
 
+// A leader that has heard of a later term must not extend its lease any more, neither by
+// promises nor by a renewal that was in flight.
+func TestLeaseEndsForGoodWithLaterTerm(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		storeAnswers  bool
+		givesPromises bool
+	}{
+		{"renewal in flight", true, false},
+		{"promises", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			store := &observingStore{answers: test.storeAnswers}
+			a := start(t, metastore.NewLog(), "a", func(e *leadership.Elector) {
+				store.Store, store.elector = e.Store, e
+				e.Store = store
+				e.RequestPromises = func(context.Context, leadership.Term) (bootclock.Instant, bool) {
+					return bootclock.Now().Add(leadership.PromiseDuration), test.givesPromises
+				}
+			})
+			term := a.wantTerm(t, 3*time.Second)
+			store.setObserve()
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if store.hasObserved() && a.Leads(term) {
+					t.Fatalf("leads term %d after it has heard of a later one", term)
+				}
+			}
+			if !store.hasObserved() {
+				t.Fatal("no renewal was sent")
+			}
+		})
+	}
+}
+
+// observingStore tells the elector of a later term during a renewal.
+type observingStore struct {
+	durable.Store
+	elector  *leadership.Elector
+	answers  bool // the store still answers the renewal and those after it
+	mu       sync.Mutex
+	observe  bool
+	observed bool
+}
+
+func (s *observingStore) setObserve() {
+	s.mu.Lock()
+	s.observe = true
+	s.mu.Unlock()
+}
+
+func (s *observingStore) hasObserved() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.observed
+}
+
+func (s *observingStore) Append(ctx context.Context, in durable.AppendRequest) (units.Offset, error) {
+	s.mu.Lock()
+	observe := s.observe
+	s.mu.Unlock()
+	if !observe {
+		return s.Store.Append(ctx, in)
+	}
+	s.elector.ObserveTerm(1000)
+	s.mu.Lock()
+	s.observed = true
+	s.mu.Unlock()
+	if !s.answers {
+		return 0, fault.New("append", durable.Unknown, "no reply")
+	}
+	return s.Store.Append(ctx, in)
+}
+
 // A leader trusts what its predecessor has recorded. The last leader that it knows is not
 // its predecessor if records were deleted before it read them.
 func TestPreviousTermIsUnknownAfterDeletedRecords(t *testing.T) {
--- a/internal/leadership/renewal.go
+++ b/internal/leadership/renewal.go
@@ -62,9 +62,9 @@
 	switch {
 	case err == nil:
 		e.mu.Lock()
-		e.nextOffset, e.leaseEnd, e.storeAnsweredAt = at+1, sent.Add(leaseDuration), bootclock.Now()
+		e.nextOffset, e.storeAnsweredAt = at+1, bootclock.Now()
 		e.mu.Unlock()
-		return renewed
+		return e.extendLease(term, sent.Add(leaseDuration), renewed)
 	case ctx.Err() != nil:
 		return lost
 	case fault.Is(err, durable.Conflict):
@@ -73,16 +73,25 @@
 	klog.InfoS("leadership is not renewed", "term", term, "err", err)
 	if e.RequestPromises != nil {
 		if until, ok := e.RequestPromises(ctx, term); ok {
-			e.mu.Lock()
-			if e.leader.Term == term {
-				e.leaseEnd = max(e.leaseEnd, until)
-			}
-			e.mu.Unlock()
+			return e.extendLease(term, until, unanswered)
 		}
 	}
 	return unanswered
 }
 
+// extendLease extends the lease and returns the given result, or lost if this process has
+// renounced the term.
+func (e *Elector) extendLease(term Term, until bootclock.Instant, result renewalResult) renewalResult {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if term <= e.renouncedTerm {
+		klog.InfoS("leadership is given up: there is a later term, or another process may lead", "term", term, "renouncedTerm", e.renouncedTerm)
+		return lost
+	}
+	e.leaseEnd = max(e.leaseEnd, until)
+	return result
+}
+
 // readBack is called if a renewal conflicts with another record: an earlier renewal whose
 // reply was lost, or the claim of another leader. It determines whether this process
 // still leads.
@@ -110,7 +119,7 @@
 	e.mu.Lock()
 	e.leaseEnd = 0
 	at := e.nextOffset
-	current := e.leader.Term == term && !e.recordsMissed
+	current := e.leader.Term == term && !e.recordsMissed && term > e.renouncedTerm
 	e.renewalSeenAt = bootclock.Now()
 	e.mu.Unlock()
 	if !current {
