Count no promise of a restarted process once the lease has ended

cause: a leader without the store whose lease had ended led again by promises, also of a process that had restarted and read nothing. If its earlier incarnation had led a later term, its next one may claim at once (the last record shows that the term was led), beside the leader that relies on the promise. By reading; it needs two restarts of a process around the end of a lease. change: such a promise extends a valid lease, but does not begin one anew. So a leader that has lost the store and its lease leads on only if the other processes have run all the time. measured: on the code before, TestEndedLeaseIsNotRenewedByPromiseOfRestartedProcess/ended_lease,_restarted_process: "promises count: got true, want false". It passes now (5 of 5 with -race).

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -85,7 +85,8 @@
 	// OnChange is called when the leader changes.
 	OnChange func(Leader)
 	// RequestPromises requests promises from all other entry processes. It returns the
-	// time until which none of them claims, and false if not all have promised.
+	// time until which none of them claims, and false if not all have promised. Once the
+	// lease has ended, the promise of a process that knows no term does not count.
 	RequestPromises func(ctx context.Context, term Term) (bootclock.Instant, bool)
 
 	// LeaderExited queries the leader's machine and reports whether the leader's process
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -370,7 +370,9 @@
 
 // requestPromises requests a promise from every other entry process not to claim
 // the leadership. It returns the time at which the promises expire, and false
-// unless every process promised.
+// unless every process promised. If the lease has ended, the promise of a process that
+// has read no record since its start does not count: an earlier incarnation of it may
+// have led a later term.
 func (e *Entry) requestPromises(ctx context.Context, term leadership.Term) (bootclock.Instant, bool) {
 	e.mu.Lock()
 	addresses := make([]string, 0, len(e.peers))
@@ -406,5 +408,8 @@
 		e.elector.ObserveTerm(leadership.Term(reply.GetTerm()))
 		return fault.New("support", link.Rejected, "%s: store reachable %t, term %d", address, reply.GetStoreReachable(), reply.GetTerm())
 	}
+	if reply.GetTerm() == 0 && !e.elector.Leads(term) {
+		return fault.New("support", link.Rejected, "%s: promised, but has read no record since its start, and the lease has ended", address)
+	}
 	return nil
 }
--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/durable"
 	"wasabihill.example/wasabihill/internal/leadership"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/operations"
 	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
 )
 
 // An entry process whose readiness address is taken must not keep the client address:
@@ -80,3 +82,72 @@
 		t.Errorf("session to the previous leader: open after %v, want it closed", 2*sessionShutdownTimeout)
 	}
 }
+
+// claimStore is a store in which the first claim of the leadership succeeds at once.
+type claimStore struct{ durable.Store }
+
+func (claimStore) Range(context.Context, durable.Topic) (first, end units.Offset, err error) {
+	return 0, 0, nil
+}
+
+func (claimStore) Append(context.Context, durable.AppendRequest) (units.Offset, error) { return 0, nil }
+
+// servePromises starts a process that promises everything and knows the given term, and
+// returns its address.
+func servePromises(t *testing.T, knownTerm uint64) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathSupport, link.Handle(func(context.Context, *wire.SupportRequest) (*wire.SupportReply, error) {
+		return &wire.SupportReply{Promised: true, Term: knownTerm}, nil
+	}))
+	listener := &link.Listener{Address: "127.0.0.1:0", Handler: mux}
+	address, err := listener.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	runUntilCleanup(t, func(ctx context.Context) error { return runListener(ctx, listener) })
+	return address.String()
+}
+
+// runUntilCleanup runs fn in the background until the test ends.
+func runUntilCleanup(t *testing.T, fn func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- fn(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// A leader whose lease has ended must not lead again by the promise of a process that has
+// restarted and read nothing: its earlier incarnation may have led a later term, and its
+// next one would claim at once.
+func TestEndedLeaseIsNotRenewedByPromiseOfRestartedProcess(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		leads     bool
+		knownTerm uint64
+		want      bool
+	}{
+		{"valid lease, restarted process", true, 0, true},
+		{"ended lease, restarted process", false, 0, false},
+		{"ended lease, process that knows the term", false, 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := &Entry{Settings: &Settings{Name: "e"}, peers: map[string]string{"p": servePromises(t, test.knownTerm)}}
+			leads := make(chan struct{}, 1)
+			e.elector = &leadership.Elector{Store: claimStore{}, Name: "e", FirstStart: true, RunLeader: func(ctx context.Context, _ leadership.Term) {
+				leads <- struct{}{}
+				<-ctx.Done()
+			}}
+			if test.leads {
+				runUntilCleanup(t, e.elector.Run)
+				<-leads
+			}
+			if _, got := e.requestPromises(context.Background(), 1); got != test.want {
+				t.Errorf("promises count: got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
