Keep a promise longer than its leader relies on it

cause: the leader relies on a promise for 2 s from its request, the process that promised kept it for 2 s from the receipt. Only the delay of the network made up for clocks that drift; leases from the store allow for 200 ms. change: one allowance for drift, for leases, promises and restarts. Claims after a promise come up to 200 ms later. measured: on the code before, TestPromiseOutlastsLeaseDespiteClockDrift: "b leads term 1 after 2.003562188s, want it to wait for 2.08s". It passes now.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -33,19 +33,22 @@
 	renewInterval = 500 * time.Millisecond
 	// leaseDuration is the duration of the lease that a renewal gives.
 	leaseDuration = 1700 * time.Millisecond
+	// maxClockDrift is the largest drift of two machines' clocks during a lease or a promise.
+	maxClockDrift = 200 * time.Millisecond
 	// claimTimeout is the time without a renewal after which a follower claims the
-	// leadership. It exceeds leaseDuration by the possible clock drift in that time.
-	claimTimeout = 1900 * time.Millisecond
+	// leadership.
+	claimTimeout = leaseDuration + maxClockDrift
 	// pendingClaimTimeout is how long this process does not renounce the term of a claim
 	// without a reply. Other processes read the claim a few milliseconds before or
 	// after the reply. If there is none for this long, it is probably lost, and
 	// another process should lead.
 	pendingClaimTimeout = 250 * time.Millisecond
-	// PromiseDuration is how long a promise not to claim is valid.
+	// PromiseDuration is how long a leader may rely on a promise not to claim, counted from
+	// its request. The process that has promised keeps it for maxClockDrift longer.
 	PromiseDuration = 2 * time.Second
 	// restartDelay prevents a restarted process from claiming while a promise of an
 	// earlier incarnation may be valid.
-	restartDelay = PromiseDuration + 200*time.Millisecond
+	restartDelay = PromiseDuration + maxClockDrift
 	// renewTimeout leaves time to request promises before the lease ends.
 	renewTimeout = 500 * time.Millisecond
 	// disconnectedPollTimeout limits a long poll while there is no session with the
--- a/internal/leadership/promise.go
+++ b/internal/leadership/promise.go
@@ -23,7 +23,7 @@
 	if !now.Before(e.promisedUntil) {
 		klog.InfoS("promised not to claim the leadership", "term", term, "pendingClaim", e.pendingClaim)
 	}
-	e.promisedUntil = max(e.promisedUntil, now.Add(PromiseDuration))
+	e.promisedUntil = max(e.promisedUntil, now.Add(PromiseDuration+maxClockDrift))
 	e.pendingClaim = 0
 	return true, false, e.leader.Term
 }
--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -229,6 +229,19 @@
 	b.wantTerm(t, quick)
 }
 
+// The asker counts a promise from its request, on its own clock. With a faster clock than
+// the asker's, the process that promised could claim before the asker's lease has ended.
+func TestPromiseOutlastsLeaseDespiteClockDrift(t *testing.T) {
+	const fastest = leadership.PromiseDuration * 105 / 100
+	b := start(t, metastore.NewLog(), "b", func(e *leadership.Elector) {
+		if promised, _, _ := e.Promise(1); !promised {
+			t.Error("before Run: got no promise, want one")
+		}
+	})
+	b.wantNoTerm(t, fastest-20*time.Millisecond, "its clock may be 5% faster than the asker's")
+	b.wantTerm(t, quick)
+}
+
 // A restarted process does not know what its earlier incarnation has promised. The claim
 // of a process that has ended does not prove that no other leader relies on a promise:
 // it may have been executed late and never been led. A renewal or a release does.
