--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -33,19 +33,22 @@
 	renewInterval = 500 * time.Millisecond
 	// leaseDuration is the duration of the lease that a renewal gives.
 	leaseDuration = 1700 * time.Millisecond
+	// maxClockDrift is the largest drift of two machines' clocks during a lease or a promise.
+	maxClockDrift = 200 * time.Millisecond
 	// claimTimeout is the time without a renewal after which a follower claims the
-	// leadership. It exceeds leaseDuration by the possible clock drift in that time.
-	claimTimeout = 1900 * time.Millisecond
+	// leadership.
+	claimTimeout = leaseDuration + maxClockDrift
 	// pendingClaimTimeout is how long this process does not renounce the term of a claim
 	// without a reply. Other processes read the claim a few milliseconds before or
 	// after the reply. If there is none for this long, it is probably lost, and
 	// another process should lead.
 	pendingClaimTimeout = 250 * time.Millisecond
-	// PromiseDuration is how long a promise not to claim is valid.
+	// PromiseDuration is how long a leader may rely on a promise not to claim, counted from
+	// its request. The process that has promised keeps it for maxClockDrift longer.
 	PromiseDuration = 2 * time.Second
-	// restartDelay prevents a restarted process from claiming while a promise of its
-	// previous incarnation may be valid.
-	restartDelay = PromiseDuration + 200*time.Millisecond
+	// restartDelay prevents a restarted process from claiming while a promise of an
+	// earlier incarnation may be valid.
+	restartDelay = PromiseDuration + maxClockDrift
 	// renewTimeout leaves time to request promises before the lease ends.
 	renewTimeout = 500 * time.Millisecond
 	// disconnectedPollTimeout limits a long poll while there is no session with the
@@ -85,7 +88,8 @@
 	// OnChange is called when the leader changes.
 	OnChange func(Leader)
 	// RequestPromises requests promises from all other entry processes. It returns the
-	// time until which none of them claims, and false if not all have promised.
+	// time until which none of them claims, and false if not all have promised. Once the
+	// lease has ended, the promise of a process that knows no term does not count.
 	RequestPromises func(ctx context.Context, term Term) (bootclock.Instant, bool)
 
 	// LeaderExited queries the leader's machine and reports whether the leader's process
@@ -97,13 +101,16 @@
 
 	mu                sync.Mutex
 	leader            Leader
+	leaderLed         bool              // leader has certainly led its term: a record other than its claim was read, or this process led
+	recordsMissed     bool              // there may have been a later leader: records were deleted, and none was read since
 	wonTerm           Term              // highest term won by this process
-	previousTerm      Term              // term of the leader before wonTerm; 0 if there was none
-	pendingClaim      Term              // term of a claim without a reply; 0 if there is none
+	previousTerm      Term              // term of the leader before wonTerm; 0 if there was none or it is unknown
+	pendingClaim      Term              // term of a claim that has no reply and was not given up; 0 if there is none
 	pendingClaimUntil bootclock.Instant // the pending claim's term is not renounced before this time
 	renouncedTerm     Term              // highest term that this process has renounced and therefore never leads
 	leaseEnd          bootclock.Instant // end of this process's lease as leader
-	promisedUntil     bootclock.Instant // this process does not claim before this time
+	promisedUntil     bootclock.Instant // this process has promised not to claim before this time
+	restartedUntil    bootclock.Instant // an earlier incarnation may have promised not to claim before this time
 	storeAnsweredAt   bootclock.Instant // time of the store's last reply
 	renewalSeenAt     bootclock.Instant // when a renewal was last seen or has to be assumed; 0 if never
 	nextOffset        units.Offset      // where the next read begins; a claim or renewal requires that the topic ends there
@@ -121,7 +128,7 @@
 }
 
 // PreviousTerm returns the term of the leader before this process last became leader. It is
-// 0 if there was none.
+// 0 if there was none or it is unknown.
 func (e *Elector) PreviousTerm() Term {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -147,21 +154,6 @@
 	return e.storeAnsweredAt != 0 && now.Sub(e.storeAnsweredAt) < reachableTimeout
 }
 
-// Promise handles a leader's request for a promise not to claim for PromiseDuration. It
-// gives none if the store is reachable for this process, which can then become leader, or
-// if it has seen a later term. It also returns the highest term that it has seen.
-func (e *Elector) Promise(term Term) (promised, reachable bool, highest Term) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := bootclock.Now()
-	reachable = e.storeReachable(now)
-	if reachable || e.leader.Term > term {
-		return false, reachable, e.leader.Term
-	}
-	e.promisedUntil = max(e.promisedUntil, now.Add(PromiseDuration))
-	return true, false, e.leader.Term
-}
-
 // ConfirmOrRenounce reports whether this process leads the term or is about to. If it
 // reports false, this process never leads the term, so the caller may claim the
 // leadership at once. Other processes can read a claim before this process receives the
@@ -176,12 +168,13 @@
 	return false
 }
 
-// ObserveTerm ends this process's lease if another process has seen a later term.
+// ObserveTerm ends this process's lease for good if another process has seen a later term.
 func (e *Elector) ObserveTerm(term Term) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if term > e.leader.Term {
 		e.leaseEnd = 0
+		e.renouncedTerm = max(e.renouncedTerm, term-1)
 	}
 }
 
@@ -204,12 +197,11 @@
 // Run follows the leader and claims the leadership if it is not renewed. When ctx ends,
 // it releases the leadership if this process has it.
 func (e *Elector) Run(ctx context.Context) error {
-	e.mu.Lock()
-	e.promisedUntil = bootclock.Now()
 	if !e.FirstStart {
-		e.promisedUntil = e.promisedUntil.Add(restartDelay)
+		e.mu.Lock()
+		e.restartedUntil = bootclock.Now().Add(restartDelay)
+		e.mu.Unlock()
 	}
-	e.mu.Unlock()
 	for ctx.Err() == nil {
 		if err := e.seekLastRecord(ctx); err == nil {
 			break
@@ -226,7 +218,8 @@
 	return nil
 }
 
-// seekLastRecord sets the read position to the last record of the topic.
+// seekLastRecord sets the read position to the last record of the topic. The leader is not
+// known until it is read.
 func (e *Elector) seekLastRecord(ctx context.Context) error {
 	first, end, err := e.Store.Range(ctx, Topic)
 	if err != nil {
@@ -241,6 +234,7 @@
 		e.nextOffset = end - 1 // read the newest record
 	}
 	e.released = end == 0
+	e.recordsMissed = true
 	return nil
 }
 
@@ -290,21 +284,19 @@
 
 func (e *Elector) connected() bool { return e.Connected == nil || e.Connected() }
 
-// leaderExited reports whether the last leader's process has certainly ended: it was an
-// earlier incarnation of this process, or its machine runs another process.
+// leaderExited reports whether no promise prevents a claim and the last leader's process
+// has certainly ended: it was an earlier incarnation of this process, or its machine runs
+// another process.
 func (e *Elector) leaderExited(ctx context.Context) bool {
-	leader := e.Leader()
-	if leader.Term == 0 || e.connected() {
+	leader, ok := e.leaderToCheck()
+	if !ok || e.connected() {
 		return false
 	}
-	if leader.Name == e.Name {
-		klog.InfoS("leadership is vacant: the leader was an earlier incarnation of this process", "term", leader.Term)
-		return true
-	}
-	if e.LeaderExited == nil || !e.LeaderExited(ctx, leader) {
+	if leader.Name != e.Name && (e.LeaderExited == nil || !e.LeaderExited(ctx, leader)) {
 		return false
 	}
-	klog.InfoS("leadership is vacant: the leader's process has ended", "leader", leader.Name, "term", leader.Term)
+	klog.InfoS("leadership is vacant: the leader's process has ended", "leader", leader.Name, "term", leader.Term, "earlierIncarnation", leader.Name == e.Name)
+	e.forgetEarlierPromises()
 	return true
 }
 
@@ -313,11 +305,7 @@
 func (e *Elector) mayClaim() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := bootclock.Now()
-	if now.Before(e.promisedUntil) {
-		return false
-	}
-	return e.released || now.Sub(e.renewalSeenAt) > claimTimeout
+	return e.promiseLeft() <= 0 && (e.released || bootclock.Now().Sub(e.renewalSeenAt) > claimTimeout)
 }
 
 // read reads and applies the records since the last read. It returns errRecordsDeleted if
@@ -341,8 +329,8 @@
 	e.storeAnsweredAt = bootclock.Now()
 	e.nextOffset = batch.Next
 	e.mu.Unlock()
-	for _, r := range batch.Records {
-		e.apply(r.Value)
+	for i, r := range batch.Records {
+		e.apply(from+units.Offset(i), r.Value)
 	}
 	return nil
 }
@@ -350,18 +338,26 @@
 // errRecordsDeleted is returned if records were deleted before this process read them.
 var errRecordsDeleted = fault.New("read", durable.Expired, "records were deleted before they were read")
 
-// apply updates the leader and the time of the last renewal from a record.
-func (e *Elector) apply(value []byte) {
+// apply updates the leader and the time of the last renewal from the record at an offset.
+// Only the leader with the highest term can release the leadership.
+func (e *Elector) apply(at units.Offset, value []byte) {
 	record := &wire.LeadershipRecord{}
 	if err := proto.Unmarshal(value, record); err != nil {
 		klog.ErrorS(err, "malformed leadership record is ignored")
 		return
 	}
+	term := Term(record.GetTerm())
 	e.mu.Lock()
-	e.renewalSeenAt, e.released, e.eligibleSince = bootclock.Now(), record.GetReleased(), 0
-	changed := Term(record.GetTerm()) > e.leader.Term
+	e.renewalSeenAt, e.eligibleSince = bootclock.Now(), 0
+	e.released = record.GetReleased() && term >= e.leader.Term
+	changed := term > e.leader.Term
 	if changed {
-		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: Term(record.GetTerm())}
+		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: term}
+		e.leaderLed = false
+	}
+	if term == e.leader.Term {
+		e.recordsMissed = false
+		e.leaderLed = e.leaderLed || term != claimedTerm(at)
 	}
 	leader := e.leader
 	e.mu.Unlock()
@@ -370,50 +366,3 @@
 		e.OnChange(leader)
 	}
 }
-
-// claim tries to become the leader. It returns the term if it succeeds.
-func (e *Elector) claim(ctx context.Context) (Term, bool) {
-	e.mu.Lock()
-	at := e.nextOffset
-	term, sent := Term(at+1), bootclock.Now()
-	e.pendingClaim, e.pendingClaimUntil = term, sent.Add(pendingClaimTimeout)
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.pendingClaim = 0
-		e.mu.Unlock()
-	}()
-	if _, err := e.append(ctx, at, term, false); err != nil {
-		klog.InfoS("leadership claim failed", "term", term, "err", err)
-		if !fault.Is(err, durable.Conflict) {
-			pause.Jittered(ctx, retryDelay)
-		}
-		return 0, false // if the claim succeeded nevertheless, it is read back later and not renewed
-	}
-	e.mu.Lock()
-	if term <= e.renouncedTerm {
-		e.mu.Unlock()
-		return 0, false // this process has renounced the term in a reply
-	}
-	e.wonTerm, e.previousTerm = term, e.leader.Term
-	e.nextOffset, e.released, e.renewalSeenAt = at+1, false, sent
-	e.leader = Leader{Name: e.Name, Address: e.Address, Term: term}
-	e.leaseEnd = sent.Add(leaseDuration)
-	withdrawn := e.withdrawn
-	e.mu.Unlock()
-	if withdrawn {
-		klog.InfoS("leadership won while this process stops; it is released", "term", term)
-		e.resign(term)
-		return 0, false
-	}
-	klog.InfoS("leadership won", "term", term)
-	return term, true
-}
-
-func (e *Elector) append(ctx context.Context, at units.Offset, term Term, released bool) (units.Offset, error) {
-	value, err := proto.Marshal(&wire.LeadershipRecord{Name: e.Name, Address: e.Address, Term: uint64(term), Released: released})
-	if err != nil {
-		return 0, fault.Wrap("claim", durable.Invalid, err)
-	}
-	return e.Store.Append(ctx, durable.AppendRequest{Topic: Topic, ExpectedEnd: &at, Records: []durable.Record{{Value: value}}})
-}
