Test that heartbeats do not extend the lease of a silent runner

Polls without an answer extended the lease of runs that nobody sees, without end, and the agent never reported that none is left.

--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -168,6 +168,34 @@
 	}
 }
 
+// A runner whose answers are lost goes on sending heartbeats, which bring readings of its
+// clock. Guards against leases that these extend without end: the runner's lists are unknown,
+// and that holds all recovered jobs of a new leader.
+func TestSilentRunnerIsEmptyInTimeDespiteHeartbeats(t *testing.T) {
+	const longestGap = 9 * time.Second
+	c := newReadyController(&fakeAPI{})
+	begin := bootclock.Now()
+	c.runnerClock, c.clockReadAt, c.grantedUntil = 1000, begin, begin.Add(6*time.Second)
+	c.extendLease(begin)
+	c.unresponsive = true
+	for elapsed := time.Duration(0); elapsed < longestGap; elapsed += 100 * time.Millisecond {
+		at := begin.Add(elapsed)
+		if elapsed%time.Second == 0 {
+			c.HandleAnnouncement(*c.info, 1000+ClockTime(elapsed.Milliseconds()))
+			c.clockReadAt = at
+		}
+		c.grantedUntil = at.Add(6 * time.Second)
+		c.extendLease(at)
+	}
+	if !c.allLeasesExpired(begin.Add(longestGap - 500*time.Millisecond)) {
+		t.Errorf("no answer for %v: got runs that may be active, want none", longestGap-500*time.Millisecond)
+	}
+	c.mergeListing("r", Listing{Clock: 10_000}, bootclock.Now())
+	if until, ok := c.extendLease(bootclock.Now()); !ok || until <= 10_000 {
+		t.Errorf("lease once the runner answers: got %d, %t, want one after 10000", until, ok)
+	}
+}
+
 // A start call in flight may reach a runner that has restarted with the same id, and
 // the new incarnation may accept it. Guards against a report without that run before
 // the call has ended: the scheduler would consider the run lost and start the task on
