--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -27,6 +27,10 @@
 	unrecordedPollInterval = 20 * time.Millisecond
 	// retryDelay is the delay before an unanswered call is repeated.
 	retryDelay = 100 * time.Millisecond
+	// maxListAge is the age of the last listing, from its request, above which this process
+	// has not run for a while. It exceeds that of a listing while two polls follow each
+	// other, both answered at the last moment.
+	maxListAge = 2*pollWait + pollSlack
 	// maxClockDrift is the fraction by which a runner's clock may run slow.
 	maxClockDrift = 0.02
 	// maxSilence is the longest lease from the last reading of the runner's clock. A
@@ -103,6 +107,7 @@
 	incarnationSeenAt   bootclock.Instant // when the current incarnation was first seen
 	replaced            bool              // another runner has answered a poll for the current incarnation
 	listed              bool              // a listing of this incarnation has been received
+	listedAt            bootclock.Instant // when the last listing was requested
 	unresponsive        bool              // the last poll failed
 	runs                map[workflow.TaskID]*run
 	ended               []EndedRun // listed but not recorded yet, ordered by number
@@ -255,13 +260,13 @@
 }
 
 // extendLease returns the lease expiry that the grant allows, on the runner's
-// clock, or false when the grant has ended or the runner does not answer: the reading
+// clock, or false when the grant has ended or the runner is out of touch: the reading
 // may be of an incarnation that has ended, and by the clock of the next one the lease
 // could outlast the grant. The lease expires before the grant ends, because the clock
 // reading is older than the time of its receipt and because the expiry allows for a
 // slow clock. The caller holds c.mu.
 func (c *Controller) extendLease(now bootclock.Instant) (ClockTime, bool) {
-	if !now.Before(c.grantedUntil) || c.runnerClock == 0 || c.unresponsive {
+	if !now.Before(c.grantedUntil) || c.runnerClock == 0 || c.outOfTouch(now) {
 		return 0, false
 	}
 	remaining := min(c.grantedUntil.Sub(c.clockReadAt), c.MaxLease, maxSilence)
@@ -271,6 +276,16 @@
 	return c.leaseUntil, true
 }
 
+// outOfTouch reports whether the state of the runner may have changed unseen: the last poll
+// has failed, or this process has not run for a while. The caller holds c.mu.
+func (c *Controller) outOfTouch(now bootclock.Instant) bool {
+	return c.unresponsive || c.listed && now.Sub(c.listedAt) > maxListAge
+}
+
+// silent reports whether the runs of the current incarnation are not known. The caller
+// holds c.mu.
+func (c *Controller) silent(now bootclock.Instant) bool { return !c.listed || c.outOfTouch(now) }
+
 // allLeasesExpired reports whether every lease that the runner may hold has
 // certainly expired. The caller holds c.mu.
 func (c *Controller) allLeasesExpired(now bootclock.Instant) bool {
@@ -371,25 +386,25 @@
 }
 
 // nextPoll returns the next poll, and whether its reply may wait for the end of a run. It
-// must not while the last poll has failed, or no listing of the current incarnation has been
-// received. ok is false if no runner has announced itself.
+// must not while the runs are not known. ok is false if no runner has announced itself.
 func (c *Controller) nextPoll() (call PollCall, mayWait, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.info == nil {
 		return PollCall{}, false, false
 	}
+	now := bootclock.Now()
 	call = PollCall{Runner: c.info.ID, Token: c.fencingToken(), Wait: pollWait}
-	if !c.unresponsive { // the next incarnation counts its ended runs anew
+	if !c.outOfTouch(now) { // the next incarnation counts its ended runs anew
 		call.Recorded = c.recordedEnd
 	}
 	if latencyCritical, bestEffort := c.activeTasks(); len(latencyCritical) > 0 && len(bestEffort) > 0 {
 		call.Wait = protectedPollWait
 	}
-	if until, granted := c.extendLease(bootclock.Now()); granted {
+	if until, granted := c.extendLease(now); granted {
 		call.Until = until
 	}
-	return call, c.listed && !c.unresponsive, true
+	return call, !c.silent(now), true
 }
 
 // handlePollError marks the runner as unresponsive and waits before the next poll.
@@ -429,11 +444,11 @@
 		info.StartedUnixMs, info.Sequence = l.StartedUnixMs, 0
 		c.replaceIncarnation(info)
 	}
-	prompt := !c.listed || c.unresponsive
+	prompt := c.silent(bootclock.Now())
 	if c.unresponsive {
 		klog.InfoS("runner answers again", "runner", id)
 	}
-	c.listed, c.unresponsive = true, false
+	c.listed, c.listedAt, c.unresponsive = true, sent, false
 	c.setClock(l.Clock)
 	listed := make(map[workflow.TaskID]bool, len(l.Running))
 	for _, row := range l.Running {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -35,12 +35,13 @@
 // caller holds c.mu.
 func (c *Controller) runnerState() *wire.RunnerState {
 	info := c.info
-	silent := c.unresponsive || !c.listed
+	now := bootclock.Now()
+	silent := c.silent(now)
 	return &wire.RunnerState{
 		Id: info.ID, BornUnixMs: info.StartedUnixMs, Service: string(info.Service), Domain: string(info.Domain), Labels: info.Labels,
 		Millicores: int64(info.Capacity.Processors), MemoryBytes: int64(info.Capacity.Memory), Accelerators: info.Capacity.Accelerators,
 		Draining: info.Draining, RemainingMs: info.Remaining.Milliseconds(),
-		Silent: silent, Empty: silent && !c.isStarting() && c.endLeases(bootclock.Now()),
+		Silent: silent, Empty: silent && !c.isStarting() && c.endLeases(now),
 	}
 }
 
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -50,6 +50,7 @@
 // rejectionReason returns why an order is not carried out, or "" if it is. The
 // caller holds c.mu.
 func (c *Controller) rejectionReason(incarnation Incarnation, s StartOrder) Kind {
+	now := bootclock.Now()
 	switch r := c.runs[s.Task]; {
 	case c.info == nil || c.info.Incarnation != incarnation:
 		return WrongIncarnation
@@ -57,9 +58,9 @@
 		return duplicateStart
 	case r != nil || c.info.Draining || !c.listed:
 		return Unavailable
-	case c.grantedUntil != 0 && !bootclock.Now().Before(c.grantedUntil):
+	case c.grantedUntil != 0 && !now.Before(c.grantedUntil):
 		return LeaseExpired
-	case c.unresponsive:
+	case c.outOfTouch(now):
 		return LeaseExpired // none can be extended, and the scheduler may have been told that no run is left
 	}
 	return ""
--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -51,7 +51,7 @@
 // grant of one minute.
 func newReadyController(api API) *Controller {
 	c := &Controller{API: api, MaxLease: 10 * time.Second}
-	c.info, c.listed = &Info{Incarnation: Incarnation{ID: "r"}}, true
+	c.info, c.listed, c.listedAt = &Info{Incarnation: Incarnation{ID: "r"}}, true, bootclock.Now()
 	c.runs = make(map[workflow.TaskID]*run)
 	c.setClock(1000)
 	c.ExtendGrant(bootclock.Now().Add(time.Minute))
