Split the round of the stand-in's Dispatch

cause: Dispatch of internal/standin/entries had 47 lines and four jobs, and two bare durations.

change: nextLaunches, releaseSilentWorkers and availableWorkers; constants for the two durations. No change of behaviour.

measured: internal/standin/entries and internal/agent, the only package that uses it, passed with -race.

--- a/internal/standin/entries/dispatch.go
+++ b/internal/standin/entries/dispatch.go
@@ -9,50 +9,74 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
+const (
+	// dispatchInterval is the time between two rounds of Dispatch.
+	dispatchInterval = 200 * time.Millisecond
+	// maxSilence is the age of the last heartbeat from which ReleaseSilentWorkers
+	// applies.
+	maxSilence = 5 * time.Second
+)
+
 // Dispatch assigns pending tasks to random workers and launches them, until ctx
 // ends.
 func (p *Platform) Dispatch(ctx context.Context) {
 	for ctx.Err() == nil {
-		p.mu.Lock()
-		for name, at := range p.lastHeartbeat {
-			if p.ReleaseSilentWorkers && time.Since(at) > 5*time.Second {
-				p.release(name, func(units.Task, *taskState) bool { return true })
-			}
+		launches, handlers := p.nextLaunches()
+		for name, l := range launches {
+			go p.launch(ctx, name, handlers[name], l)
+		}
+		time.Sleep(dispatchInterval)
+	}
+}
+
+// nextLaunches assigns the pending tasks. It returns the launches of all tasks that are
+// assigned and not started, and the handlers of their agents, by worker.
+func (p *Platform) nextLaunches() (map[string]*wire.Launch, map[string]http.Handler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.releaseSilentWorkers()
+	names := p.availableWorkers()
+	launches, handlers := map[string]*wire.Launch{}, map[string]http.Handler{}
+	for _, name := range p.order {
+		r := p.tasks[name]
+		if r.worker == "" && !r.ended && len(names) > 0 && !p.logUnreachable {
+			r.worker = names[p.random.IntN(len(names))]
+			r.epoch, r.attempt = p.registrations[r.worker].epoch, r.attempt+1
 		}
-		var names []string
-		for _, name := range []string{"w1", "w2", "w3"} {
-			if w := p.registrations[name]; w != nil && !w.expired && (!p.ReleaseSilentWorkers || time.Since(p.lastHeartbeat[name]) < 5*time.Second) {
-				names = append(names, name)
-			}
+		if r.worker == "" || r.started || r.ended {
+			continue
 		}
-		launches := map[string]*wire.Launch{}
-		for _, name := range p.order {
-			r := p.tasks[name]
-			if r.worker == "" && !r.ended && len(names) > 0 && !p.logUnreachable {
-				r.worker = names[p.random.IntN(len(names))]
-				r.epoch, r.attempt = p.registrations[r.worker].epoch, r.attempt+1
-			}
-			if r.worker != "" && !r.started && !r.ended {
-				l := launches[r.worker]
-				if l == nil {
-					l = &wire.Launch{Worker: r.worker, Epoch: r.epoch}
-					launches[r.worker] = l
-				}
-				if l.Epoch == r.epoch {
-					l.Tasks = append(l.Tasks, &wire.LaunchTask{Task: wire.NewTaskRef(name, units.Attempt(r.attempt)), Spec: r.spec})
-				}
-			}
+		l := launches[r.worker]
+		if l == nil {
+			l = &wire.Launch{Worker: r.worker, Epoch: r.epoch}
+			launches[r.worker], handlers[r.worker] = l, p.agentHandlers[r.worker]
 		}
-		handlers := map[string]http.Handler{}
-		for name := range launches {
-			handlers[name] = p.agentHandlers[name]
+		if l.Epoch == r.epoch {
+			l.Tasks = append(l.Tasks, &wire.LaunchTask{Task: wire.NewTaskRef(name, units.Attempt(r.attempt)), Spec: r.spec})
 		}
-		p.mu.Unlock()
-		for name, l := range launches {
-			go p.launch(ctx, name, handlers[name], l)
+	}
+	return launches, handlers
+}
+
+// releaseSilentWorkers makes the tasks of silent workers pending if ReleaseSilentWorkers
+// is set. p.mu must be held.
+func (p *Platform) releaseSilentWorkers() {
+	for name, at := range p.lastHeartbeat {
+		if p.ReleaseSilentWorkers && time.Since(at) > maxSilence {
+			p.release(name, func(units.Task, *taskState) bool { return true })
+		}
+	}
+}
+
+// availableWorkers returns the workers that may get tasks. p.mu must be held.
+func (p *Platform) availableWorkers() []string {
+	var names []string
+	for _, name := range []string{"w1", "w2", "w3"} {
+		if w := p.registrations[name]; w != nil && !w.expired && (!p.ReleaseSilentWorkers || time.Since(p.lastHeartbeat[name]) < maxSilence) {
+			names = append(names, name)
 		}
-		time.Sleep(200 * time.Millisecond)
 	}
+	return names
 }
 
 // launch sends a launch to a worker and applies the results. Tasks that were
