--- a/internal/node/absence_test.go
+++ b/internal/node/absence_test.go
@@ -96,7 +96,7 @@
 	<-written
 }
 
-// Guards against recovered jobs that stand for a whole lease after each change of leader,
+// Guards against recovered jobs that are starved for a whole lease after each change of leader,
 // and for ever when leaders change faster, because an agent is gone for good.
 func TestAbsentAgentDelaysOneLeaderOnly(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -158,7 +158,7 @@
 	l.group, l.ctx = errgroup.WithContext(ctx)
 	e.Operations.SetOnChange(func(state operations.State) { l.enqueue(func() { l.scheduler.SetOperatorState(state) }) })
 	e.metrics.countTerm()
-	e.metrics.recordStanding(0)
+	e.metrics.recordStarvation(0)
 	e.setLeader(l)
 	defer e.setLeader(nil)
 	if err := l.run(); !isTermEnd(ctx, err) {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -65,7 +65,7 @@
 	readyAt       bootclock.Instant       // end of the recovery
 	submissions   map[workflow.JobID]*submission
 	cancellations []cancellation
-	stood         time.Duration // longest standing of a task in this term
+	starvation    time.Duration // longest starvation of a task in this term
 	group         *errgroup.Group
 	ctx           context.Context
 }
@@ -221,9 +221,9 @@
 	at := now()
 	l.scheduler.Tick(at, l.mayStart(at))
 	l.metrics.recordRules(bootclock.Now().Sub(at.Boot))
-	if stood := l.scheduler.LongestStanding(); stood > l.stood {
-		l.stood = stood
-		l.metrics.recordStanding(stood)
+	if starved := l.scheduler.LongestStarvation(); starved > l.starvation {
+		l.starvation = starved
+		l.metrics.recordStarvation(starved)
 	}
 	records, flush, err := l.scheduler.Flush()
 	if err != nil {
--- a/internal/node/leader_test.go
+++ b/internal/node/leader_test.go
@@ -92,7 +92,7 @@
 
 // A new leader waits until the leases that its predecessor may have granted to an absent
 // agent have expired. Counted from the end of a slow recovery instead of the beginning of
-// the term, the wait is longer, and recovered tasks stand with nothing running.
+// the term, the wait is longer, and recovered tasks are starved.
 func TestRecoveryCountsLeasesFromBeginOfTerm(t *testing.T) {
 	jobs, agents := jobAndAbsentAgent(t)
 	l := startTerm(t, &slowStore{delay: 400 * time.Millisecond, jobs: jobs, agents: agents})
@@ -114,7 +114,7 @@
 
 // An agent that moves to another address has no session until the leader has connected to
 // it again. When it still counted as attached, orders were dropped unsent, and if the new
-// address was never reached, its tasks stood for ever with nothing running.
+// address was never reached, its tasks were starved for ever.
 func TestMovedAgentIsDetachedUntilConnected(t *testing.T) {
 	l := startTerm(t, &slowStore{})
 	old := &agentConn{worker: "w", address: "127.0.0.1:1", stop: func() {}}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -54,8 +54,8 @@
 	m.scope.Histogram("rules_seconds", latencyBuckets).RecordDuration(took)
 }
 
-// recordStanding records the longest time in this term that a task has stood.
-func (m metrics) recordStanding(d time.Duration) {
+// recordStarvation records the longest time in this term that a task has been starved.
+func (m metrics) recordStarvation(d time.Duration) {
 	m.scope.Gauge("longest_standing_seconds").Update(d.Seconds())
 }
 
--- a/internal/scheduler/newsession_test.go
+++ b/internal/scheduler/newsession_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // An agent that has started anew numbers its reports from 1. A start that its predecessor had
-// acknowledged with a higher number must not wait for as many reports, or the task stands.
+// acknowledged with a higher number must not wait for as many reports, or the task starves.
 func TestFirstReportOfANewAgentProcessDecides(t *testing.T) {
 	f := newFixture(t)
 	worker, starts := f.startOneTask()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,14 +48,14 @@
 	meanJobWork        map[workflow.QueueName]float64 // core-seconds per job
 	// queueSpeed is the logarithm of the mean speed of a queue's tasks on all
 	// workers, relative to their estimates.
-	queueSpeed     map[workflow.QueueName]float64
-	nextRelocation bootclock.Instant // next search for better workers for throttled or slow tasks
-	nextStanding   bootclock.Instant // next measurement of standing tasks
-	// longestStanding is how long the task that stands longest has stood.
-	longestStanding time.Duration
-	model           interference.Model
-	history         history
-	secondRuns      int // reports of a second run since TakeSecondRuns
+	queueSpeed          map[workflow.QueueName]float64
+	nextRelocation      bootclock.Instant // next search for better workers for throttled or slow tasks
+	nextStarvationCheck bootclock.Instant // next measurement of starved tasks
+	// longestStarvation is how long the longest starved task has been starved.
+	longestStarvation time.Duration
+	model             interference.Model
+	history           history
+	secondRuns        int // reports of a second run since TakeSecondRuns
 }
 
 // New returns a scheduler without jobs and workers.
@@ -134,7 +134,7 @@
 	paceSince      bootclock.Instant // since when the started run has had this pace
 	movedFrom      *worker           // worker that the task was last moved off, or nil
 	mayReturnAt    bootclock.Instant // the task does not return to movedFrom earlier
-	standingSince  bootclock.Instant // since when the task stands; 0 while it does not
+	starvedSince   bootclock.Instant // since when the task is starved; 0 while it is not
 }
 
 // worker is a row of the worker table: an agent and its runner.
@@ -243,7 +243,7 @@
 
 // assign places the task on a worker.
 func (t *task) assign(w *worker, attempt workflow.Attempt) {
-	t.worker, t.attempt, t.standingSince = w, attempt, 0
+	t.worker, t.attempt, t.starvedSince = w, attempt, 0
 	t.highestAttempt = max(t.highestAttempt, attempt)
 	w.tasks[t.id] = t
 	w.used = w.used.Add(t.step.reservation())
--- a/internal/scheduler/standing.go
+++ b/internal/scheduler/starvation.go
@@ -8,47 +8,47 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// A task stands while its turn has come and a worker has room for it, but neither a run
-// nor a start is under way. Placement lets tasks stand on purpose, for example to avoid a
+// A task is starved while its turn has come and a worker has room for it, but neither a run
+// nor a start is under way. Placement leaves tasks starved on purpose, for example to avoid a
 // worker after failures or to keep latency-critical tasks below their targets. No
-// long-running task may stand for 3 s, and no job may have nothing else running for so
+// long-running task may be starved for 3 s, and no job may have nothing else running for so
 // long while little of its service's capacity is in use. So these times are measured, and
-// what has stood for rescueAfter is placed regardless of those purposes. Gangs and steps
-// that need advice are not measured.
+// a task that has been starved for rescueAfter is placed regardless of those purposes. Gangs
+// and steps that need advice are not measured.
 
 const (
-	// standingInterval is the interval of the measurement, which examines every worker for
+	// starvationInterval is the interval of the measurement, which examines every worker for
 	// each step that has unplaced tasks.
-	standingInterval = 250 * time.Millisecond
+	starvationInterval = 250 * time.Millisecond
 	// rescueAfter leaves time for a measurement, a start that is rejected and a report.
 	rescueAfter = 1500 * time.Millisecond
-	// standingLogged is the time after which standing tasks are logged.
-	standingLogged = time.Second
-	// maxStandingUse is the share of a service's capacity in use from which only
-	// long-running tasks count as standing.
-	maxStandingUse = 0.5
+	// starvationLogAfter is the time after which starved tasks are logged.
+	starvationLogAfter = time.Second
+	// maxUseForStarvation is the share of a service's capacity in use from which only
+	// long-running tasks count as starved.
+	maxUseForStarvation = 0.5
 )
 
-// LongestStanding returns how long the task that stands longest has stood, according to
+// LongestStarvation returns how long the longest starved task has been starved, according to
 // the last measurement.
-func (s *Scheduler) LongestStanding() time.Duration { return s.longestStanding }
+func (s *Scheduler) LongestStarvation() time.Duration { return s.longestStarvation }
 
-// standings is one measurement of the standing tasks.
-type standings struct {
+// starvation is one measurement of the starved tasks.
+type starvation struct {
 	cache   *searchCache // of its own, because placement excludes more workers
 	use     map[units.ServiceName]float64
 	longest time.Duration
-	task    *task   // that stands longest, or nil
+	task    *task   // the longest starved one, or nil
 	room    *worker // that has room for it
 }
 
-// measureStanding updates how long tasks have stood. mayStart is as for Tick.
-func (s *Scheduler) measureStanding(now Timestamp, mayStart bool) {
-	if now.Boot.Before(s.nextStanding) {
+// measureStarvation updates how long tasks have been starved. mayStart is as for Tick.
+func (s *Scheduler) measureStarvation(now Timestamp, mayStart bool) {
+	if now.Boot.Before(s.nextStarvationCheck) {
 		return
 	}
-	s.nextStanding = now.Boot.Add(standingInterval)
-	m := standings{cache: s.newSearchCache(), use: make(map[units.ServiceName]float64)}
+	s.nextStarvationCheck = now.Boot.Add(starvationInterval)
+	m := starvation{cache: s.newSearchCache(), use: make(map[units.ServiceName]float64)}
 	for _, j := range s.activeJobs {
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
@@ -58,24 +58,24 @@
 			}
 		}
 	}
-	switch before := s.longestStanding; {
-	case m.longest >= standingLogged && before < standingLogged:
-		klog.InfoS("a task stands although a worker has room", "task", m.task.id.String(), "stood", m.longest, "lasts", m.task.step.LongRunning,
+	switch before := s.longestStarvation; {
+	case m.longest >= starvationLogAfter && before < starvationLogAfter:
+		klog.InfoS("task is starved although a worker has room", "task", m.task.id.String(), "starvedFor", m.longest, "lasts", m.task.step.LongRunning,
 			"worker", m.room.id, "avoided", now.Boot.Before(m.room.retryAt), "waitsForRuns", m.task.job.recovered && s.hasUnknownRuns(), "mayStart", mayStart)
-	case m.longest < before && before >= standingLogged:
-		klog.InfoS("the task that stood longest is placed or has no room any more", "stood", before, "next", m.longest)
+	case m.longest < before && before >= starvationLogAfter:
+		klog.InfoS("longest starved task is placed or no longer has room", "starvedFor", before, "next", m.longest)
 	}
-	s.longestStanding = m.longest
+	s.longestStarvation = m.longest
 }
 
-// measureStep updates the standing of the step's tasks.
-func (s *Scheduler) measureStep(m *standings, j *job, st *step, now Timestamp) {
+// measureStep updates the starvation of the step's tasks.
+func (s *Scheduler) measureStep(m *starvation, j *job, st *step, now Timestamp) {
 	policy := s.currentPolicy(j)
 	if st.Gang || policy.Advice != nil {
 		return
 	}
 	var room *worker
-	if (st.LongRunning || j.placedTasks == 0 && s.useOf(policy.Service, m.use) < maxStandingUse) && !m.cache.hasFailure(st) {
+	if (st.LongRunning || j.placedTasks == 0 && s.useOf(policy.Service, m.use) < maxUseForStarvation) && !m.cache.hasFailure(st) {
 		if room = s.workerWithRoom(st, policy.Service, nil); room == nil {
 			m.cache.addFailure(st)
 		}
@@ -84,11 +84,11 @@
 		switch {
 		case t.done || t.worker != nil:
 		case room == nil:
-			t.standingSince = 0
-		case t.standingSince == 0:
-			t.standingSince = now.Boot
-		case now.Boot.Sub(t.standingSince) > m.longest:
-			m.longest, m.task, m.room = now.Boot.Sub(t.standingSince), t, room
+			t.starvedSince = 0
+		case t.starvedSince == 0:
+			t.starvedSince = now.Boot
+		case now.Boot.Sub(t.starvedSince) > m.longest:
+			m.longest, m.task, m.room = now.Boot.Sub(t.starvedSince), t, room
 		}
 	}
 }
@@ -110,9 +110,9 @@
 	return best
 }
 
-// rescueStanding places tasks that have stood for rescueAfter: one task of a job that has
+// rescueStarved places tasks that have been starved for rescueAfter: one task of a job that has
 // nothing running, and every long-running task.
-func (s *Scheduler) rescueStanding(unplaced []pendingStep, now Timestamp) {
+func (s *Scheduler) rescueStarved(unplaced []pendingStep, now Timestamp) {
 	for _, p := range unplaced {
 		policy := s.currentPolicy(p.job)
 		if policy.Advice != nil {
@@ -122,14 +122,14 @@
 			if !p.step.LongRunning && p.job.placedTasks > 0 {
 				break
 			}
-			if t.done || t.worker != nil || t.standingSince == 0 || now.Boot.Sub(t.standingSince) < rescueAfter {
+			if t.done || t.worker != nil || t.starvedSince == 0 || now.Boot.Sub(t.starvedSince) < rescueAfter {
 				continue
 			}
 			w := s.workerWithRoom(p.step, policy.Service, t.excludedWorker(now))
 			if w == nil {
 				break
 			}
-			klog.InfoS("standing task is placed", "task", t.id.String(), "worker", w.id, "stood", now.Boot.Sub(t.standingSince), "avoided", now.Boot.Before(w.retryAt))
+			klog.InfoS("starved task is placed", "task", t.id.String(), "worker", w.id, "starvedFor", now.Boot.Sub(t.starvedSince), "avoided", now.Boot.Before(w.retryAt))
 			s.startTask(t, w, s.nextAttempt(t), now)
 		}
 	}
--- a/internal/scheduler/standing_test.go
+++ b/internal/scheduler/starvation_test.go
@@ -8,14 +8,14 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
-// maxStanding is how long a job may have nothing running while its turn has come and
+// maxStarvation is how long a job may have nothing running while its turn has come and
 // there is room for it.
-const maxStanding = 3 * time.Second
+const maxStarvation = 3 * time.Second
 
-// firstStart runs the rules for maxStanding and returns when the first task of the job
+// firstStart runs the rules for maxStarvation and returns when the first task of the job
 // starts. Each worker reports every second.
 func (f *fixture) firstStart(id workflow.JobID) (time.Duration, bool) {
-	for elapsed := time.Duration(0); elapsed < maxStanding; elapsed += 100 * time.Millisecond {
+	for elapsed := time.Duration(0); elapsed < maxStarvation; elapsed += 100 * time.Millisecond {
 		for task := range f.tick() {
 			if parsed, err := workflow.ParseTaskID(task); err == nil && parsed.Job == id {
 				return elapsed, true
@@ -28,12 +28,12 @@
 			}
 		}
 	}
-	return maxStanding, false
+	return maxStarvation, false
 }
 
-// A job whose only suitable worker is avoided after failures must not stand until the
+// A job whose only suitable worker is avoided after failures must not starve until the
 // avoidance ends, which may take 8 s.
-func TestStandingJobStartsOnAvoidedWorker(t *testing.T) {
+func TestStarvedJobStartsOnAvoidedWorker(t *testing.T) {
 	for name, step := range map[string]workflow.Step{
 		"label":        {Count: 1, Size: cores(1), RequiredLabel: "only"},
 		"long-running": {Count: 1, Size: cores(1), RequiredLabel: "only", LongRunning: true},
@@ -47,15 +47,15 @@
 			f.report("a")
 			f.scheduler.workers["a"].avoid(f.now, maxBackoff)
 			if at, ok := f.firstStart(f.submit("quick", step)); !ok || at < rescueAfter {
-				t.Errorf("first start: got %v, started %t; want one between %v and %v", at, ok, rescueAfter, maxStanding)
+				t.Errorf("first start: got %v, started %t; want one between %v and %v", at, ok, rescueAfter, maxStarvation)
 			}
 		})
 	}
 }
 
-// A job that stands when its queue begins to need advice must wait for its ticket: a start
+// A job that is starved when its queue begins to need advice must wait for its ticket: a start
 // without one is rejected.
-func TestStandingJobWaitsForAdvice(t *testing.T) {
+func TestStarvedJobWaitsForAdvice(t *testing.T) {
 	f := newFixture(t)
 	f.addWorker("a", 8)
 	f.agents["a"].runner.Labels = []string{"only", "r1"}
@@ -76,10 +76,10 @@
 	}
 }
 
-// A best-effort job must not stand for ever because every latency-critical task is near
+// A best-effort job must not starve for ever because every latency-critical task is near
 // its target: it starts, and the agents limit its pace. While half of the capacity is in
 // use it waits, as the capacity may be short.
-func TestStandingBestEffortJobStarts(t *testing.T) {
+func TestStarvedBestEffortJobStarts(t *testing.T) {
 	for name, c := range map[string]struct {
 		watchers int
 		starts   bool
@@ -102,7 +102,7 @@
 	}
 }
 
-// A job that waits because no worker has room does not stand, and must not be started
+// A job that waits because no worker has room is not starved, and must not be started
 // beyond the capacity.
 func TestJobWithoutRoomDoesNotStand(t *testing.T) {
 	f := newFixture(t)
@@ -112,8 +112,8 @@
 	if at, ok := f.firstStart(f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})); ok {
 		t.Errorf("started after %v on a full worker, want no start", at)
 	}
-	if got := f.scheduler.LongestStanding(); got != 0 {
-		t.Errorf("longest standing: got %v, want 0", got)
+	if got := f.scheduler.LongestStarvation(); got != 0 {
+		t.Errorf("longest starvation: got %v, want 0", got)
 	}
 	a.end(anyRun(a), workflow.Done)
 	f.report("a")
@@ -122,9 +122,9 @@
 	}
 }
 
-// The longest standing must include tasks that the rules do not consider at all, as after
+// The longest starvation must include tasks that the rules do not consider at all, as after
 // a takeover, or a fault in the rules would not show in it.
-func TestStandingCountsBlockedTasks(t *testing.T) {
+func TestStarvationCountsBlockedTasks(t *testing.T) {
 	f := newFixture(t)
 	f.addWorker("a", 4)
 	f.addWorker("b", 4)
@@ -137,7 +137,7 @@
 		f.tick()
 		f.advance(100 * time.Millisecond)
 	}
-	if got, want := f.scheduler.LongestStanding(), 1700*time.Millisecond; got < want {
-		t.Errorf("longest standing 2 s after a takeover that waits for an absent agent: got %v, want at least %v", got, want)
+	if got, want := f.scheduler.LongestStarvation(), 1700*time.Millisecond; got < want {
+		t.Errorf("longest starvation 2 s after a takeover that waits for an absent agent: got %v, want at least %v", got, want)
 	}
 }
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -48,11 +48,11 @@
 	if mayStart {
 		cache := s.newSearchCache()
 		unplaced := s.placePending(now, cache)
-		s.rescueStanding(unplaced, now)
+		s.rescueStarved(unplaced, now)
 		s.preempt(unplaced, now, cache)
 		s.relocate(now, cache)
 	}
-	s.measureStanding(now, mayStart)
+	s.measureStarvation(now, mayStart)
 }
 
 // releaseExpired releases the tasks of a worker without a current list of runs once
