--- a/internal/leadership/promise_test.go
+++ b/internal/leadership/promise_test.go
@@ -109,6 +109,7 @@
 // A claim that the store executes late names its sender as the leader. The sender took
 // the leadership for vacant then, although it had promised another leader not to claim.
 func TestOwnLateClaimDoesNotBreakPromise(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	putRecord(log, "a", 1, false)
 	store := &heldStore{holdNext: true, appended: make(chan durable.AppendRequest, 1)}
@@ -129,6 +130,7 @@
 // A process that learns that the leader's process has ended may have promised another
 // leader not to claim, for example if the leader is named by a claim that was executed late.
 func TestEndOfLeaderDoesNotBreakPromise(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	putRecord(log, "c", 1, false)
 	store := &heldStore{}
@@ -149,6 +151,7 @@
 // A promise may be given between the decision to claim and the call to the store, for
 // example while the process waits for the answer of the leader's machine.
 func TestPromiseGivenAfterDecisionPreventsClaim(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	putRecord(log, "c", 1, false)
 	promised := make(chan bool, 64)
@@ -174,6 +177,7 @@
 // A promise may be given while a claim has no reply yet. If the claim's term were led,
 // two processes would lead.
 func TestPromiseHoldsAgainstClaimInFlight(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	var b *candidate
 	ready, promised := make(chan struct{}), make(chan bool, 1)
@@ -219,6 +223,7 @@
 // A process answers requests for promises before its elector runs. At the first start of
 // a deployment, Run forgot what had been promised.
 func TestPromiseBeforeRunHolds(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	b := start(t, log, "b", func(e *leadership.Elector) {
 		if promised, _, _ := e.Promise(1); !promised {
@@ -232,6 +237,7 @@
 // The asker counts a promise from its request, on its own clock. With a faster clock than
 // the asker's, the process that promised could claim before the asker's lease has ended.
 func TestPromiseOutlastsLeaseDespiteClockDrift(t *testing.T) {
+	t.Parallel()
 	const fastest = leadership.PromiseDuration * 105 / 100
 	b := start(t, metastore.NewLog(), "b", func(e *leadership.Elector) {
 		if promised, _, _ := e.Promise(1); !promised {
@@ -246,6 +252,7 @@
 // of a process that has ended does not prove that no other leader relies on a promise:
 // it may have been executed late and never been led. A renewal or a release does.
 func TestRestartedProcessWaitsUnlessLastTermWasLed(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name   string
 		leader string
@@ -280,6 +287,7 @@
 // Records may be deleted before a follower reads them. The last leader that it knows is
 // then not the last one, whose lease is valid: the end of the former proves nothing.
 func TestEndOfLeaderBeforeDeletedRecordsPermitsNoClaim(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	putRecord(log, "c", 1, false)
 	store := &heldStore{}
@@ -302,6 +310,7 @@
 // A leader whose records were deleted cannot know whether it is the last leader. It must
 // not release the leadership, or a third process would claim it from a later leader.
 func TestLeaderWithDeletedRecordsReleasesNothing(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	a := start(t, log, "a", nil)
 	term := a.wantTerm(t, 3*time.Second)
@@ -322,6 +331,7 @@
 
 // Only the last leader may release the leadership.
 func TestReleaseOfEarlierTermIsIgnored(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	putRecord(log, "c", 1, false)
 	b := start(t, log, "b", nil)
@@ -335,6 +345,7 @@
 // A leader that has heard of a later term must not extend its lease any more, neither by
 // promises nor by a renewal that was in flight.
 func TestLeaseEndsForGoodWithLaterTerm(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name          string
 		storeAnswers  bool
@@ -409,6 +420,7 @@
 // A leader trusts what its predecessor has recorded. The last leader that it knows is not
 // its predecessor if records were deleted before it read them.
 func TestPreviousTermIsUnknownAfterDeletedRecords(t *testing.T) {
+	t.Parallel()
 	log := metastore.NewLog()
 	putRecord(log, "c", 1, false)
 	store := &heldStore{}
