Split leases and listings from the controller of a runner

Moves only; the sorted lines differ in imports, package clauses and two heading comments. measured: go test ./internal/runner passes.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -27,25 +27,6 @@
 	unrecordedPollInterval = 20 * time.Millisecond
 	// retryDelay is the delay before an unanswered call is repeated.
 	retryDelay = 100 * time.Millisecond
-	// maxListAge is the age of the last listing, from its request, above which this process
-	// has not run for a while. It exceeds that of a listing while two polls follow each
-	// other, both answered at the last moment.
-	maxListAge = 2*pollWait + pollSlack
-	// maxClockDrift is the fraction by which a runner's clock may run slow.
-	maxClockDrift = 0.02
-	// maxSilence is the longest lease from the last reading of the runner's clock. A
-	// runner that falls silent for less keeps its runs. One that has ended without notice
-	// has lost its runs, and their tasks start elsewhere only after that lease: for a
-	// long-running task that must take less than 9 s, with the leader's reaction.
-	maxSilence = 7500 * time.Millisecond
-	// leaseExpiryMargin allows for the time that the runner needs to end its
-	// runs after the lease has expired.
-	leaseExpiryMargin = 200 * time.Millisecond
-	// ordinalBits is the number of low bits of a fencing token that hold the
-	// ordinal. 20 bits allow a million of them within one agent process, and the
-	// whole token still fits the integers that every JSON decoder represents
-	// exactly.
-	ordinalBits = 20
 )
 
 // run is the state of a run on the runner, or of one that is being started.
@@ -201,12 +182,6 @@
 	c.incarnationAppeared = make(chan struct{})
 }
 
-// fencingToken returns the token for calls to the current incarnation. It is
-// higher than the tokens of all earlier incarnations with the same id, so that
-// the runner rejects a delayed call that was sent to one of them, and higher
-// than the tokens of the calls that endLeases has fenced. The caller holds c.mu.
-func (c *Controller) fencingToken() FencingToken { return c.BaseToken<<ordinalBits + c.ordinal }
-
 // MarkDraining marks the runner as draining after it has deregistered.
 func (c *Controller) MarkDraining(id string) {
 	c.mu.Lock()
@@ -224,14 +199,6 @@
 	}
 }
 
-// ExtendGrant permits runs to continue until the given instant. It never shortens
-// an earlier grant.
-func (c *Controller) ExtendGrant(until bootclock.Instant) {
-	c.mu.Lock()
-	c.grantedUntil = max(c.grantedUntil, until)
-	c.mu.Unlock()
-}
-
 // MarkRecorded drops the ended runs up to number, which are durably recorded. A
 // call for another incarnation than the current one has no effect.
 func (c *Controller) MarkRecorded(startedUnixMs int64, number uint64) {
@@ -254,68 +221,6 @@
 	c.ended = unrecorded
 }
 
-// setClock stores a reading of the runner's clock. The caller holds c.mu.
-func (c *Controller) setClock(clock ClockTime) {
-	c.runnerClock, c.clockReadAt = clock, bootclock.Now()
-}
-
-// extendLease returns the lease expiry that the grant allows, on the runner's
-// clock, or false when the grant has ended or the runner is out of touch: the reading
-// may be of an incarnation that has ended, and by the clock of the next one the lease
-// could outlast the grant. The lease expires before the grant ends, because the clock
-// reading is older than the time of its receipt and because the expiry allows for a
-// slow clock. The caller holds c.mu.
-func (c *Controller) extendLease(now bootclock.Instant) (ClockTime, bool) {
-	if !now.Before(c.grantedUntil) || c.runnerClock == 0 || c.outOfTouch(now) {
-		return 0, false
-	}
-	remaining := min(c.grantedUntil.Sub(c.clockReadAt), c.MaxLease, maxSilence)
-	until := c.runnerClock + ClockTime(float64(remaining.Milliseconds())*(1-maxClockDrift))
-	c.leaseUntil = max(c.leaseUntil, until)
-	c.leaseSent = true
-	return c.leaseUntil, true
-}
-
-// outOfTouch reports whether the state of the runner may have changed unseen: the last poll
-// has failed, or this process has not run for a while. The caller holds c.mu.
-func (c *Controller) outOfTouch(now bootclock.Instant) bool {
-	return c.unresponsive || c.listed && now.Sub(c.listedAt) > maxListAge
-}
-
-// silent reports whether the runs of the current incarnation are not known. The caller
-// holds c.mu.
-func (c *Controller) silent(now bootclock.Instant) bool { return !c.listed || c.outOfTouch(now) }
-
-// allLeasesExpired reports whether every lease that the runner may hold has
-// certainly expired. The caller holds c.mu.
-func (c *Controller) allLeasesExpired(now bootclock.Instant) bool {
-	longest := c.MaxLease + c.MaxLease/10
-	if c.restartedAt != 0 && !now.After(c.restartedAt.Add(longest)) {
-		return false // a start sent to an earlier incarnation with this id may have carried a lease
-	}
-	if c.leaseUntil == 0 { // an earlier agent process may have granted a lease
-		return c.startedAt != 0 && now.After(c.startedAt.Add(longest))
-	}
-	remaining := time.Duration(c.leaseUntil-c.runnerClock) * time.Millisecond
-	end := c.clockReadAt.Add(time.Duration(float64(remaining)*(1+2*maxClockDrift)) + leaseExpiryMargin)
-	return now.After(end)
-}
-
-// endLeases reports whether every lease that the runner may hold has certainly expired. If
-// so, no run is active. A start call that is still on its way has an expired lease as well,
-// but the runner may carry it out once a later call has extended the lease. So endLeases
-// raises the fencing token before that. The caller holds c.mu.
-func (c *Controller) endLeases(now bootclock.Instant) bool {
-	if !c.allLeasesExpired(now) {
-		return false
-	}
-	if c.leaseSent {
-		c.ordinal++
-		c.leaseSent = false
-	}
-	return true
-}
-
 // Run polls the runner, which renews the lease and returns the lists, until ctx
 // is done.
 func (c *Controller) Run(ctx context.Context) error {
@@ -428,88 +333,6 @@
 	pause.For(ctx, retryDelay)
 }
 
-// mergeListing updates the table from a listing that was requested at sent, and
-// reports whether the scheduler must receive the change promptly.
-func (c *Controller) mergeListing(id string, l Listing, sent bootclock.Instant) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.info == nil || c.info.ID != id {
-		return false
-	}
-	if l.StartedUnixMs != 0 && l.StartedUnixMs != c.info.StartedUnixMs {
-		if l.StartedUnixMs < c.info.StartedUnixMs && !sent.After(c.incarnationSeenAt) {
-			return false // the reply of an incarnation that has been replaced
-		}
-		info := *c.info
-		info.StartedUnixMs, info.Sequence = l.StartedUnixMs, 0
-		c.replaceIncarnation(info)
-	}
-	prompt := c.silent(bootclock.Now())
-	if c.unresponsive {
-		klog.InfoS("runner answers again", "runner", id)
-	}
-	c.listed, c.listedAt, c.unresponsive = true, sent, false
-	c.setClock(l.Clock)
-	listed := make(map[workflow.TaskID]bool, len(l.Running))
-	for _, row := range l.Running {
-		listed[row.Task] = true
-		c.mergeStatus(row)
-	}
-	for task, r := range c.runs {
-		// The end of a run that is not listed may be among those that the listing lacks.
-		if !listed[task] && !l.Truncated && !r.starting && r.confirmedAt.Before(sent) {
-			delete(c.runs, task)
-			prompt = true
-		}
-	}
-	for _, e := range l.Ended {
-		prompt = c.mergeEndedRun(e) || prompt
-	}
-	return prompt
-}
-
-// mergeStatus updates the table from a run in a listing. The caller holds c.mu.
-func (c *Controller) mergeStatus(row RunStatus) {
-	r := c.runs[row.Task]
-	if r == nil || r.attempt < row.Attempt {
-		r = &run{attempt: row.Attempt, pace: fullPace, incomplete: true}
-		c.runs[row.Task] = r
-	}
-	if r.attempt != row.Attempt {
-		return
-	}
-	if r.starting || r.confirmedAt == 0 {
-		r.starting, r.confirmedAt = false, bootclock.Now()
-	}
-	r.undecided = false
-	r.checkpoint, r.percent, r.load = row.Checkpoint, row.Percent, row.Load
-	switch {
-	case r.latencyTarget == 0 || time.Duration(r.load)*time.Millisecond <= r.latencyTarget:
-		r.overTargetSince = 0
-	case r.overTargetSince == 0:
-		r.overTargetSince = bootclock.Now()
-	}
-}
-
-// mergeEndedRun updates the table from an ended run in a listing, and reports
-// whether the end is new. The caller holds c.mu.
-func (c *Controller) mergeEndedRun(e EndedRun) bool {
-	if e.Number <= c.recordedEnd {
-		return false
-	}
-	if r := c.runs[e.Task]; r != nil && r.attempt <= e.Attempt {
-		if r.bestEffort {
-			c.endedReadings = append(c.endedReadings, interference.UsageReading{Image: r.image, Cores: float64(r.load) / 1000, Ended: true})
-		}
-		delete(c.runs, e.Task)
-	}
-	if n := len(c.ended); n > 0 && c.ended[n-1].Number >= e.Number {
-		return false
-	}
-	c.ended = append(c.ended, e)
-	return true
-}
-
 // stopExpired stops runs that continue after the grant has ended. The runner
 // normally ends them itself, but its clock does not advance while the machine is
 // suspended.
--- /dev/null
+++ b/internal/runner/listing.go
@@ -0,0 +1,95 @@
+package runner
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/internal/interference"
+	"wasabihill.example/wasabihill/internal/workflow"
+)
+
+// The update of the table of runs from the runner's listings.
+
+// mergeListing updates the table from a listing that was requested at sent, and
+// reports whether the scheduler must receive the change promptly.
+func (c *Controller) mergeListing(id string, l Listing, sent bootclock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.info == nil || c.info.ID != id {
+		return false
+	}
+	if l.StartedUnixMs != 0 && l.StartedUnixMs != c.info.StartedUnixMs {
+		if l.StartedUnixMs < c.info.StartedUnixMs && !sent.After(c.incarnationSeenAt) {
+			return false // the reply of an incarnation that has been replaced
+		}
+		info := *c.info
+		info.StartedUnixMs, info.Sequence = l.StartedUnixMs, 0
+		c.replaceIncarnation(info)
+	}
+	prompt := c.silent(bootclock.Now())
+	if c.unresponsive {
+		klog.InfoS("runner answers again", "runner", id)
+	}
+	c.listed, c.listedAt, c.unresponsive = true, sent, false
+	c.setClock(l.Clock)
+	listed := make(map[workflow.TaskID]bool, len(l.Running))
+	for _, row := range l.Running {
+		listed[row.Task] = true
+		c.mergeStatus(row)
+	}
+	for task, r := range c.runs {
+		// The end of a run that is not listed may be among those that the listing lacks.
+		if !listed[task] && !l.Truncated && !r.starting && r.confirmedAt.Before(sent) {
+			delete(c.runs, task)
+			prompt = true
+		}
+	}
+	for _, e := range l.Ended {
+		prompt = c.mergeEndedRun(e) || prompt
+	}
+	return prompt
+}
+
+// mergeStatus updates the table from a run in a listing. The caller holds c.mu.
+func (c *Controller) mergeStatus(row RunStatus) {
+	r := c.runs[row.Task]
+	if r == nil || r.attempt < row.Attempt {
+		r = &run{attempt: row.Attempt, pace: fullPace, incomplete: true}
+		c.runs[row.Task] = r
+	}
+	if r.attempt != row.Attempt {
+		return
+	}
+	if r.starting || r.confirmedAt == 0 {
+		r.starting, r.confirmedAt = false, bootclock.Now()
+	}
+	r.undecided = false
+	r.checkpoint, r.percent, r.load = row.Checkpoint, row.Percent, row.Load
+	switch {
+	case r.latencyTarget == 0 || time.Duration(r.load)*time.Millisecond <= r.latencyTarget:
+		r.overTargetSince = 0
+	case r.overTargetSince == 0:
+		r.overTargetSince = bootclock.Now()
+	}
+}
+
+// mergeEndedRun updates the table from an ended run in a listing, and reports
+// whether the end is new. The caller holds c.mu.
+func (c *Controller) mergeEndedRun(e EndedRun) bool {
+	if e.Number <= c.recordedEnd {
+		return false
+	}
+	if r := c.runs[e.Task]; r != nil && r.attempt <= e.Attempt {
+		if r.bestEffort {
+			c.endedReadings = append(c.endedReadings, interference.UsageReading{Image: r.image, Cores: float64(r.load) / 1000, Ended: true})
+		}
+		delete(c.runs, e.Task)
+	}
+	if n := len(c.ended); n > 0 && c.ended[n-1].Number >= e.Number {
+		return false
+	}
+	c.ended = append(c.ended, e)
+	return true
+}
