--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -151,3 +151,22 @@
 		})
 	}
 }
+
+// A leader without the store must not lead on unless every registered process has
+// promised. One that does not answer may be cut off and have the store, so it prevents
+// promises even if its machine is gone for good.
+func TestPromisesNeedEveryRegisteredProcess(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	e := &Entry{Settings: &Settings{Name: "e"}, peers: map[string]string{"p": servePromises(t, 1)}, elector: &leadership.Elector{}}
+	if _, ok := e.requestPromises(context.Background(), 1); !ok {
+		t.Error("promises count: got false, want true, as all processes answer")
+	}
+	e.handleMember(member{role: RoleEntry, name: "gone", address: gone.Addr().String()})
+	if _, ok := e.requestPromises(context.Background(), 1); ok {
+		t.Error("promises count: got true, want false, as a registered process does not answer")
+	}
+}
