Return the error that ends an agent, and log the signal that stops a process

The agent compared the end of its group with the group's own context, so that each error was taken for a planned stop, and no line told a signal from an error. change: the error is returned and logged; the first SIGTERM or SIGINT is logged. measured: TestAgentReturnsTheErrorOfItsListener fails before (got no error) and passes now.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -48,6 +48,7 @@
 	a.changed = make(chan struct{}, 1)
 	a.metrics = newMetrics(a.Scope)
 	a.Controller.OnChange = a.notify
+	stopped := ctx
 	group, ctx := errgroup.WithContext(ctx)
 	a.ctx = ctx
 	heartbeats, err := net.Listen("tcp", a.Settings.HeartbeatAddress)
@@ -68,7 +69,7 @@
 		group.Go(func() error { return a.runReports(ctx) })
 		return a.Controller.Run(ctx)
 	})
-	return ignoreCancelled(ctx, group.Wait())
+	return ignoreCancelled(stopped, group.Wait())
 }
 
 // ignoreCancelled returns nil once ctx has ended, and err before that.
--- a/internal/node/agent_test.go
+++ b/internal/node/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -109,3 +110,19 @@
 		t.Error("term 2 attached after term 3, want a rejection")
 	}
 }
+
+// An agent that can't listen for the leader must say so. When it ended without an error, its
+// process exited as after a planned stop.
+func TestAgentReturnsTheErrorOfItsListener(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	settings := &Settings{Name: "agent", HeartbeatAddress: "127.0.0.1:0"}
+	settings.IP, settings.FirstPort = "127.0.0.1", taken.Addr().(*net.TCPAddr).Port
+	a := &Agent{Settings: settings, Store: claimStore{}, Controller: &runner.Controller{}, HeartbeatHandler: http.NotFoundHandler()}
+	if err := a.Run(t.Context()); err == nil {
+		t.Error("Run with a taken address: got no error, want one")
+	}
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"k8s.io/klog/v2"
 )
 
 // exitInterrupted is the exit code after a second SIGINT, which shells report for
@@ -37,11 +39,11 @@
 	signal.Notify(interrupts, os.Interrupt)
 	go func() {
 		select {
-		case <-terminations:
-			close(r.stop)
+		case received := <-terminations:
+			r.requestStop(received)
 			<-interrupts
-		case <-interrupts:
-			close(r.stop)
+		case received := <-interrupts:
+			r.requestStop(received)
 		}
 		<-interrupts
 		os.Exit(exitInterrupted)
@@ -49,6 +51,11 @@
 	return r
 }
 
+func (r *Receiver) requestStop(received os.Signal) {
+	klog.InfoS("stop requested", "signal", received)
+	close(r.stop)
+}
+
 // Context returns a copy of parent that is cancelled when a stop is requested. It is
 // cancelled at once if that has happened before.
 func (r *Receiver) Context(parent context.Context) (context.Context, context.CancelFunc) {
