--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -17,9 +17,10 @@
 	// maxClockDrift is the fraction by which a runner's clock may run slow.
 	maxClockDrift = 0.02
 	// maxSilence is the longest lease from the last reading of the runner's clock. A
-	// runner that falls silent for less keeps its runs. One that has ended without notice
-	// has lost its runs, and their tasks start elsewhere only after that lease: for a
-	// long-running task that must take less than 9 s, with the leader's reaction.
+	// runner that falls silent keeps its runs until its lease ends, because it gets no
+	// longer one. One that has ended without notice has lost its runs, and their tasks
+	// start elsewhere only after that lease: for a long-running task that must take less
+	// than 9 s, with the leader's reaction.
 	maxSilence = 7500 * time.Millisecond
 	// leaseExpiryMargin allows for the time that the runner needs to end its
 	// runs after the lease has expired.
