--- a/internal/workflow/codec.go
+++ b/internal/workflow/codec.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,10 +28,13 @@
 func FromWire(record *wire.JobRecord) (*Job, Policy) {
 	j := &Job{
 		ID: JobID(record.GetId()), Queue: QueueName(record.GetQueue()), Spec: record.GetSpec(),
-		Repetitions: int(record.GetRepetitions()), FirstDue: fromUnixMillis(record.GetFirstUnixMs()),
+		Repetitions: int(record.GetRepetitions()),
 		Interval: millis(record.GetIntervalMs()), Submitted: fromUnixMillis(record.GetSubmittedUnixMs()),
 		Steps: make([]Step, len(record.GetSteps())),
 	}
+	if j.Repetitions != 0 { // 0 is then the time at the beginning of 1970
+		j.FirstDue = time.UnixMilli(record.GetFirstUnixMs())
+	}
 	for i, s := range record.GetSteps() {
 		j.Steps[i] = stepFromWire(s)
 	}
@@ -40,14 +44,15 @@
 // Encode returns the encoded record of an accepted job.
 func Encode(j *Job, p Policy) ([]byte, error) { return proto.Marshal(ToWire(j, p)) }
 
-// Decode decodes a record written by Encode.
+// Decode decodes a record written by Encode. It returns an error for a job that Validate
+// rejects.
 func Decode(data []byte) (*Job, Policy, error) {
 	record := &wire.JobRecord{}
 	if err := proto.Unmarshal(data, record); err != nil {
 		return nil, Policy{}, err
 	}
 	j, p := FromWire(record)
-	return j, p, nil
+	return j, p, j.Validate()
 }
 
 func (s *Step) toWire() *wire.WorkflowStep {
@@ -107,7 +112,11 @@
 	return p
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// millis returns a duration of n milliseconds, or the longest one if n is out of range.
+func millis(n int64) time.Duration {
+	const limit = math.MaxInt64 / int64(time.Millisecond)
+	return time.Duration(min(max(n, -limit), limit)) * time.Millisecond
+}
 
 func unixMillis(t time.Time) int64 {
 	if t.IsZero() {
--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -64,6 +64,13 @@
 		"too many tasks":                {Steps: []Step{{Count: maxTasks + 1}}},
 		"long spec":                     {Spec: strings.Repeat("x", maxSpecBytes+1), Steps: []Step{{Count: 1}}},
 		"negative repetitions":          {Repetitions: -1, Steps: []Step{{Count: 1}}},
+		"counts whose sum wraps around": {Steps: []Step{{Count: 1 << 62}, {Count: 1 << 62}, {Count: 1 << 62}, {Count: 1 << 62}}},
+		"size beyond every machine":     {Steps: []Step{{Count: 1, Size: units.Resources{Memory: 1 << 62}}}},
+		"negative estimate":             {Steps: []Step{{Count: 1, Estimate: -time.Second}}},
+		"negative limit per worker":     {Steps: []Step{{Count: 1, AntiAffinity: -1}}},
+		"due times that wrap around":    {Steps: []Step{{Count: 1}}, Repetitions: 1 << 20, FirstDue: time.UnixMilli(1), Interval: maxDuration},
+		"negative interval":             {Steps: []Step{{Count: 1}}, Repetitions: 2, FirstDue: time.UnixMilli(1), Interval: -1},
+		"year 20000":                    {Steps: []Step{{Count: 1}}, Repetitions: 2, FirstDue: time.Date(20000, 1, 1, 0, 0, 0, 0, time.UTC)},
 	}
 	for name, job := range cases {
 		if err := job.Validate(); err == nil {
