Recover schedules and job records without repeating or stopping work

cause: (1) a leader's record of a schedule lists the occurrences that are open and the number below which all have ended. An occurrence that ended before an earlier one did is in neither, so the next leader opened it anew and ran it a second time. (2) one malformed job or progress record ended the recovery, and so the term, of each leader in turn: no job ran any more. Negative numbers in it panicked. Records without the new field are read as before.

--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -114,9 +114,7 @@
 	l.scheduler = scheduler.New(grantDuration+grantMargin, l.settings.FinishedJobRetention)
 	l.scheduler.Term = uint64(l.term)
 	l.scheduler.SetOperatorState(l.operations.State())
-	if err := l.scheduler.Recover(items, now()); err != nil {
-		return err
-	}
+	l.metrics.countMalformed(l.scheduler.Recover(items, now()))
 	members, err := l.loadMembers(ctx)
 	if err != nil {
 		return err
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -59,6 +59,12 @@
 	m.scope.Gauge("longest_standing_seconds").Update(d.Seconds())
 }
 
+// countMalformed counts records that were skipped because they are malformed.
+func (m metrics) countMalformed(n int) { m.scope.Counter("records_malformed").Inc(int64(n)) }
+
+// countPanic counts the terms that a panic of the scheduler has ended.
+func (m metrics) countPanic() { m.scope.Counter("panics").Inc(1) }
+
 // countTerm counts the terms that this process leads.
 func (m metrics) countTerm() { m.scope.Counter("terms").Inc(1) }
 
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -58,8 +58,8 @@
 	for key, value := range f.records {
 		items = append(items, durable.Item{Key: key, Value: value})
 	}
-	if err := f.scheduler.Recover(items, f.now); err != nil {
-		f.Fatal(err)
+	if skipped := f.scheduler.Recover(items, f.now); skipped != 0 {
+		f.Fatalf("got %d skipped records, want none", skipped)
 	}
 	for id := range f.agents {
 		f.scheduler.RecoverWorker(id, f.scheduler.MaxLeaseDuration, f.now)
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -1,9 +1,12 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"wasabihill.example/wasabihill/internal/durable"
 	"wasabihill.example/wasabihill/internal/wire"
@@ -74,6 +77,9 @@
 	for _, o := range j.occurrences {
 		record.Occurrences = append(record.Occurrences, o.progress())
 	}
+	for number := range j.endedEarly {
+		record.EndedEarly = append(record.EndedEarly, int32(number))
+	}
 	return record
 }
 
@@ -118,28 +124,40 @@
 // runs that it ordered are not recorded but appear in the agents' reports. No
 // task of a recovered job starts until every agent passed to RecoverWorker has
 // reported its runs or its lease has expired.
-func (s *Scheduler) Recover(items []durable.Item, now Timestamp) error {
+//
+// A record that is malformed, for example because another program wrote it, is skipped: as
+// an error it would end the term of each leader in turn, and no job would run. Recover
+// returns the number of records that it has skipped.
+func (s *Scheduler) Recover(items []durable.Item, now Timestamp) (skipped int) {
 	progress := make(map[string]*wire.ProgressRecord)
 	for _, item := range items {
 		if id, ok := cutPrefix(item.Key, progressPrefix); ok {
 			record := &wire.ProgressRecord{}
 			if err := proto.Unmarshal(item.Value, record); err != nil {
-				return err
+				klog.ErrorS(err, "malformed progress record is skipped; the tasks of the job may run again", "key", item.Key)
+				skipped++
+				continue
 			}
 			progress[id] = record
 		}
 	}
 	for _, item := range items {
-		if _, ok := cutPrefix(item.Key, jobPrefix); !ok {
+		id, ok := cutPrefix(item.Key, jobPrefix)
+		if !ok {
 			continue
 		}
 		j, policy, err := workflow.Decode(item.Value)
+		if err == nil && string(j.ID) != id {
+			err = fmt.Errorf("record is of job %q", j.ID)
+		}
 		if err != nil {
-			return err
+			klog.ErrorS(err, "malformed job record is skipped", "key", item.Key)
+			skipped++
+			continue
 		}
-		s.recoverJob(j, policy, progress[string(j.ID)], now)
+		s.recoverJob(j, policy, progress[id], now)
 	}
-	return nil
+	return skipped
 }
 
 func cutPrefix(s, prefix string) (string, bool) {
@@ -150,32 +168,29 @@
 }
 
 func (s *Scheduler) recoverJob(j *workflow.Job, policy workflow.Policy, p *wire.ProgressRecord, now Timestamp) {
-	s.Accept(j, policy, now)
-	row := s.jobs[j.ID]
+	row := s.addJob(j, policy, now)
 	row.recovered = true
 	if p == nil {
+		s.openDueOccurrences(row, now)
 		return
 	}
 	row.started = true
 	row.state, row.durableState = workflow.State(p.GetState()), workflow.State(p.GetState())
-	row.completed = int(p.GetCompleted())
+	row.completed = min(max(int(p.GetCompleted()), 0), j.Occurrences())
 	if row.state.Final() {
 		row.finishedAt = time.UnixMilli(p.GetEndedUnixMs())
-		row.occurrences = nil
 		delete(s.activeJobs, j.ID)
 		return
 	}
-	row.openUntil(row.completed - 1)
+	row.opened = row.completed
+	row.endedEarly = make(map[int]bool, len(p.GetEndedEarly()))
+	for _, number := range p.GetEndedEarly() {
+		row.endedEarly[int(number)] = true
+	}
 	for _, op := range p.GetOccurrences() {
 		row.openUntil(int(op.GetNumber()))
 	}
-	kept := row.occurrences[:0]
-	for _, o := range row.occurrences {
-		if o.number >= row.completed {
-			kept = append(kept, o)
-		}
-	}
-	row.occurrences = kept
+	s.openDueOccurrences(row, now)
 	for _, op := range p.GetOccurrences() {
 		for _, o := range row.occurrences {
 			if o.number == int(op.GetNumber()) {
@@ -183,18 +198,17 @@
 			}
 		}
 	}
-	kept = row.occurrences[:0]
-	for _, o := range row.occurrences {
-		if o.stepsLeft > 0 {
-			kept = append(kept, o)
+	for _, o := range slices.Clone(row.occurrences) {
+		if o.stepsLeft == 0 {
+			row.occurrences = slices.DeleteFunc(row.occurrences, func(other *occurrence) bool { return other == o })
+			s.occurrenceDone(row, o.number, now)
 		}
 	}
-	row.occurrences = kept
 }
 
 func (o *occurrence) recover(p *wire.OccurrenceProgress) {
 	for _, sp := range p.GetSteps() {
-		if int(sp.GetStep()) >= len(o.steps) {
+		if sp.GetStep() < 0 || int(sp.GetStep()) >= len(o.steps) {
 			continue
 		}
 		st := o.steps[sp.GetStep()]
@@ -207,7 +221,7 @@
 			}
 		}
 		for _, tp := range sp.GetTasks() {
-			if int(tp.GetIndex()) < len(st.tasks) {
+			if tp.GetIndex() >= 0 && int(tp.GetIndex()) < len(st.tasks) {
 				t := st.tasks[tp.GetIndex()]
 				t.checkpoint = tp.GetCheckpoint()
 				for _, attempt := range tp.GetFailedAttempts() {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -236,16 +236,22 @@
 		o.openSteps()
 		if o.stepsLeft == 0 {
 			j.occurrences = append(j.occurrences[:i], j.occurrences[i+1:]...)
-			s.occurrenceDone(j, now)
+			s.occurrenceDone(j, number, now)
 		}
 		return
 	}
 }
 
-func (s *Scheduler) occurrenceDone(j *job, now Timestamp) {
-	j.completed = j.opened
-	for _, o := range j.occurrences {
-		j.completed = min(j.completed, o.number)
+// occurrenceDone records that an occurrence is complete. Those that end before one below
+// them are recorded one by one, so that the next leader does not run them again.
+func (s *Scheduler) occurrenceDone(j *job, number int, now Timestamp) {
+	if j.endedEarly == nil {
+		j.endedEarly = make(map[int]bool)
+	}
+	j.endedEarly[number] = true
+	for j.endedEarly[j.completed] {
+		delete(j.endedEarly, j.completed)
+		j.completed++
 	}
 	if j.completed == j.Occurrences() {
 		s.finishJob(j, workflow.Completed, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -89,6 +89,7 @@
 	submittedAt     bootclock.Instant
 	occurrences     []*occurrence // due and not complete
 	completed       int           // all occurrences below this number are complete
+	endedEarly      map[int]bool  // occurrences above completed that are complete
 	opened          int           // all occurrences below this number have become due
 	started         bool          // a run of at least one task has started
 	recovered       bool          // accepted by an earlier leader
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -11,34 +11,54 @@
 
 // Accept adds a job whose record is durable. It has no effect on an existing job.
 func (s *Scheduler) Accept(j *workflow.Job, p workflow.Policy, now Timestamp) {
-	if s.jobs[j.ID] != nil {
-		return
+	if s.jobs[j.ID] == nil {
+		s.openDueOccurrences(s.addJob(j, p, now), now)
 	}
+}
+
+// addJob adds a job without occurrences.
+func (s *Scheduler) addJob(j *workflow.Job, p workflow.Policy, now Timestamp) *job {
 	age := min(max(now.Wall.Sub(j.Submitted), 0), time.Minute)
 	row := &job{Job: j, submittedPolicy: p, state: workflow.Queued, durableState: workflow.Queued, submittedAt: now.Boot.Add(-age)}
 	s.jobs[j.ID], s.activeJobs[j.ID] = row, row
 	s.updateMeanWork(row)
-	s.openDueOccurrences(row, now)
+	return row
 }
 
-// openDueOccurrences adds the occurrences of the job that have become due.
+// maxOpenTasks limits the tasks of a job's open occurrences, so that a schedule whose
+// occurrences come faster than they are done can't exhaust the leader's memory.
+const maxOpenTasks = 100_000
+
+// openDueOccurrences adds the occurrences of the job that have become due. While the open
+// ones have maxOpenTasks tasks, the others wait.
 func (s *Scheduler) openDueOccurrences(j *job, now Timestamp) {
-	for j.opened < j.Occurrences() && !now.Wall.Before(j.Due(j.opened)) {
+	for j.opened < j.Occurrences() && j.mayOpen() && !now.Wall.Before(j.Due(j.opened)) {
 		j.openNext()
 	}
 }
 
+// mayOpen reports whether another occurrence may be open besides those that are.
+func (j *job) mayOpen() bool {
+	tasks := 0
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
+	}
+	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxOpenTasks
+}
+
 // openUntil adds the occurrences up to number, which were due by the clock of an earlier
 // leader.
 func (j *job) openUntil(number int) {
-	for j.opened < j.Occurrences() && j.opened <= number {
+	for j.opened < j.Occurrences() && j.opened <= number && j.mayOpen() {
 		j.openNext()
 	}
 }
 
-// openNext adds the next occurrence.
+// openNext adds the next occurrence, unless it has ended under an earlier leader.
 func (j *job) openNext() {
-	j.occurrences = append(j.occurrences, newOccurrence(j, j.opened))
+	if !j.endedEarly[j.opened] {
+		j.occurrences = append(j.occurrences, newOccurrence(j, j.opened))
+	}
 	j.opened++
 }
 
