Check members, forwarded requests and permissions at their last moment

cause: a member record with a port out of range, of another role or name, counted as a process: each takeover waited for its runs, and no promises came together. A forwarded submission without a job panicked in the scheduler's goroutine and ended the process. A leadership record with a term that no claim can have outranked every later claim.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -347,6 +347,11 @@
 		return
 	}
 	term := Term(record.GetTerm())
+	if term == 0 || term > claimedTerm(at) {
+		// Such a term would outrank every later claim.
+		klog.ErrorS(nil, "leadership record with an impossible term is ignored", "offset", at, "term", term, "name", record.GetName())
+		return
+	}
 	e.mu.Lock()
 	e.renewalSeenAt, e.eligibleSince = bootclock.Now(), 0
 	e.released = record.GetReleased() && term >= e.leader.Term
--- a/internal/node/absence.go
+++ b/internal/node/absence.go
@@ -36,6 +36,10 @@
 	returnTime = 2 * time.Second
 )
 
+// longestLeaseMs limits what a record may say, so that a wrong one can't hold back recovered
+// tasks for longer than any lease.
+const longestLeaseMs = int64((grantDuration + grantMargin) / time.Millisecond)
+
 // absenceRecord is the stored form of an absence.
 type absenceRecord struct {
 	Term        uint64 `json:"term"`        // of the leader that has written the record
@@ -124,7 +128,7 @@
 			continue
 		}
 		if previous != 0 && leadership.Term(record.Term) == previous && record.LeaseLeftMs >= 0 {
-			left[units.WorkerID(id)] = time.Duration(record.LeaseLeftMs) * time.Millisecond
+			left[units.WorkerID(id)] = time.Duration(min(record.LeaseLeftMs, longestLeaseMs)) * time.Millisecond
 		}
 	}
 	return left
--- a/internal/node/agentconn.go
+++ b/internal/node/agentconn.go
@@ -176,6 +176,11 @@
 	session, message := a.session, ordersToWire(orders)
 	message.Term, message.Attachment = uint64(l.term), a.attachment
 	go func() {
+		if !l.maySend(orders) {
+			klog.InfoS("orders are not sent: the permission for them has ended; replacing the session", "worker", orders.Worker, "starts", len(orders.Starts))
+			session.Close()
+			return
+		}
 		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 		defer cancel()
 		reply := &wire.OrdersReply{}
@@ -193,6 +198,15 @@
 	}()
 }
 
+// maySend reports whether the orders may still be sent. This process may have been suspended
+// since the rules decided on them.
+func (l *leader) maySend(orders scheduler.Orders) bool {
+	if len(orders.Starts) > 0 {
+		return l.mayStart(now())
+	}
+	return l.isLeading()
+}
+
 func ordersToWire(o scheduler.Orders) *wire.Orders {
 	message := &wire.Orders{Runner: o.RunnerID, Recorded: o.DurableEnds, RecordedBornUnixMs: o.RunnerStartUnixMs}
 	for _, s := range o.Starts {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -309,13 +309,37 @@
 	if local == nil {
 		return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "not the leader"}.toWire(), nil
 	}
-	r := Request{Verb: Verb(in.GetVerb()), Queue: workflow.QueueName(in.GetQueue()), ID: workflow.JobID(in.GetJobId())}
-	if in.GetJob() != nil {
-		r.Job, r.Policy = workflow.FromWire(in.GetJob())
+	r, err := requestFromWire(in)
+	if err != nil {
+		return nil, err
 	}
 	return local.handleRequest(ctx, r).toWire(), nil
 }
 
+// requestFromWire decodes a forwarded request. It returns an error for one that no entry
+// process forwards, because the scheduler relies on valid jobs.
+func requestFromWire(in *wire.ClientCall) (Request, error) {
+	r := Request{Verb: Verb(in.GetVerb()), Queue: workflow.QueueName(in.GetQueue()), ID: workflow.JobID(in.GetJobId())}
+	switch r.Verb {
+	case Lookup, Cancel, Count:
+		return r, nil
+	case Submit:
+	default:
+		return r, fault.New("forward", link.Rejected, "unknown verb %q", in.GetVerb())
+	}
+	if in.GetJob() == nil {
+		return r, fault.New("forward", link.Rejected, "submission of %q has no job", r.ID)
+	}
+	r.Job, r.Policy = workflow.FromWire(in.GetJob())
+	if err := r.Job.Validate(); err != nil {
+		return r, fault.Wrap("forward", link.Rejected, err)
+	}
+	if r.Job.ID != r.ID || r.ID == "" {
+		return r, fault.New("forward", link.Rejected, "submission of %q has job %q", r.ID, r.Job.ID)
+	}
+	return r, nil
+}
+
 // handleVacancy reports whether this process leads the given term or has just
 // claimed it. Otherwise the process renounces that term.
 func (e *Entry) handleVacancy(_ context.Context, in *wire.VacancyRequest) (*wire.VacancyReply, error) {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
@@ -70,10 +72,13 @@
 	address string // empty after the member has left
 }
 
+// decodeMember returns an error for a record that names no process that can be reached. A
+// member of which that is not known would have to be waited for: the leader's recovery waits
+// for the runs of each agent, and the leader's lease by promises for each entry process.
 func decodeMember(key string, value []byte) (member, error) {
 	role, name, ok := strings.Cut(key, "/")
-	if !ok {
-		return member{}, fmt.Errorf("member %q has no role", key)
+	if !ok || Role(role) != RoleEntry && Role(role) != RoleAgent || name == "" || !utf8.ValidString(name) {
+		return member{}, fmt.Errorf("member %q has no known role or no name", key)
 	}
 	m := member{role: Role(role), name: name}
 	if value == nil {
@@ -83,6 +88,12 @@
 	if err := proto.Unmarshal(value, record); err != nil {
 		return member{}, fmt.Errorf("member %q: %w", key, err)
 	}
+	if record.GetName() != name || Role(record.GetRole()) != m.role {
+		return member{}, fmt.Errorf("member %q: record is of %s %q", key, record.GetRole(), record.GetName())
+	}
+	if address, err := netip.ParseAddrPort(record.GetAddress()); err != nil || address.Port() == 0 {
+		return member{}, fmt.Errorf("member %q: address %q is no IP address with a port", key, record.GetAddress())
+	}
 	m.address = record.GetAddress()
 	return m, nil
 }
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -54,6 +54,9 @@
 
 // mergeStatus updates the table from a run in a listing. The caller holds c.mu.
 func (c *Controller) mergeStatus(row RunStatus) {
+	if row.Attempt == 0 {
+		return
+	}
 	r := c.runs[row.Task]
 	if r == nil || r.attempt < row.Attempt {
 		r = &run{attempt: row.Attempt, pace: fullPace, incomplete: true}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -77,7 +77,7 @@
 // RunStatus describes an active run.
 type RunStatus struct {
 	Task       workflow.TaskID
-	Attempt    workflow.Attempt
+	Attempt    workflow.Attempt // 0 if the runner's list does not tell
 	Checkpoint string
 	Percent    int   // completed part of the work
 	Load       int64 // latency-critical task: tail latency in milliseconds; other tasks: processors in use, in millicores
