--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,10 @@
 GENERATED := ./internal/agent ./internal/configuration ./internal/forward ./internal/ledger \
 	./internal/roster ./internal/routing ./internal/stream ./internal/timeline ./pkg/environment
 
-.PHONY: build test lint run bench soak histories generate
+# Duration of each fuzz target of `make fuzz`.
+FUZZ_TIME ?= 3s
+
+.PHONY: build test lint run bench soak histories fuzz generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -53,5 +56,14 @@
 		$(GO) test -count=1 $(GENERATED) -rapid.seed=$$seed -rapid.checks=$(HISTORY_CHECKS) || exit 1; \
 	done
 
+# Runs each fuzz target of the decoders of outside data.
+fuzz:
+	@for package in ./platform ./internal/node ./internal/leadership ./internal/scheduler; do \
+		for target in $$($(GO) test -list '^Fuzz' $$package | grep '^Fuzz'); do \
+			echo "$$package $$target"; \
+			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) $$package || exit 1; \
+		done; \
+	done
+
 generate:
 	$(GO) generate ./...
