Renew the leadership without a hole while the store is slow

cause: a renewal that took longer than 500 ms counted as unanswered, although its answer came and the lease lasts 1,700 ms; its repetition conflicted with it and cost a read; the supporters refused, since they reach the store. So a store that answers in 0.4 to 0.6 s left the leader uncertain for most of the time. A renewal counts only if every record before it is known to be the leader's, and one that a read has shown counts from its first call. An overdue renewal is looked for by a read and by promises, while its answer may still come. The release expects the topic to end after the renewals in flight. Ways weighed: renewals fenced by the producer's epoch would need no offsets, but a claim would have to raise the epoch only if its condition holds, which the store's page does not promise. conclusion: kept.

--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -16,9 +16,10 @@
 
 // claimAttempt is a claim that is sent.
 type claimAttempt struct {
-	term Term
-	at   units.Offset // where the topic must end
-	sent bootclock.Instant
+	term     Term
+	at       units.Offset // where the topic must end
+	sent     bootclock.Instant
+	previous Term // of the last leader before; 0 if it is unknown
 }
 
 // claimedTerm returns the term of a claim at an offset. A renewal or a release is at a
@@ -31,7 +32,12 @@
 	if !ok {
 		return 0, false
 	}
-	if _, err := e.append(ctx, c.at, c.term, false); err != nil {
+	finishRead := e.readBeside(ctx, c.at)
+	callCtx, cancel := context.WithTimeout(ctx, leaseDuration)
+	_, err := e.append(callCtx, c.at, c.term, false)
+	cancel()
+	finishRead(err)
+	if err != nil {
 		e.dropClaim()
 		klog.InfoS("leadership claim failed", "term", c.term, "err", err)
 		if !fault.Is(err, durable.Conflict) {
@@ -45,13 +51,39 @@
 	}
 	if withdrawn {
 		klog.InfoS("leadership won while this process stops; it is released", "term", c.term)
-		e.resign(c.term)
+		newRenewer(e, c.term).resign()
 		return 0, false
 	}
 	klog.InfoS("leadership won", "term", c.term)
 	return c.term, true
 }
 
+// readBeside reads the records beside a claim, so that a claim that conflicts with records of
+// which this process did not know can be repeated at once, also where the store is slow. The
+// function that it returns applies them if the claim has conflicted. Until the claim is
+// answered, this process must not count its own record as the claim of a leader.
+func (e *Elector) readBeside(ctx context.Context, from units.Offset) (finish func(claimErr error)) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	var batch durable.Batch
+	var err error
+	go func() {
+		defer close(done)
+		batch, err = e.Store.Read(ctx, Topic, false, from, 0)
+	}()
+	return func(claimErr error) {
+		conflict := fault.Is(claimErr, durable.Conflict)
+		if !conflict {
+			cancel()
+		}
+		<-done
+		cancel()
+		if conflict && err == nil {
+			e.applyBatch(from, batch)
+		}
+	}
+}
+
 // beginClaim returns the claim to send, or false if this process has promised meanwhile
 // not to claim.
 func (e *Elector) beginClaim() (claimAttempt, bool) {
@@ -62,6 +94,9 @@
 		return claimAttempt{}, false
 	}
 	c := claimAttempt{term: claimedTerm(e.nextOffset), at: e.nextOffset, sent: bootclock.Now()}
+	if !e.recordsMissed {
+		c.previous = e.leader.Term
+	}
 	e.pendingClaim, e.pendingClaimUntil = c.term, c.sent.Add(pendingClaimTimeout)
 	return c, true
 }
@@ -85,10 +120,7 @@
 		klog.InfoS("leadership claim was given up before the reply", "term", c.term, "promiseLeft", e.promiseLeft(), "renouncedTerm", e.renouncedTerm)
 		return false, false
 	}
-	e.wonTerm, e.previousTerm = c.term, e.leader.Term
-	if e.recordsMissed {
-		e.previousTerm = 0
-	}
+	e.wonTerm, e.previousTerm, e.ownRecords = c.term, c.previous, nil
 	e.nextOffset, e.released, e.recordsMissed, e.renewalSeenAt = c.at+1, false, false, c.sent
 	e.leader, e.leaderLed = Leader{Name: e.Name, Address: e.Address, Term: c.term}, true
 	e.leaseEnd = c.sent.Add(leaseDuration)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -29,7 +29,7 @@
 const (
 	// Topic is the topic of the claims and renewals.
 	Topic durable.Topic = "leadership"
-	// renewInterval allows for one failed renewal within a lease.
+	// renewInterval allows for two renewals without an effect within a lease.
 	renewInterval = 500 * time.Millisecond
 	// leaseDuration is the duration of the lease that a renewal gives.
 	leaseDuration = 1700 * time.Millisecond
@@ -49,7 +49,8 @@
 	// restartDelay prevents a restarted process from claiming while a promise of an
 	// earlier incarnation may be valid.
 	restartDelay = PromiseDuration + maxClockDrift
-	// renewTimeout leaves time to request promises before the lease ends.
+	// renewTimeout is the age of a renewal without an answer at which the leader looks for
+	// another proof that it leads. It leaves time to request promises before the lease ends.
 	renewTimeout = 500 * time.Millisecond
 	// disconnectedPollTimeout limits a long poll while there is no session with the
 	// leader.
@@ -115,6 +116,7 @@
 	renewalSeenAt     bootclock.Instant // when a renewal was last seen or has to be assumed; 0 if never
 	nextOffset        units.Offset      // where the next read begins; a claim or renewal requires that the topic ends there
 	released          bool              // the last leader has released the leadership
+	ownRecords        []units.Offset    // renewals of this leader that a read has shown
 	eligibleSince     bootclock.Instant // time since which a claim is possible; 0 if it is not
 	withdrawn         bool              // this process does not become leader again
 }
@@ -325,14 +327,19 @@
 	if err != nil {
 		return err
 	}
+	e.applyBatch(from, batch)
+	return nil
+}
+
+// applyBatch applies the records that a read from the given offset has returned.
+func (e *Elector) applyBatch(from units.Offset, batch durable.Batch) {
 	e.mu.Lock()
 	e.storeAnsweredAt = bootclock.Now()
-	e.nextOffset = batch.Next
+	e.nextOffset = max(e.nextOffset, batch.Next)
 	e.mu.Unlock()
 	for i, r := range batch.Records {
 		e.apply(from+units.Offset(i), r.Value)
 	}
-	return nil
 }
 
 // errRecordsDeleted is returned if records were deleted before this process read them.
@@ -364,6 +371,9 @@
 		e.recordsMissed = false
 		e.leaderLed = e.leaderLed || term != claimedTerm(at)
 	}
+	if term == e.wonTerm && record.GetName() == e.Name && !record.GetReleased() {
+		e.ownRecords = append(e.ownRecords, at)
+	}
 	leader := e.leader
 	e.mu.Unlock()
 	if changed && e.OnChange != nil {
--- /dev/null
+++ b/internal/leadership/slowstore_test.go
@@ -0,0 +1,109 @@
+package leadership_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/internal/leadership"
+	"wasabihill.example/wasabihill/internal/standin/metastore"
+	"wasabihill.example/wasabihill/platform"
+)
+
+// slowLeader starts a process that leads in a store of its own. Other processes refuse to
+// promise, since they reach the store.
+func slowLeader(t *testing.T) (*leadership.Elector, *metastore.Server, leadership.Term) {
+	t.Helper()
+	server := metastore.NewLog().NewServer()
+	led := make(chan leadership.Term, 1)
+	e := &leadership.Elector{Store: platform.NewStoreClient(server.Address), Name: "a", Address: "10.0.0.1:80", FirstStart: true,
+		RequestPromises: func(context.Context, leadership.Term) (bootclock.Instant, bool) { return 0, false },
+		RunLeader: func(ctx context.Context, term leadership.Term) {
+			led <- term
+			<-ctx.Done()
+		}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = e.Run(ctx) // ends with ctx
+	}()
+	t.Cleanup(func() {
+		server.Set(metastore.Fault{})
+		cancel()
+		<-ended
+		server.Close()
+	})
+	select {
+	case term := <-led:
+		return e, server, term
+	case <-time.After(5 * time.Second):
+		t.Fatal("nobody leads after 5 s")
+	}
+	return nil, nil, 0
+}
+
+// Guards against a leader that is uncertain of its leadership, and places nothing, while the
+// store answers slowly but within a lease.
+func TestLeadsWithoutHoleWhileStoreIsSlow(t *testing.T) {
+	for _, delay := range []time.Duration{600 * time.Millisecond, 1100 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			e, server, term := slowLeader(t)
+			server.Set(metastore.Fault{CallDelay: delay})
+			for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				if !e.Leads(term) {
+					t.Fatalf("does not lead %v before the end of the slow time", time.Until(end).Round(time.Millisecond))
+				}
+			}
+		})
+	}
+}
+
+// Guards against followers that wait for the claim timeout after a planned stop, because the
+// release conflicts with a renewal in flight.
+func TestReleaseSucceedsWhileStoreIsSlow(t *testing.T) {
+	t.Parallel()
+	log := metastore.NewLog()
+	server := log.NewServer()
+	defer server.Close()
+	led := make(chan struct{}, 1)
+	e := &leadership.Elector{Store: platform.NewStoreClient(server.Address), Name: "a", Address: "10.0.0.1:80", FirstStart: true,
+		RunLeader: func(ctx context.Context, _ leadership.Term) {
+			led <- struct{}{}
+			<-ctx.Done()
+		}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = e.Run(ctx) // ends with ctx
+	}()
+	<-led
+	server.Set(metastore.Fault{CallDelay: 400 * time.Millisecond})
+	time.Sleep(1200 * time.Millisecond) // a renewal is in flight
+	cancel()
+	stopped := time.Now()
+	<-ended
+	if took := time.Since(stopped); took > 1300*time.Millisecond {
+		t.Errorf("the release took %v, want at most the time that a stopping process has for it", took)
+	}
+	fast := log.NewServer()
+	defer fast.Close()
+	next := make(chan struct{}, 1)
+	f := &leadership.Elector{Store: platform.NewStoreClient(fast.Address), Name: "b", Address: "10.0.0.2:80", FirstStart: true,
+		RunLeader: func(ctx context.Context, _ leadership.Term) {
+			next <- struct{}{}
+			<-ctx.Done()
+		}}
+	followCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = f.Run(followCtx) }() // ends with followCtx
+	select {
+	case <-next:
+	case <-time.After(time.Second):
+		t.Error("the next process has not claimed within 1 s, want the leadership released")
+	}
+}
--- /dev/null
+++ b/internal/leadership/window.go
@@ -0,0 +1,163 @@
+package leadership
+
+import (
+	"time"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// renewalWindow decides when the leader sends renewals and how far their answers extend its
+// lease. It does no input or output.
+//
+// It answers this load: a store that takes from milliseconds to almost a lease to answer, or
+// that loses answers. Renewals are sent at a fixed interval, up to maxRenewals beside each
+// other, because waiting for each answer would leave the lease a hole as soon as two answers
+// take longer than a lease. Each expects the topic to end after the one before it.
+//
+// A renewal counts only if every record before it is known to be this leader's: if another
+// process has claimed the leadership in place of an unanswered renewal, the next one may be
+// appended after that claim.
+type renewalWindow struct {
+	end       units.Offset                       // all records below are known, and none is a later claim
+	inFlight  []renewalCall                      // sent and not answered, oldest first
+	landed    map[units.Offset]bootclock.Instant // appended at or after the time, with unknown records before
+	firstSent map[units.Offset]bootclock.Instant // of the first call for each offset from end on
+	lastSent  bootclock.Instant
+	failedAt  bootclock.Instant // when a call was last answered without an effect; 0 if none since a renewal
+}
+
+// renewalCall is a call that appends a renewal.
+type renewalCall struct {
+	at   units.Offset // where the topic must end
+	sent bootclock.Instant
+}
+
+// maxRenewals limits the renewals in flight: an answer that takes longer than this number of
+// intervals comes too late for the lease.
+const maxRenewals = int(leaseDuration/renewInterval) + 1
+
+func newRenewalWindow(end units.Offset) *renewalWindow {
+	return &renewalWindow{end: end, landed: make(map[units.Offset]bootclock.Instant), firstSent: make(map[units.Offset]bootclock.Instant)}
+}
+
+// nextSend returns when the next renewal is due. ok is false while too many are in flight.
+func (w *renewalWindow) nextSend() (at bootclock.Instant, ok bool) {
+	if len(w.inFlight) >= maxRenewals {
+		return 0, false
+	}
+	if w.failedAt != 0 {
+		return w.failedAt.Add(retryDelay), true
+	}
+	return w.lastSent.Add(renewInterval), true
+}
+
+// send returns the call to make now.
+func (w *renewalWindow) send(now bootclock.Instant) renewalCall {
+	call := renewalCall{at: w.nextOffset(), sent: now}
+	w.inFlight = append(w.inFlight, call)
+	if _, ok := w.firstSent[call.at]; !ok {
+		w.firstSent[call.at] = now
+	}
+	w.lastSent, w.failedAt = now, 0
+	return call
+}
+
+// nextOffset returns the offset after the renewals that are in flight or have landed.
+func (w *renewalWindow) nextOffset() units.Offset {
+	next := w.end
+	for _, c := range w.inFlight {
+		next = max(next, c.at+1)
+	}
+	for at := range w.landed {
+		next = max(next, at+1)
+	}
+	return next
+}
+
+// remove removes an answered call.
+func (w *renewalWindow) remove(call renewalCall) {
+	for i, c := range w.inFlight {
+		if c == call {
+			w.inFlight = append(w.inFlight[:i:i], w.inFlight[i+1:]...)
+			return
+		}
+	}
+}
+
+// succeeded processes the answer that a renewal was appended. It returns the end of the lease,
+// or 0 while records before it are not known.
+func (w *renewalWindow) succeeded(call renewalCall) bootclock.Instant {
+	w.remove(call)
+	if call.at < w.end {
+		return 0 // a read has shown it already
+	}
+	w.landed[call.at] = call.sent
+	return w.advance(w.end)
+}
+
+// failed processes an answer, or the lack of one, after which the renewal may not have been
+// appended.
+func (w *renewalWindow) failed(call renewalCall, now bootclock.Instant) {
+	w.remove(call)
+	if call.at >= w.end { // otherwise a read has shown that it was appended
+		w.failedAt = now
+	}
+}
+
+// confirmed processes a read of the records below end, among which is no later claim, and of
+// which those at the offsets own are this leader's renewals. It returns the end of the lease,
+// or 0 if it is not extended. The call that appended a record is not known, so the first one
+// for its offset counts.
+func (w *renewalWindow) confirmed(own []units.Offset, end units.Offset) bootclock.Instant {
+	until := bootclock.Instant(0)
+	for _, at := range own {
+		if sent, ok := w.firstSent[at]; ok {
+			until = max(until, sent.Add(leaseDuration))
+		}
+	}
+	if end > w.end {
+		w.failedAt = 0
+	}
+	return max(until, w.advance(end))
+}
+
+// advance raises the end of the known records, also over the renewals that have landed next to
+// it, and returns the end of the lease that these give.
+func (w *renewalWindow) advance(end units.Offset) bootclock.Instant {
+	until := bootclock.Instant(0)
+	w.end = max(w.end, end)
+	for sent, ok := w.landed[w.end]; ok; sent, ok = w.landed[w.end] {
+		until = max(until, sent.Add(leaseDuration))
+		delete(w.landed, w.end)
+		w.end++
+	}
+	for at := range w.firstSent {
+		if at < w.end {
+			delete(w.firstSent, at)
+		}
+	}
+	for at := range w.landed {
+		if at < w.end {
+			delete(w.landed, at)
+		}
+	}
+	return until
+}
+
+// overdueAt returns when the oldest renewal that is not known to have been appended becomes
+// overdue, so that the leader looks for another proof that it leads. ok is false if there is
+// none.
+func (w *renewalWindow) overdueAt() (at bootclock.Instant, ok bool) {
+	for offset, sent := range w.firstSent {
+		if offset >= w.end && (!ok || sent.Add(renewTimeout).Before(at)) {
+			at, ok = sent.Add(renewTimeout), true
+		}
+	}
+	return at, ok
+}
+
+// until returns the time from now to at, at least the given one.
+func until(at, now bootclock.Instant, least time.Duration) time.Duration {
+	return max(at.Sub(now), least)
+}
--- a/internal/workflow/codec.go
+++ b/internal/workflow/codec.go
@@ -29,7 +29,7 @@
 	j := &Job{
 		ID: JobID(record.GetId()), Queue: QueueName(record.GetQueue()), Spec: record.GetSpec(),
 		Repetitions: int(record.GetRepetitions()),
-		Interval: millis(record.GetIntervalMs()), Submitted: fromUnixMillis(record.GetSubmittedUnixMs()),
+		Interval:    millis(record.GetIntervalMs()), Submitted: fromUnixMillis(record.GetSubmittedUnixMs()),
 		Steps: make([]Step, len(record.GetSteps())),
 	}
 	if j.Repetitions != 0 { // 0 is then the time at the beginning of 1970
