Keep records and the operators' state flowing while the store is slow or loses answers

cause: one append to the jobs' topic was in flight at a time: a record waited for up to two answers, and a lost answer held all records for 900 ms. Submissions were rejected once an append took 700 ms, also while the store answered. A long poll of 1 s and a slow answer made the operators' state older than the 2.5 s after which starts stop (2 x (1 s + answer)). A submission waits up to 1.7 s for an append while the store answers other calls. The long poll is 700 ms, less the last answer time.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -1,8 +1,8 @@
-// Package jobstore writes the scheduler's records to the platform's store. It sends one
-// append at a time, which contains all records queued meanwhile and is fenced by the
-// leader's term. An append without a reply is retried with the same sequence number.
-// So its records are in the topic exactly once, and its outcome is certain before
-// anything is acknowledged.
+// Package jobstore writes the scheduler's records to the platform's store. An append contains
+// all records that were queued meanwhile and is fenced by the leader's term. Further appends
+// are sent while the store takes long to answer. An append without a reply is repeated with
+// the same sequence number. So its records are in the topic exactly once, and its outcome is
+// certain before anything is acknowledged.
 package jobstore
 
 import (
@@ -29,9 +29,12 @@
 	batchDelay = 2 * time.Millisecond
 	// retryDelay is the delay before a failed call is retried.
 	retryDelay = 60 * time.Millisecond
-	// stallTimeout is how long an append may take before new submissions are rejected
-	// at once instead of waiting for the store.
+	// stallTimeout is how long an append may take before new submissions are rejected at once
+	// instead of waiting for the store, if the store does not answer other calls either.
 	stallTimeout = 700 * time.Millisecond
+	// maxStall is the same if it does: then the append may only be slow, but a submission that
+	// waits for longer can't be answered within its caller's deadline.
+	maxStall = 1700 * time.Millisecond
 	// maxBatchBytes limits the records of an append to half of what the store accepts
 	// in a call.
 	maxBatchBytes = 1 << 20
@@ -42,11 +45,22 @@
 	Store durable.Store
 	Epoch uint64 // the leader's term
 
-	mu          sync.Mutex
-	pending     []write
-	wakeup      chan struct{}
-	sequence    uint64
-	appendStart bootclock.Instant // when the current append was first sent; 0 if there is none
+	mu           sync.Mutex
+	pending      []write
+	wakeup       chan struct{}
+	pendingSince bootclock.Instant // when the oldest pending append was first sent; 0 if there is none
+
+	// The fields below are used by one goroutine: that of Fence, and then that of Run.
+	window   appendWindow
+	answers  chan appendAnswer
+	calls    sync.WaitGroup // goroutines of the calls in flight
+	sequence uint64
+}
+
+// appendAnswer is the result of a call that sends an append.
+type appendAnswer struct {
+	call appendCall
+	err  error
 }
 
 // write is one call of Write.
@@ -57,14 +71,15 @@
 
 // New returns a writer for the term epoch.
 func New(store durable.Store, epoch uint64) *Writer {
-	return &Writer{Store: store, Epoch: epoch, wakeup: make(chan struct{}, 1)}
+	return &Writer{Store: store, Epoch: epoch, wakeup: make(chan struct{}, 1), answers: make(chan appendAnswer)}
 }
 
 // Fence prevents any further appends by earlier terms, so that a later read of the topic
 // returns all of their records. It appends no records: the epoch of the call suffices.
 // Error kinds: Fenced, OutOfOrder and Invalid, or the error of ctx.
 func (w *Writer) Fence(ctx context.Context) error {
-	return w.append(ctx, nil)
+	w.add(nil, nil)
+	return w.runUntil(ctx, nil, func() bool { return len(w.window.appends) == 0 })
 }
 
 // LoadSnapshot reads the newest record of each key. It must be called after Fence and
@@ -92,54 +107,168 @@
 	}
 }
 
-// Stalled reports whether the current append has taken longer than stallTimeout.
-func (w *Writer) Stalled() bool {
+// Stalled reports whether a new submission would wait too long for the store, which has
+// recently answered another call if reachable is true.
+func (w *Writer) Stalled(reachable bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.appendStart != 0 && bootclock.Now().Sub(w.appendStart) > stallTimeout
+	limit := time.Duration(stallTimeout)
+	if reachable {
+		limit = maxStall
+	}
+	return w.pendingSince != 0 && bootclock.Now().Sub(w.pendingSince) > limit
 }
 
 // Run appends the queued records until ctx ends or an append fails for good. It returns an
 // error of kind Fenced if a later term has fenced this one. Other errors are of kind
 // OutOfOrder or Invalid, or the error of ctx.
 func (w *Writer) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-w.wakeup:
+	return w.runUntil(ctx, w.wakeup, func() bool { return ctx.Err() != nil })
+}
+
+// runUntil makes steps until done returns true, ctx ends or an append fails for good. The calls
+// that are then in flight are cancelled.
+func (w *Writer) runUntil(ctx context.Context, wakeup <-chan struct{}, done func() bool) error {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer w.calls.Wait()
+	defer cancel()
+	for !done() {
+		if err := w.step(callCtx, wakeup); err != nil {
+			return err
 		}
-		pause.For(ctx, batchDelay)
-		for batch := w.takeBatch(); len(batch) > 0; batch = w.takeBatch() {
-			if err := w.appendBatch(ctx, batch); err != nil {
-				return err
-			}
+		if ctx.Err() != nil && !done() {
+			return ctx.Err()
 		}
 	}
+	return nil
 }
 
-// appendBatch appends the records of the writes in one call, and then calls their
-// onDurable functions. Writes without records need no call.
-func (w *Writer) appendBatch(ctx context.Context, batch []write) error {
-	var records []durable.Record
-	for _, e := range batch {
-		records = append(records, e.records...)
+// step makes the calls that are due and waits for one answer, for the next call that is due or
+// for a wake-up.
+func (w *Writer) step(ctx context.Context, wakeup <-chan struct{}) error {
+	now := bootclock.Now()
+	wait := w.sendDue(ctx, now)
+	var timer <-chan time.Time
+	if wait >= 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		timer = t.C
 	}
-	if len(records) > 0 {
-		if err := w.append(ctx, records); err != nil {
-			return err
+	select {
+	case <-ctx.Done():
+	case a := <-w.answers:
+		return w.handle(ctx, a)
+	case <-timer:
+	case <-wakeup:
+		if len(w.window.appends) == 0 {
+			pause.For(ctx, batchDelay)
 		}
 	}
-	for _, e := range batch {
-		if e.onDurable != nil {
-			e.onDurable()
+	return nil
+}
+
+// sendDue sends the appends that are due. It returns the time until the next ones are, or a
+// negative one if that depends on answers or on new records.
+func (w *Writer) sendDue(ctx context.Context, now bootclock.Instant) time.Duration {
+	next := time.Duration(-1)
+	earliest := func(at bootclock.Instant) {
+		if wait := max(at.Sub(now), time.Millisecond); next < 0 || wait < next {
+			next = wait
 		}
 	}
+	if ok, at := w.window.mayAdd(now); ok {
+		w.addBatch()
+	} else if at != 0 && w.hasPending() {
+		earliest(at)
+	}
+	for a, call := w.window.takeDue(now); a != nil; a, call = w.window.takeDue(now) {
+		w.send(ctx, a, call)
+	}
+	if at, ok := w.window.nextDue(); ok {
+		earliest(at)
+	}
+	w.publishOldest()
+	return next
+}
+
+// addBatch adds an append with the oldest queued writes. Writes without records need no append
+// of their own: they are durable with the writes before them.
+func (w *Writer) addBatch() {
+	batch := w.takeBatch()
+	var records []durable.Record
+	for _, q := range batch {
+		records = append(records, q.records...)
+	}
+	switch n := len(w.window.appends); {
+	case len(records) > 0:
+		w.add(records, batch)
+	case n > 0:
+		w.window.appends[n-1].writes = append(w.window.appends[n-1].writes, batch...)
+	default:
+		finish(batch)
+	}
+}
+
+func (w *Writer) add(records []durable.Record, writes []write) {
+	w.sequence++
+	w.window.add(&pendingAppend{sequence: w.sequence, records: records, writes: writes})
+}
+
+func (w *Writer) send(ctx context.Context, a *pendingAppend, call appendCall) {
+	request := durable.AppendRequest{Topic: Topic, Keyed: true, Records: a.records,
+		Producer: &durable.Producer{Name: producerName, Epoch: w.Epoch, Sequence: a.sequence}}
+	w.calls.Go(func() {
+		_, err := w.Store.Append(ctx, request)
+		select {
+		case w.answers <- appendAnswer{call, err}:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// handle processes the answer to a call. It returns an error if the append can never succeed.
+func (w *Writer) handle(ctx context.Context, a appendAnswer) error {
+	now := bootclock.Now()
+	switch {
+	case a.err == nil:
+		finish(w.window.succeeded(a.call, now))
+		w.publishOldest()
+		return nil
+	case ctx.Err() != nil:
+		return nil
+	case fault.Is(a.err, durable.Fenced) || fault.Is(a.err, durable.Invalid) || fault.Is(a.err, durable.OutOfOrder) && a.call.first:
+		return a.err
+	}
+	klog.InfoS("append to the jobs' topic is repeated", "sequence", a.call.sequence, "first", a.call.first, "err", a.err)
+	w.window.failed(a.call, now)
 	return nil
 }
 
+// finish calls the functions of the writes, which are durable.
+func finish(writes []write) {
+	for _, q := range writes {
+		if q.onDurable != nil {
+			q.onDurable()
+		}
+	}
+}
+
+func (w *Writer) hasPending() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.pending) > 0
+}
+
+// publishOldest lets Stalled know since when the oldest append has been pending.
+func (w *Writer) publishOldest() {
+	since, _ := w.window.oldest()
+	w.mu.Lock()
+	w.pendingSince = since
+	w.mu.Unlock()
+}
+
 // takeBatch removes and returns the oldest writes, about maxBatchBytes of records but at
-// least one write.
+// least one write if there is one.
 func (w *Writer) takeBatch() []write {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -154,32 +283,3 @@
 	w.pending = w.pending[n:]
 	return batch
 }
-
-// append sends an append and retries it until the store has executed it or rejected it.
-func (w *Writer) append(ctx context.Context, records []durable.Record) error {
-	w.setAppendStart(bootclock.Now())
-	defer w.setAppendStart(0)
-	w.sequence++
-	call := durable.AppendRequest{Topic: Topic, Keyed: true, Records: records,
-		Producer: &durable.Producer{Name: producerName, Epoch: w.Epoch, Sequence: w.sequence}}
-	for {
-		_, err := w.Store.Append(ctx, call)
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if fault.Is(err, durable.Fenced) || fault.Is(err, durable.OutOfOrder) || fault.Is(err, durable.Invalid) {
-			return err
-		}
-		klog.InfoS("append to the jobs' topic is repeated", "sequence", w.sequence, "records", len(records), "err", err)
-		pause.For(ctx, retryDelay)
-	}
-}
-
-func (w *Writer) setAppendStart(at bootclock.Instant) {
-	w.mu.Lock()
-	w.appendStart = at
-	w.mu.Unlock()
-}
--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -90,6 +90,11 @@
 	return 0, 0, nil
 }
 
+// Read returns no records: the process is the only one.
+func (claimStore) Read(context.Context, durable.Topic, bool, units.Offset, time.Duration) (durable.Batch, error) {
+	return durable.Batch{}, nil
+}
+
 func (claimStore) Append(context.Context, durable.AppendRequest) (units.Offset, error) { return 0, nil }
 
 // servePromises starts a process that promises everything and knows the given term, and
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -127,6 +127,8 @@
 	// their agents are counted from here and not from the end of the recovery.
 	termBegin := now()
 	begin := time.Now()
+	members, awaitMembers := l.loadMembersBeside(ctx)
+	defer awaitMembers()
 	if err := l.writer.Fence(ctx); err != nil {
 		return err
 	}
@@ -139,12 +141,11 @@
 	l.scheduler.Term = uint64(l.term)
 	l.scheduler.SetOperatorState(l.operations.State())
 	l.metrics.countMalformed(l.scheduler.Recover(items, now()))
-	members, err := l.loadMembers(ctx)
-	if err != nil {
+	if err := awaitMembers(); err != nil {
 		return err
 	}
 	absent := leasesLeft(items, l.previous)
-	for _, m := range members {
+	for _, m := range *members {
 		if m.role == RoleAgent && m.address != "" {
 			id := units.WorkerID(m.name)
 			left, ok := absent[id]
@@ -157,7 +158,7 @@
 		}
 	}
 	l.readyAt = bootclock.Now()
-	klog.InfoS("leader is ready", "term", l.term, "records", len(items), "members", len(members), "absent", len(absent),
+	klog.InfoS("leader is ready", "term", l.term, "records", len(items), "members", len(*members), "absent", len(absent),
 		"fence", fenced.Sub(begin), "total", time.Since(begin))
 	l.group.Go(func() error {
 		followMembers(ctx, l.store, func(m member) { l.enqueue(func() { l.handleMember(m) }) })
@@ -166,6 +167,22 @@
 	return nil
 }
 
+// loadMembersBeside loads the members beside the other records, so that a slow store delays
+// the recovery less. The members are valid after wait has returned nil.
+func (l *leader) loadMembersBeside(ctx context.Context) (members *[]member, wait func() error) {
+	members = new([]member)
+	loaded := make(chan struct{})
+	var err error
+	go func() {
+		defer close(loaded)
+		*members, err = l.loadMembers(ctx)
+	}()
+	return members, func() error {
+		<-loaded
+		return err
+	}
+}
+
 func (l *leader) loadMembers(ctx context.Context) ([]member, error) {
 	for {
 		snapshot, err := l.store.ReadSnapshot(ctx, membersTopic)
@@ -379,7 +396,7 @@
 		s.waiters = append(s.waiters, replyTo)
 		return
 	}
-	if l.writer.Stalled() {
+	if l.writer.Stalled(l.storeReachable()) {
 		replyTo <- Reply{Outcome: Rejected, RetryAfter: unavailableRetryAfter, Reason: "store does not answer"}
 		return
 	}
--- a/internal/operations/follower.go
+++ b/internal/operations/follower.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// readWait is well below the time within which a change must be in force, so
-	// that each reply confirms early enough that no change is missing.
-	readWait = time.Second
+	// maxReadWait limits the wait of a long poll. Each reply confirms that State was complete
+	// when the poll was sent, so State is at most as old as two waits and two answer times.
+	// That is well below the age at which starts stop.
+	maxReadWait = 700 * time.Millisecond
+	// minReadWait limits the reads while the store answers slowly.
+	minReadWait = 100 * time.Millisecond
 	// retryDelay is the maximum delay after a failed read.
 	retryDelay = 150 * time.Millisecond
 )
@@ -87,9 +90,14 @@
 
 // follow applies new records until ctx ends or a read fails for good.
 func (f *Follower) follow(ctx context.Context, from units.Offset) error {
+	answerTime := time.Duration(0) // of the last read, without its wait
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
-		batch, err := f.Store.Read(ctx, durable.Topic(f.Format.Topic()), true, from, readWait)
+		wait := max(maxReadWait-answerTime, minReadWait)
+		batch, err := f.Store.Read(ctx, durable.Topic(f.Format.Topic()), true, from, wait)
+		if err == nil && len(batch.Records) == 0 {
+			answerTime = max(bootclock.Now().Sub(sent)-wait, 0)
+		}
 		if fault.Is(err, durable.Unavailable) {
 			klog.V(2).InfoS("read of the operators' records failed; will try again", "err", err)
 			pause.Jittered(ctx, retryDelay)
--- a/internal/operations/follower_test.go
+++ b/internal/operations/follower_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/bootclock"
 	"wasabihill.example/wasabihill/internal/durable"
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -71,3 +72,45 @@
 		}
 	}
 }
+
+// slowStore has no records and takes answer for each read, beside the wait.
+type slowStore struct {
+	durable.Store
+	answer time.Duration
+}
+
+func (s *slowStore) ReadSnapshot(context.Context, durable.Topic) (durable.Snapshot, error) {
+	return durable.Snapshot{}, nil
+}
+
+func (s *slowStore) Read(ctx context.Context, _ durable.Topic, _ bool, from units.Offset, wait time.Duration) (durable.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return durable.Batch{}, ctx.Err()
+	case <-time.After(wait + s.answer):
+		return durable.Batch{Next: from, End: from}, nil
+	}
+}
+
+// Guards against starts that stop while the store is slow: they need a state that was complete
+// at most 2.5 s ago.
+func TestStateStaysRecentWhileStoreIsSlow(t *testing.T) {
+	const limit = 2500 * time.Millisecond
+	for _, answer := range []time.Duration{4 * time.Millisecond, 600 * time.Millisecond, 850 * time.Millisecond} {
+		t.Run(answer.String(), func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+			defer cancel()
+			f := &Follower{Store: &slowStore{answer: answer}, Format: unchangedFormat{}}
+			go func() { _ = f.Run(ctx) }() // ends with ctx
+			time.Sleep(50 * time.Millisecond)
+			for ctx.Err() == nil {
+				at, ok := f.CompleteUntil()
+				if age := bootclock.Now().Sub(at); !ok || age >= limit {
+					t.Fatalf("got a state that was complete %v ago, want less than %v", age, limit)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+}
