--- a/internal/operations/follower.go
+++ b/internal/operations/follower.go
@@ -18,9 +18,9 @@
 	// maxReadWait limits the wait of a long poll. Each reply confirms that State was complete
 	// when the poll was sent, so State is at most as old as two waits and two answer times.
 	// That is well below the age at which starts stop.
-	maxReadWait = 700 * time.Millisecond
+	maxReadWait = 600 * time.Millisecond
 	// minReadWait limits the reads while the store answers slowly.
-	minReadWait = 100 * time.Millisecond
+	minReadWait = 50 * time.Millisecond
 	// retryDelay is the maximum delay after a failed read.
 	retryDelay = 150 * time.Millisecond
 )
