Renew from the end of the topic after an outage

cause: while a silent store answered nothing, each further renewal expected the topic to end one record later, also after the first had timed out.

--- a/internal/leadership/renewal.go
+++ b/internal/leadership/renewal.go
@@ -64,7 +64,7 @@
 func newRenewer(e *Elector, term Term) *renewer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := &renewer{e: e, term: term, window: newRenewalWindow(e.nextOffset), answers: make(chan renewalAnswer, maxRenewals+1), proofs: make(chan proof, 1)}
+	r := &renewer{e: e, term: term, window: newRenewalWindow(e.nextOffset), answers: make(chan renewalAnswer, maxRenewalCalls), proofs: make(chan proof, 1)}
 	r.calls, r.stop = context.WithCancel(context.Background())
 	return r
 }
@@ -98,6 +98,9 @@
 		r.send(r.window.send(now))
 	}
 	if at, ok := r.nextProof(); ok && !now.Before(at) {
+		if call, ok := r.window.repeat(now); ok {
+			r.send(call)
+		}
 		r.prove()
 	}
 	next := time.Duration(renewInterval)
--- a/internal/leadership/slowstore_test.go
+++ b/internal/leadership/slowstore_test.go
@@ -107,3 +107,22 @@
 		t.Error("the next process has not claimed within 1 s, want the leadership released")
 	}
 }
+
+// Guards against a leader that takes seconds to lead again once a silent store is back.
+func TestLeadsAgainSoonAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	e, server, term := slowLeader(t)
+	server.Set(metastore.Fault{NoReply: true})
+	time.Sleep(4 * time.Second)
+	if e.Leads(term) {
+		t.Fatal("leads after 4 s without the store and without promises")
+	}
+	server.Set(metastore.Fault{})
+	back := time.Now()
+	for !e.Leads(term) {
+		if time.Since(back) > time.Second {
+			t.Fatal("does not lead 1 s after the store is back")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/leadership/window.go
+++ b/internal/leadership/window.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"slices"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
@@ -33,9 +34,13 @@
 	sent bootclock.Instant
 }
 
-// maxRenewals limits the renewals in flight: an answer that takes longer than this number of
-// intervals comes too late for the lease.
-const maxRenewals = int(leaseDuration/renewInterval) + 1
+const (
+	// maxRenewals limits the renewals in flight: an answer that takes longer than this number
+	// of intervals comes too late for the lease.
+	maxRenewals = int(leaseDuration/renewInterval) + 1
+	// maxRenewalCalls limits the calls in flight, repeated ones included.
+	maxRenewalCalls = 2 * maxRenewals
+)
 
 func newRenewalWindow(end units.Offset) *renewalWindow {
 	return &renewalWindow{end: end, landed: make(map[units.Offset]bootclock.Instant), firstSent: make(map[units.Offset]bootclock.Instant)}
@@ -43,7 +48,7 @@
 
 // nextSend returns when the next renewal is due. ok is false while too many are in flight.
 func (w *renewalWindow) nextSend() (at bootclock.Instant, ok bool) {
-	if len(w.inFlight) >= maxRenewals {
+	if len(w.inFlight) >= maxRenewalCalls || w.nextOffset() >= w.end+units.Offset(maxRenewals) {
 		return 0, false
 	}
 	if w.failedAt != 0 {
@@ -63,26 +68,38 @@
 	return call
 }
 
-// nextOffset returns the offset after the renewals that are in flight or have landed.
+// repeat returns another call for the renewal that the topic needs next, whose answer is
+// overdue: the store may not have received the first call. ok is false if too many are in
+// flight.
+func (w *renewalWindow) repeat(now bootclock.Instant) (call renewalCall, ok bool) {
+	if _, sent := w.firstSent[w.end]; !sent || len(w.inFlight) >= maxRenewalCalls {
+		return renewalCall{}, false
+	}
+	call = renewalCall{at: w.end, sent: now}
+	w.inFlight = append(w.inFlight, call)
+	return call, true
+}
+
+// nextOffset returns the lowest offset for which no renewal is in flight or has landed. A
+// renewal that has failed is repeated before later ones, which expect it.
 func (w *renewalWindow) nextOffset() units.Offset {
 	next := w.end
-	for _, c := range w.inFlight {
-		next = max(next, c.at+1)
-	}
-	for at := range w.landed {
-		next = max(next, at+1)
+	for w.isTaken(next) {
+		next++
 	}
 	return next
 }
 
+func (w *renewalWindow) isTaken(at units.Offset) bool {
+	if _, ok := w.landed[at]; ok {
+		return true
+	}
+	return slices.ContainsFunc(w.inFlight, func(c renewalCall) bool { return c.at == at })
+}
+
 // remove removes an answered call.
 func (w *renewalWindow) remove(call renewalCall) {
-	for i, c := range w.inFlight {
-		if c == call {
-			w.inFlight = append(w.inFlight[:i:i], w.inFlight[i+1:]...)
-			return
-		}
-	}
+	w.inFlight = slices.DeleteFunc(w.inFlight, func(c renewalCall) bool { return c == call })
 }
 
 // succeeded processes the answer that a renewal was appended. It returns the end of the lease,
@@ -100,7 +117,7 @@
 // appended.
 func (w *renewalWindow) failed(call renewalCall, now bootclock.Instant) {
 	w.remove(call)
-	if call.at >= w.end { // otherwise a read has shown that it was appended
+	if call.at >= w.end && !w.isTaken(call.at) { // otherwise it was appended, or another call for it is in flight
 		w.failedAt = now
 	}
 }
@@ -145,16 +162,11 @@
 	return until
 }
 
-// overdueAt returns when the oldest renewal that is not known to have been appended becomes
-// overdue, so that the leader looks for another proof that it leads. ok is false if there is
-// none.
+// overdueAt returns when the renewal that the topic needs next becomes overdue, so that the
+// leader looks for another proof that it leads. ok is false if it was not sent yet.
 func (w *renewalWindow) overdueAt() (at bootclock.Instant, ok bool) {
-	for offset, sent := range w.firstSent {
-		if offset >= w.end && (!ok || sent.Add(renewTimeout).Before(at)) {
-			at, ok = sent.Add(renewTimeout), true
-		}
-	}
-	return at, ok
+	sent, ok := w.firstSent[w.end]
+	return sent.Add(renewTimeout), ok
 }
 
 // until returns the time from now to at, at least the given one.
--- a/internal/leadership/window_test.go
+++ b/internal/leadership/window_test.go
@@ -112,3 +112,31 @@
 		t.Errorf("got another renewal beside %d, want none", maxRenewals)
 	}
 }
+
+// Guards against a leader that, after an outage of the store, expects the topic to end behind
+// renewals that were never appended, and so takes seconds to lead again.
+func TestRenewalsAfterAnOutageBeginAtTheEnd(t *testing.T) {
+	w := newRenewalWindow(5)
+	var lost []renewalCall
+	for ms := 0; ms < 4000; ms += 10 { // no call is answered
+		now := at(ms)
+		for len(lost) > 0 && now.Sub(lost[0].sent) >= leaseDuration {
+			w.failed(lost[0], now)
+			lost = lost[1:]
+		}
+		if due, ok := w.nextSend(); ok && !now.Before(due) {
+			lost = append(lost, w.send(now))
+		}
+	}
+	for _, c := range lost { // the store is back, and nothing was appended
+		w.failed(c, at(4000))
+	}
+	if got := w.send(at(4100)).at; got != 5 {
+		t.Errorf("got a renewal that expects the end %d, want 5", got)
+	}
+	for _, c := range lost {
+		if c.at >= 5+units.Offset(maxRenewals) {
+			t.Errorf("got a renewal for offset %d, want none beyond the renewals in flight", c.at)
+		}
+	}
+}
