Remove entry machines that are gone, and let no unknown process claim beside a leader

cause: a leader without the store goes on only while every registered entry process promises not to claim. The leader, while it has the store, removes the record of an entry process that it does not reach for 8 s, and relies on promises without it once a renewal sent after the removal was appended. A renewal says how far the leader has read the members; a process registered behind that claims only after a release, the proven end of the leader, or 32 s, and a leader goes on by promises for 30 s at most. A claimant's registration is confirmed by a read beside its claim. Limit: records of an earlier version name no members' offset, so that during an upgrade a hard loss of the leader's machine may wait for 32 s.

--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -46,8 +46,9 @@
 
 // Item is the newest record of a key.
 type Item struct {
-	Key   string
-	Value []byte
+	Key    string
+	Value  []byte
+	Offset units.Offset // of the record
 }
 
 // Snapshot holds the newest record of each key. Changes made during the read may be
--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -20,6 +20,8 @@
 	at       units.Offset // where the topic must end
 	sent     bootclock.Instant
 	previous Term // of the last leader before; 0 if it is unknown
+	// registered is the offset of this process's registration.
+	registered units.Offset
 }
 
 // claimedTerm returns the term of a claim at an offset. A renewal or a release is at a
@@ -32,9 +34,19 @@
 	if !ok {
 		return 0, false
 	}
-	finishRead := e.readBeside(ctx, c.at)
 	callCtx, cancel := context.WithTimeout(ctx, leaseDuration)
+	registered := e.confirmMembership(callCtx, c)
+	if e.unconfirmed && !registered() {
+		cancel()
+		e.dropClaim()
+		pause.Jittered(ctx, retryDelay)
+		return 0, false
+	}
+	finishRead := e.readBeside(ctx, c.at)
 	_, err := e.append(callCtx, c.at, c.term, false)
+	if err == nil && !registered() {
+		err = fault.New("claim", durable.Unavailable, "this process is not known to be registered")
+	}
 	cancel()
 	finishRead(err)
 	if err != nil {
@@ -93,7 +105,7 @@
 		klog.InfoS("leadership is not claimed: this process has promised not to", "promiseLeft", left)
 		return claimAttempt{}, false
 	}
-	c := claimAttempt{term: claimedTerm(e.nextOffset), at: e.nextOffset, sent: bootclock.Now()}
+	c := claimAttempt{term: claimedTerm(e.nextOffset), at: e.nextOffset, sent: bootclock.Now(), registered: e.registeredAt()}
 	if !e.recordsMissed {
 		c.previous = e.leader.Term
 	}
@@ -121,6 +133,7 @@
 		return false, false
 	}
 	e.wonTerm, e.previousTerm, e.ownRecords = c.term, c.previous, nil
+	e.renewedAt = c.sent
 	e.nextOffset, e.released, e.recordsMissed, e.renewalSeenAt = c.at+1, false, false, c.sent
 	e.leader, e.leaderLed = Leader{Name: e.Name, Address: e.Address, Term: c.term}, true
 	e.leaseEnd = c.sent.Add(leaseDuration)
@@ -128,7 +141,7 @@
 }
 
 func (e *Elector) append(ctx context.Context, at units.Offset, term Term, released bool) (units.Offset, error) {
-	value, err := proto.Marshal(&wire.LeadershipRecord{Name: e.Name, Address: e.Address, Term: uint64(term), Released: released})
+	value, err := proto.Marshal(&wire.LeadershipRecord{Name: e.Name, Address: e.Address, Term: uint64(term), Released: released, MembersEnd: uint64(e.membersEnd())})
 	if err != nil {
 		return 0, fault.Wrap("claim", durable.Invalid, err)
 	}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -49,6 +49,8 @@
 	// restartDelay prevents a restarted process from claiming while a promise of an
 	// earlier incarnation may be valid.
 	restartDelay = PromiseDuration + maxClockDrift
+	// maxPromisedLead is how long after its last renewal a leader goes on by promises.
+	maxPromisedLead = 30 * time.Second
 	// renewTimeout is the age of a renewal without an answer at which the leader looks for
 	// another proof that it leads. It leaves time to request promises before the lease ends.
 	renewTimeout = 500 * time.Millisecond
@@ -93,6 +95,9 @@
 	// lease has ended, the promise of a process that knows no term does not count.
 	RequestPromises func(ctx context.Context, term Term) (bootclock.Instant, bool)
 
+	// Membership is this process's registration. If it is nil, the leader knows this process.
+	Membership Membership
+
 	// LeaderExited queries the leader's machine and reports whether the leader's process
 	// has ended and another one runs there. It is called while Connected reports false.
 	LeaderExited func(ctx context.Context, leader Leader) bool
@@ -100,6 +105,10 @@
 	// is nil, the process counts as connected.
 	Connected func() bool
 
+	// unconfirmed is set while the registration of this process can't be confirmed. Then it is
+	// confirmed before a claim and not beside it. Only the goroutine of Run uses it.
+	unconfirmed bool
+
 	mu                sync.Mutex
 	leader            Leader
 	leaderLed         bool              // leader has certainly led its term: a record other than its claim was read, or this process led
@@ -116,6 +125,9 @@
 	renewalSeenAt     bootclock.Instant // when a renewal was last seen or has to be assumed; 0 if never
 	nextOffset        units.Offset      // where the next read begins; a claim or renewal requires that the topic ends there
 	released          bool              // the last leader has released the leadership
+	knownToTerm       Term              // the leader of this term knows this process
+	knownAs           units.Offset      // by this registration
+	renewedAt         bootclock.Instant // when the last renewal that extended this process's lease was sent; 0 if none
 	ownRecords        []units.Offset    // renewals of this leader that a read has shown
 	eligibleSince     bootclock.Instant // time since which a claim is possible; 0 if it is not
 	withdrawn         bool              // this process does not become leader again
@@ -303,11 +315,13 @@
 }
 
 // mayClaim reports whether no promise prevents a claim and the leadership was released or
-// not renewed for claimTimeout.
+// not renewed for claimTimeout. A leader that does not know this process can't ask it for a
+// promise, so it may go on by the promises of others for maxPromisedLead.
 func (e *Elector) mayClaim() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.promiseLeft() <= 0 && (e.released || bootclock.Now().Sub(e.renewalSeenAt) > claimTimeout)
+	age := bootclock.Now().Sub(e.renewalSeenAt)
+	return e.promiseLeft() <= 0 && (e.released || age > claimTimeout && (e.knownToLeader() || age > maxPromisedLead+restartDelay))
 }
 
 // read reads and applies the records since the last read. It returns errRecordsDeleted if
@@ -367,6 +381,11 @@
 		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: term}
 		e.leaderLed = false
 	}
+	if term == e.leader.Term && e.Membership != nil {
+		if registered := e.Membership.Registered(); units.Offset(record.GetMembersEnd()) > registered {
+			e.knownToTerm, e.knownAs = term, registered
+		}
+	}
 	if term == e.leader.Term {
 		e.recordsMissed = false
 		e.leaderLed = e.leaderLed || term != claimedTerm(at)
--- a/internal/leadership/renewal.go
+++ b/internal/leadership/renewal.go
@@ -83,7 +83,7 @@
 			}
 		case p := <-r.proofs:
 			r.proving = false
-			if p.lost || !r.extend(p.promised) || !r.confirm() {
+			if p.lost || !r.confirm() || !r.extend(r.e.limitPromised(p.promised)) {
 				return
 			}
 		case <-timer.C:
@@ -199,12 +199,13 @@
 // leadership is lost.
 func (r *renewer) confirm() bool {
 	own, end := r.e.takeOwnRecords()
-	return r.extend(r.window.confirmed(own, end))
+	return r.extendTo(r.window.confirmed(own, end))
 }
 
-// extendTo is extend after the window has advanced.
+// extendTo is extend by a renewal, after the window has advanced.
 func (r *renewer) extendTo(until bootclock.Instant) bool {
 	r.e.advance(r.window.end)
+	r.e.recordRenewal(until)
 	return r.extend(until)
 }
 
@@ -269,6 +270,22 @@
 	return e.nextOffset, e.leader.Term == term && !e.recordsMissed && term > e.renouncedTerm
 }
 
+// recordRenewal records a renewal that extends the lease until the given time.
+func (e *Elector) recordRenewal(until bootclock.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until != 0 {
+		e.renewedAt = max(e.renewedAt, until.Add(-leaseDuration))
+	}
+}
+
+// limitPromised returns until, or an earlier time at which promises no longer suffice.
+func (e *Elector) limitPromised(until bootclock.Instant) bootclock.Instant {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return min(until, e.renewedAt.Add(maxPromisedLead))
+}
+
 // storeAnswered records that the store has answered now.
 func (e *Elector) storeAnswered() {
 	e.mu.Lock()
--- a/internal/node/absence_test.go
+++ b/internal/node/absence_test.go
@@ -46,7 +46,7 @@
 			}
 		}
 		if r.Value != nil {
-			kept = append(kept, durable.Item(r))
+			kept = append(kept, durable.Item{Key: r.Key, Value: r.Value})
 		}
 		s.jobs = kept
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -42,13 +42,15 @@
 	leader      *leader           // nil while this process does not lead
 	session     *link.Session     // to the leader; nil while disconnected
 	knownLeader leadership.Leader // as last reported by the elector
-	peers       map[string]string // address of each other entry process by name
+	peers       peers             // the other entry processes
+	membership  membership
 	stopping    bool
 }
 
 // Run serves until ctx ends, then finishes the requests in flight.
 func (e *Entry) Run(ctx context.Context) error {
-	e.peers = make(map[string]string)
+	e.peers = make(peers)
+	e.membership = membership{store: e.Store, name: e.Settings.Name, offset: unregistered}
 	e.metrics = newMetrics(e.Scope)
 	e.elector = e.newElector()
 	clients, err := net.Listen("tcp", e.Settings.ClientAddress)
@@ -88,7 +90,7 @@
 	return &leadership.Elector{
 		Store: e.Store, Name: e.Settings.Name, Address: e.Settings.advertisedAddress(), FirstStart: e.Settings.FirstStart,
 		ClaimDelay: e.Settings.claimDelay(), RunLeader: e.lead, OnChange: e.followLeader, RequestPromises: e.requestPromises,
-		LeaderExited: e.leaderExited, Connected: e.connected,
+		LeaderExited: e.leaderExited, Connected: e.connected, Membership: &e.membership,
 	}
 }
 
@@ -99,13 +101,15 @@
 	group.Go(func() error { return e.Operations.Run(ctx) })
 	group.Go(func() error { return serve(ctx, readiness, e.ReadinessHandler(e)) })
 	group.Go(func() error {
-		followMembers(ctx, e.Store, e.handleMember)
+		followMembers(ctx, e.Store, e.handleMember, e.membership.setReadEnd)
 		return nil
 	})
 	group.Go(func() error {
-		if _, err := register(ctx, e.Store, RoleEntry, e.Settings.Name, e.Settings.advertisedAddress()); err != nil {
+		if err := e.membership.register(ctx, e.Settings.advertisedAddress()); err != nil {
 			return ignoreCancelled(ctx, err)
 		}
+		group.Go(func() error { return e.membership.maintain(ctx, e.Settings.advertisedAddress()) })
+		group.Go(func() error { return e.removeLostPeers(ctx) })
 		return e.elector.Run(ctx)
 	})
 }
@@ -371,18 +375,18 @@
 	return reply.GetName() == leader.Name && !reply.GetLeads()
 }
 
-// handleMember updates the addresses of the other entry processes.
+// handleMember updates the other entry processes, and the registration of this one.
 func (e *Entry) handleMember(m member) {
-	if m.role != RoleEntry || m.name == e.Settings.Name {
+	if m.role != RoleEntry {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if m.address == "" {
-		delete(e.peers, m.name)
+	if m.name == e.Settings.Name {
+		e.membership.observe(m)
 		return
 	}
-	e.peers[m.name] = m.address
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers.apply(m, bootclock.Now())
 }
 
 // handlePromise answers another process's request for a promise not to claim the
@@ -398,11 +402,9 @@
 // has read no record since its start does not count: an earlier incarnation of it may
 // have led a later term.
 func (e *Entry) requestPromises(ctx context.Context, term leadership.Term) (bootclock.Instant, bool) {
+	renewedAt := e.elector.RenewedAt()
 	e.mu.Lock()
-	addresses := make([]string, 0, len(e.peers))
-	for _, address := range e.peers {
-		addresses = append(addresses, address)
-	}
+	addresses := e.peers.mayClaim(renewedAt)
 	e.mu.Unlock()
 	sent := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -140,7 +140,7 @@
 		{"ended lease, process that knows the term", false, 1, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			e := &Entry{Settings: &Settings{Name: "e"}, peers: map[string]string{"p": servePromises(t, test.knownTerm)}}
+			e := &Entry{Settings: &Settings{Name: "e"}, peers: peers{"p": {address: servePromises(t, test.knownTerm)}}}
 			leads := make(chan struct{}, 1)
 			e.elector = &leadership.Elector{Store: claimStore{}, Name: "e", FirstStart: true, RunLeader: func(ctx context.Context, _ leadership.Term) {
 				leads <- struct{}{}
@@ -166,7 +166,7 @@
 		t.Fatal(err)
 	}
 	gone.Close()
-	e := &Entry{Settings: &Settings{Name: "e"}, peers: map[string]string{"p": servePromises(t, 1)}, elector: &leadership.Elector{}}
+	e := &Entry{Settings: &Settings{Name: "e"}, peers: peers{"p": {address: servePromises(t, 1)}}, elector: &leadership.Elector{}}
 	if _, ok := e.requestPromises(context.Background(), 1); !ok {
 		t.Error("promises count: got false, want true, as all processes answer")
 	}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -161,7 +161,7 @@
 	klog.InfoS("leader is ready", "term", l.term, "records", len(items), "members", len(*members), "absent", len(absent),
 		"fence", fenced.Sub(begin), "total", time.Since(begin))
 	l.group.Go(func() error {
-		followMembers(ctx, l.store, func(m member) { l.enqueue(func() { l.handleMember(m) }) })
+		followMembers(ctx, l.store, func(m member) { l.enqueue(func() { l.handleMember(m) }) }, nil)
 		return nil
 	})
 	return nil
@@ -189,7 +189,7 @@
 		if err == nil {
 			var members []member
 			for _, item := range snapshot.Items {
-				applyMember(item.Key, item.Value, func(m member) { members = append(members, m) })
+				applyMember(item.Key, item.Value, item.Offset, func(m member) { members = append(members, m) })
 			}
 			return members, nil
 		}
--- a/internal/node/leader_test.go
+++ b/internal/node/leader_test.go
@@ -122,7 +122,7 @@
 	l.agentAttached(old, nil)
 	l.scheduler.ApplyReport("w", deskReport(), now())
 	l.scheduler.ExtendLease("w", deskReport(), now())
-	l.handleMember(member{RoleAgent, "w", "127.0.0.1:2"})
+	l.handleMember(member{role: RoleAgent, name: "w", address: "127.0.0.1:2"})
 	l.scheduler.Accept(&workflow.Job{ID: "j", Queue: "q", Steps: []workflow.Step{{Count: 1}}, Submitted: time.Now()}, workflow.Policy{Service: "desk"}, now())
 	if got := l.orderedStarts(bootclock.Now()); got != 0 {
 		t.Errorf("starts ordered without a session to the agent: got %d, want 0", got)
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -46,7 +46,7 @@
 	var got []string
 	collect := func(m member) { got = append(got, m.name) }
 	for _, item := range append(odd, durable.Item{Key: "agent/good", Value: encodeMember(t, RoleAgent, "good", "10.0.0.1:80")}) {
-		applyMember(item.Key, item.Value, collect)
+		applyMember(item.Key, item.Value, item.Offset, collect)
 	}
 	if len(got) != 1 || got[0] != "good" {
 		t.Errorf("got members %q, want only the good one", got)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -70,6 +70,7 @@
 	role    Role
 	name    string
 	address string // empty after the member has left
+	offset  units.Offset
 }
 
 // decodeMember returns an error for a record that names no process that can be reached. A
@@ -98,8 +99,10 @@
 	return m, nil
 }
 
-// followMembers calls fn for every member and every later change until ctx ends.
-func followMembers(ctx context.Context, store durable.Store, fn func(member)) {
+// followMembers calls fn for every member and every later change until ctx ends. After each
+// read it calls known, unless that is nil, with the offset below which fn was called for all
+// records.
+func followMembers(ctx context.Context, store durable.Store, fn func(member), known func(units.Offset)) {
 	for ctx.Err() == nil {
 		snapshot, err := store.ReadSnapshot(ctx, membersTopic)
 		if err != nil {
@@ -108,16 +111,19 @@
 			continue
 		}
 		for _, item := range snapshot.Items {
-			applyMember(item.Key, item.Value, fn)
+			applyMember(item.Key, item.Value, item.Offset, fn)
 		}
-		tailMembers(ctx, store, snapshot.From, fn)
+		if known != nil {
+			known(snapshot.From)
+		}
+		tailMembers(ctx, store, snapshot.From, fn, known)
 	}
 }
 
 // tailMembers calls fn for every record from the offset on. It returns when ctx
 // ends or the store reports an error other than unavailability, for example that
 // records were missed.
-func tailMembers(ctx context.Context, store durable.Store, from units.Offset, fn func(member)) {
+func tailMembers(ctx context.Context, store durable.Store, from units.Offset, fn func(member), known func(units.Offset)) {
 	for ctx.Err() == nil {
 		batch, err := store.Read(ctx, membersTopic, true, from, memberPollTimeout)
 		if fault.Is(err, durable.Unavailable) {
@@ -127,19 +133,23 @@
 		if err != nil {
 			return
 		}
-		for _, r := range batch.Records {
-			applyMember(r.Key, r.Value, fn)
+		for i, r := range batch.Records {
+			applyMember(r.Key, r.Value, from+units.Offset(i), fn)
 		}
 		from = batch.Next
+		if known != nil {
+			known(from)
+		}
 	}
 }
 
-func applyMember(key string, value []byte, fn func(member)) {
+func applyMember(key string, value []byte, offset units.Offset, fn func(member)) {
 	m, err := decodeMember(key, value)
 	if err != nil {
 		klog.ErrorS(err, "skipping invalid member record")
 		return
 	}
+	m.offset = offset
 	fn(m)
 }
 
