Send no append behind one that waits to be sent again

cause: a call that failed at once (a reset, or one that the store executes late) made the next append overtake it: that one was rejected as out of order, waited 60 ms, and was overtaken in turn by the next.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -240,7 +240,7 @@
 		return a.err
 	}
 	klog.InfoS("append to the jobs' topic is repeated", "sequence", a.call.sequence, "first", a.call.first, "err", a.err)
-	w.window.failed(a.call, now)
+	w.window.failed(a.call, fault.Is(a.err, durable.OutOfOrder), now)
 	return nil
 }
 
--- a/internal/jobstore/window.go
+++ b/internal/jobstore/window.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"slices"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
@@ -31,6 +32,7 @@
 	since    bootclock.Instant // when it was first sent; 0 before
 	sentAt   bootclock.Instant // when it was last sent
 	retryAt  bootclock.Instant // not sent again before
+	overtook bool              // the last call was rejected because the append before it was missing
 }
 
 // appendCall is a call that sends an append.
@@ -60,13 +62,19 @@
 	switch {
 	case len(w.appends) == 0:
 		return true, 0
-	case len(w.appends) >= maxAppends || !w.established:
+	case len(w.appends) >= maxAppends || !w.established || w.waits():
 		return false, 0
 	}
 	at = w.lastSent.Add(max(minSpacing, w.answerTime/maxAppends))
 	return !now.Before(at), at
 }
 
+// waits reports whether an append is not in flight but waits to be sent again. The store rejects
+// all later ones meanwhile.
+func (w *appendWindow) waits() bool {
+	return slices.ContainsFunc(w.appends, func(a *pendingAppend) bool { return a.calls == 0 })
+}
+
 // add adds an append. It is due at once.
 func (w *appendWindow) add(a *pendingAppend) { w.appends = append(w.appends, a) }
 
@@ -82,10 +90,14 @@
 	return a.sentAt.Add(max(minRepeatDelay, repeatFactor*w.answerTime)), true
 }
 
-// takeDue returns the append that is to be sent now, and the call for it, or nil.
+// takeDue returns the append that is to be sent now, and the call for it, or nil. None is sent
+// while one before it waits to be sent again.
 func (w *appendWindow) takeDue(now bootclock.Instant) (*pendingAppend, appendCall) {
 	for i, a := range w.appends {
 		at, ok := w.dueAt(a)
+		if a.calls == 0 && now.Before(at) {
+			break
+		}
 		if !ok || now.Before(at) {
 			continue
 		}
@@ -105,6 +117,9 @@
 		if due, pending := w.dueAt(a); pending && (!ok || due.Before(at)) {
 			at, ok = due, true
 		}
+		if a.calls == 0 {
+			break
+		}
 	}
 	return at, ok
 }
@@ -120,15 +135,19 @@
 		done = append(done, a.writes...)
 		w.appends = w.appends[1:]
 	}
+	if len(w.appends) > 0 && w.appends[0].overtook {
+		w.appends[0].overtook, w.appends[0].retryAt = false, now
+	}
 	return done
 }
 
-// failed processes a call that was not executed or got no answer. The append is sent again.
-func (w *appendWindow) failed(c appendCall, now bootclock.Instant) {
+// failed processes a call that was not executed or got no answer. The append is sent again:
+// after a delay, or, if the call overtook the append before it, once that is durable.
+func (w *appendWindow) failed(c appendCall, overtook bool, now bootclock.Instant) {
 	for _, a := range w.appends {
 		if a.sequence == c.sequence {
 			a.calls--
-			a.retryAt = now.Add(retryDelay)
+			a.retryAt, a.overtook = now.Add(retryDelay), overtook
 		}
 	}
 }
--- a/internal/jobstore/window_test.go
+++ b/internal/jobstore/window_test.go
@@ -13,14 +13,16 @@
 // storeModel replays a store to a window: each call is executed when it is sent, in order of
 // the sequence numbers, and answered after a time, or never.
 type storeModel struct {
-	window  appendWindow
-	answer  time.Duration
-	loses   func(call int) bool
-	calls   int
-	next    uint64 // sequence number that the store expects
-	replies []modelReply
-	durable map[uint64]time.Duration // when each append was known to be durable, from its arrival
-	arrived map[uint64]bootclock.Instant
+	window   appendWindow
+	answer   time.Duration
+	loses    func(call int) bool
+	resets   func(call int) bool // the call is not executed and fails at once
+	failures int
+	calls    int
+	next     uint64 // sequence number that the store expects
+	replies  []modelReply
+	durable  map[uint64]time.Duration // when each append was known to be durable, from its arrival
+	arrived  map[uint64]bootclock.Instant
 }
 
 type modelReply struct {
@@ -61,6 +63,10 @@
 func (m *storeModel) execute(now bootclock.Instant, call appendCall) {
 	m.calls++
 	r := modelReply{now.Add(m.answer), call, nil}
+	if m.resets != nil && m.resets(m.calls) {
+		m.replies = append(m.replies, modelReply{now, call, errors.New("reset")})
+		return
+	}
 	switch {
 	case call.sequence == m.next:
 		m.next++
@@ -76,7 +82,8 @@
 
 func (m *storeModel) handle(r modelReply, now bootclock.Instant) {
 	if r.err != nil {
-		m.window.failed(r.call, now)
+		m.failures++
+		m.window.failed(r.call, r.err == errOrder, now)
 		return
 	}
 	before := m.window.appends
@@ -165,9 +172,24 @@
 	if !first.first || second.first {
 		t.Fatalf("got first %t and %t, want only the oldest to be the first", first.first, second.first)
 	}
-	w.failed(second, now) // out of order
+	w.failed(second, true, now)
 	w.succeeded(first, now)
-	if a, again := w.takeDue(now.Add(retryDelay)); a == nil || a.sequence != 2 || !again.first {
+	if a, again := w.takeDue(now); a == nil || a.sequence != 2 || !again.first {
 		t.Errorf("got %+v, %+v, want append 2 again", a, again)
 	}
 }
+
+// Guards against a failed call that makes every later append overtake the one before it: each
+// is then rejected once, and sent again just after the next one was sent.
+func TestOneFailedCallDoesNotSpread(t *testing.T) {
+	const failing = 40
+	m := storeModel{answer: 20 * time.Millisecond}
+	m.resets = func(call int) bool { return call == failing }
+	m.run(10*time.Millisecond, 8*time.Second)
+	if got, want := m.failures, maxAppends; got > want {
+		t.Errorf("got %d failed calls after one reset, want at most %d", got, want)
+	}
+	if len(m.window.appends) != 0 {
+		t.Errorf("got %d appends that are never durable, want none", len(m.window.appends))
+	}
+}
