Let requests wait briefly for a leader during a planned change

cause: during a planned change of leader (0.3 s) each request was refused at once and its caller came back after a second at the earliest, too late for quick checks. change: a request that had no effect because no process leads is tried again for up to 300 ms, before it is refused. An undecided one is not. measured: internal/node RequestWaitsForAPlannedChange fails before (unavailable) and passes now; UndecidedRequestIsNotTriedAgain.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -27,16 +27,23 @@
 	Pending    int
 	RetryAfter time.Duration // how long to wait before a retry; 0 when there is no hint
 	Reason     string        // for the log
+	// awaitsLeader is set if the outcome is Unavailable because no process leads now.
+	awaitsLeader bool
+}
+
+// noLeader returns the reply to a request that had no effect because no process leads now.
+func noLeader(reason string) Reply {
+	return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: reason, awaitsLeader: true}
 }
 
 func (r Reply) toWire() *wire.ClientReply {
 	return &wire.ClientReply{Outcome: string(r.Outcome), State: string(r.State), Pending: int64(r.Pending),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason}
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Reason: r.Reason, AwaitsLeader: r.awaitsLeader}
 }
 
 func replyFromWire(w *wire.ClientReply) Reply {
 	return Reply{Outcome: Outcome(w.GetOutcome()), State: workflow.State(w.GetState()), Pending: int(w.GetPending()),
-		RetryAfter: time.Duration(w.GetRetryAfterMs()) * time.Millisecond, Reason: w.GetReason()}
+		RetryAfter: time.Duration(w.GetRetryAfterMs()) * time.Millisecond, Reason: w.GetReason(), awaitsLeader: w.GetAwaitsLeader()}
 }
 
 // Verb is the operation that a client requests.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -18,6 +18,7 @@
 	"wasabihill.example/wasabihill/internal/leadership"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/operations"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/internal/workflow"
 )
@@ -257,11 +258,25 @@
 	}
 }
 
+const (
+	// leaderWait is how long a request waits for a leader. A planned change of leader takes
+	// less, and its caller would come back only after a second. It is a small part of the time
+	// that the caller has, so that a refusal still comes early.
+	leaderWait = 300 * time.Millisecond
+	// leaderRetryDelay is the delay before such a request is tried again.
+	leaderRetryDelay = 40 * time.Millisecond
+)
+
 // Serve answers a client request, locally when this process leads and otherwise
-// through the session to the leader.
+// through the session to the leader. A request that had no effect because there is no leader
+// waits for one for up to leaderWait.
 func (e *Entry) Serve(ctx context.Context, r Request) Reply {
 	begin := time.Now()
 	reply := e.handleRequest(ctx, r)
+	for reply.awaitsLeader && time.Since(begin) < leaderWait && ctx.Err() == nil {
+		pause.For(ctx, leaderRetryDelay)
+		reply = e.handleRequest(ctx, r)
+	}
 	e.metrics.recordRequest(r.Verb, reply.Outcome, time.Since(begin))
 	return reply
 }
@@ -274,7 +289,7 @@
 		return local.handleRequest(ctx, r)
 	}
 	if session == nil {
-		return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "no leader is connected"}
+		return noLeader("no leader is connected")
 	}
 	message := &wire.ClientCall{Verb: string(r.Verb), JobId: string(r.ID), Queue: string(r.Queue)}
 	if r.Job != nil {
@@ -290,9 +305,9 @@
 // replyFailedCall returns the reply to a client whose call to the leader
 // failed. Only a call that was not sent certainly had no effect.
 func replyFailedCall(r Request, err error) Reply {
-	reply := Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: err.Error()}
+	reply := noLeader(err.Error())
 	if !fault.Is(err, link.NotSent) && (r.Verb == Submit || r.Verb == Cancel) {
-		reply.Outcome = Unknown
+		reply.Outcome, reply.awaitsLeader = Unknown, false
 	}
 	return reply
 }
@@ -311,7 +326,7 @@
 	local := e.leader
 	e.mu.Unlock()
 	if local == nil {
-		return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "not the leader"}.toWire(), nil
+		return noLeader("not the leader").toWire(), nil
 	}
 	r, err := requestFromWire(in)
 	if err != nil {
--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/durable"
+	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/leadership"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/operations"
@@ -175,3 +177,38 @@
 		t.Error("promises count: got true, want false, as a registered process does not answer")
 	}
 }
+
+// Guards against requests that are refused during a planned change of leader, which takes less
+// time than their callers wait before they come back, and against refusals that come late.
+func TestRequestWaitsForAPlannedChangeOfLeader(t *testing.T) {
+	for name, test := range map[string]struct {
+		after time.Duration // until a process leads; 0 for never
+		want  Outcome
+	}{"planned change": {150 * time.Millisecond, JobNotFound}, "no leader": {0, Unavailable}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := &Entry{Settings: &Settings{Name: "e"}, metrics: newMetrics(nil)}
+			if test.after != 0 {
+				time.AfterFunc(test.after, func() { leadUntilStopped(t, e, &keyedStore{}) })
+			}
+			begin := time.Now()
+			reply := e.Serve(t.Context(), Request{Verb: Lookup, ID: "j"})
+			if reply.Outcome != test.want {
+				t.Errorf("got %s (%s), want %s", reply.Outcome, reply.Reason, test.want)
+			}
+			if took, limit := time.Since(begin), leaderWait+200*time.Millisecond; took > limit {
+				t.Errorf("answered after %v, want at most %v", took, limit)
+			}
+		})
+	}
+}
+
+// Guards against a submission that is tried again although it may have had an effect.
+func TestUndecidedRequestIsNotTriedAgain(t *testing.T) {
+	if reply := replyFailedCall(Request{Verb: Submit}, errors.New("no answer")); reply.awaitsLeader || reply.Outcome != Unknown {
+		t.Errorf("submission without an answer: got %+v, want %s and no other try", reply, Unknown)
+	}
+	if reply := replyFailedCall(Request{Verb: Submit}, fault.New("call", link.NotSent, "no session")); !reply.awaitsLeader || reply.Outcome != Unavailable {
+		t.Errorf("submission that was not sent: got %+v, want %s and another try", reply, Unavailable)
+	}
+}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -324,7 +324,7 @@
 func (l *leader) handleRequest(ctx context.Context, r Request) Reply {
 	replies := make(chan Reply, 1)
 	if !l.enqueue(func() { l.processRequest(r, replies) }) {
-		return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "leader has ended"}
+		return noLeader("leader has ended")
 	}
 	select {
 	case reply := <-replies:
@@ -335,7 +335,7 @@
 	if r.Verb == Submit || r.Verb == Cancel {
 		return Reply{Outcome: Unknown, Reason: "the store has not answered"}
 	}
-	return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "leader has ended"}
+	return noLeader("leader has ended")
 }
 
 // confirm returns the reply if it holds now. This process may have been suspended since
@@ -343,7 +343,7 @@
 // A reply about a durable record holds for good.
 func (l *leader) confirm(r Reply) Reply {
 	if r.Outcome == JobNotFound && !l.isLeading() {
-		return Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "leadership has ended meanwhile"}
+		return noLeader("leadership has ended meanwhile")
 	}
 	return r
 }
@@ -351,7 +351,7 @@
 // processRequest must be called in the goroutine that runs the scheduler.
 func (l *leader) processRequest(r Request, replyTo chan Reply) {
 	if !l.isLeading() {
-		replyTo <- Reply{Outcome: Unavailable, RetryAfter: unavailableRetryAfter, Reason: "leadership is not certain"}
+		replyTo <- noLeader("leadership is not certain")
 		return
 	}
 	switch r.Verb {
