--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,11 @@
 # Duration of each fuzz target of `make fuzz`.
 FUZZ_TIME ?= 3s
 
-.PHONY: build test lint run bench soak histories fuzz generate
+# Length of the schedules of `make model`, and calls of the leader in them.
+MODEL_TICKS ?= 10
+MODEL_CALLS ?= 5
+
+.PHONY: build test lint run bench soak histories fuzz model generate
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -65,5 +69,9 @@
 		done; \
 	done
 
+# Checks the renewals of the leadership by exhaustion, deeper than `make test` does.
+model:
+	$(GO) test -count=1 -timeout 30m -v -run TestModel ./internal/leadership -args -model.ticks=$(MODEL_TICKS) -model.calls=$(MODEL_CALLS)
+
 generate:
 	$(GO) generate ./...
