Contain panics in the control of a runner

cause: a panic in the agent's loop ended the process, and with it the lists and the pace control of its runner; only the leader's scheduler had a boundary. change: contain is shared; the agent's loop starts again from the runner's lists, counted in panics. The lock of the pace control is released by defer. measured: internal/node PanicDoesNotEndTheAgent ends the test's process before. conclusion: kept.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -17,6 +17,7 @@
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/interference"
 	"wasabihill.example/wasabihill/internal/link"
+	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/internal/runner"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/internal/workflow"
@@ -67,11 +68,23 @@
 		listener := &link.Listener{Address: a.Settings.sessionAddress(), Handler: a.routes()}
 		group.Go(func() error { return runListener(ctx, listener) })
 		group.Go(func() error { return a.runReports(ctx) })
-		return a.Controller.Run(ctx)
+		return a.runController(ctx)
 	})
 	return ignoreCancelled(stopped, group.Wait())
 }
 
+// runController runs the controller until ctx ends. After a panic it starts again from the
+// runner's lists; the runs continue by their lease.
+func (a *Agent) runController(ctx context.Context) error {
+	for {
+		err := contain(a.metrics, func() error { return a.Controller.Run(ctx) })
+		if !fault.Is(err, Panicked) || ctx.Err() != nil {
+			return err
+		}
+		pause.For(ctx, storeRetryDelay)
+	}
+}
+
 // ignoreCancelled returns nil once ctx has ended, and err before that.
 func ignoreCancelled(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"runtime/debug"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,15 +42,6 @@
 	unavailableRetryAfter = time.Second
 )
 
-// Kind classifies the errors of this package.
-type Kind string
-
-// Panicked is the kind of an error that ends a term after a panic of the scheduler.
-const Panicked Kind = "panicked"
-
-// Error is the error type of this package.
-type Error = fault.Error[Kind]
-
 // leader runs the scheduler for one term. Only one of its goroutines accesses
 // scheduler, agents, absences, submissions and cancellations; the others send it events.
 type leader struct {
@@ -99,28 +89,16 @@
 	l.knownAbsent = make(map[units.WorkerID]bool)
 	l.submissions = make(map[workflow.JobID]*submission)
 	l.writer = jobstore.New(l.store, uint64(l.term))
-	if err := l.contain(func() error { return l.recover(ctx) }); err != nil {
+	if err := contain(l.metrics, func() error { return l.recover(ctx) }); err != nil {
 		return err
 	}
 	l.group.Go(func() error { return l.writer.Run(ctx) })
-	l.group.Go(func() error { return l.contain(func() error { return l.loop(ctx) }) })
+	// After a panic the tables may be inconsistent, so the term ends, and the next leader
+	// restores them from the records. The process goes on to serve its clients.
+	l.group.Go(func() error { return contain(l.metrics, func() error { return l.loop(ctx) }) })
 	return l.group.Wait()
 }
 
-// contain calls fn and turns a panic into an error, which ends the term: the tables may be
-// inconsistent, and the next leader restores them from the records. The process goes on
-// to serve its clients.
-func (l *leader) contain(fn func() error) (err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			l.metrics.countPanic()
-			klog.ErrorS(nil, "the scheduler panicked; the term ends", "term", l.term, "cause", cause, "stack", string(debug.Stack()))
-			err = fault.New("lead", Panicked, "%v", cause)
-		}
-	}()
-	return fn()
-}
-
 // recover restores the scheduler from the records of the earlier terms.
 func (l *leader) recover(ctx context.Context) error {
 	// Earlier leaders have granted no lease since the term was won, so the leases of
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,3 +183,41 @@
 		}
 	})
 }
+
+// panickingRunner panics at the first polls.
+type panickingRunner struct {
+	runner.API
+	polls atomic.Int32
+}
+
+func (r *panickingRunner) Poll(ctx context.Context, _ runner.PollCall) (runner.Listing, error) {
+	if r.polls.Add(1) <= 2 {
+		panic("odd")
+	}
+	<-ctx.Done()
+	return runner.Listing{}, ctx.Err()
+}
+
+// Guards against an unexpected error in the control of a runner that ends the agent.
+func TestPanicDoesNotEndTheAgent(t *testing.T) {
+	api := &panickingRunner{}
+	a := &Agent{Controller: &runner.Controller{API: api, MaxLease: time.Second}, metrics: newMetrics(nil)}
+	a.Controller.HandleAnnouncement(runner.Info{Incarnation: runner.Incarnation{ID: "r", StartedUnixMs: 1}}, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.runController(ctx) }()
+	for deadline := time.Now().Add(3 * time.Second); api.polls.Load() < 3; time.Sleep(5 * time.Millisecond) {
+		select {
+		case err := <-ended:
+			t.Fatalf("the control ended with %v, want it to go on", err)
+		default:
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no further poll after a panic")
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v at the end, want no error", err)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -62,7 +62,7 @@
 // countMalformed counts records that were skipped because they are malformed.
 func (m metrics) countMalformed(n int) { m.scope.Counter("records_malformed").Inc(int64(n)) }
 
-// countPanic counts the terms that a panic of the scheduler has ended.
+// countPanic counts the panics of the scheduler, each of which ends a term, and of an agent.
 func (m metrics) countPanic() { m.scope.Counter("panics").Inc(1) }
 
 // countTerm counts the terms that this process leads.
--- a/internal/runner/latency.go
+++ b/internal/runner/latency.go
@@ -73,10 +73,7 @@
 
 // protectLatency adjusts the paces of the best-effort tasks.
 func (c *Controller) protectLatency(ctx context.Context) {
-	c.mu.Lock()
-	calls := c.paceChanges(bootclock.Now())
-	c.mu.Unlock()
-	for _, call := range calls {
+	for _, call := range c.takePaceChanges() {
 		if err := c.callRunner(ctx, func(ctx context.Context) (ClockTime, error) { return c.API.SetPace(ctx, call) }); err != nil {
 			klog.V(1).InfoS("failed to set the pace of a run", "task", call.Task.String(), "err", err)
 			c.mu.Lock()
@@ -88,6 +85,13 @@
 	}
 }
 
+// takePaceChanges returns the calls that adjust the paces now.
+func (c *Controller) takePaceChanges() []PaceCall {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paceChanges(bootclock.Now())
+}
+
 // activeTasks returns the tasks that are neither starting nor stopping. The
 // best-effort tasks are sorted, those closest to completion first. The caller holds
 // c.mu.
