--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -381,11 +381,7 @@
 		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: term}
 		e.leaderLed = false
 	}
-	if term == e.leader.Term && e.Membership != nil {
-		if registered := e.Membership.Registered(); units.Offset(record.GetMembersEnd()) > registered {
-			e.knownToTerm, e.knownAs = term, registered
-		}
-	}
+	e.observeKnown(term, units.Offset(record.GetMembersEnd()))
 	if term == e.leader.Term {
 		e.recordsMissed = false
 		e.leaderLed = e.leaderLed || term != claimedTerm(at)
--- a/internal/leadership/membership.go
+++ b/internal/leadership/membership.go
@@ -11,8 +11,9 @@
 // A leader without the store goes on while all other entry processes promise not to claim. So
 // each process that may claim must be known to it, and one that is gone for good must not be
 // asked for ever. These rules keep it alone:
-//   - A renewal says how far the leader has read the members. A process that is registered
-//     there or later may not claim against that leader for want of renewals.
+//   - A renewal says how far the leader has read the members, and a request for a promise which
+//     record of the process it has read. A process that is registered behind that may not claim
+//     against that leader for want of renewals.
 //   - The leader removes the record of a process that it can't reach for long while it has the
 //     store. It relies on promises without that process only once a renewal that was sent after
 //     it had read the removal was appended.
@@ -32,6 +33,25 @@
 	Confirm(ctx context.Context) bool
 }
 
+// ObserveKnown processes a request of the leader of the term for a promise, which says that it
+// has read the record of this process below the given offset of the members.
+func (e *Elector) ObserveKnown(term Term, end units.Offset) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observeKnown(term, end)
+}
+
+// observeKnown records that the leader of the term has read the members below end. The caller
+// holds mu.
+func (e *Elector) observeKnown(term Term, end units.Offset) {
+	if term != e.leader.Term || e.Membership == nil {
+		return
+	}
+	if registered := e.Membership.Registered(); end > registered {
+		e.knownToTerm, e.knownAs = term, registered
+	}
+}
+
 // knownToLeader reports whether the last leader asks this process for promises. The caller
 // holds mu.
 func (e *Elector) knownToLeader() bool {
--- a/internal/leadership/membership_test.go
+++ b/internal/leadership/membership_test.go
@@ -43,8 +43,9 @@
 func TestUnknownProcessDoesNotClaimBesideALeaderByPromises(t *testing.T) {
 	for name, test := range map[string]struct {
 		known bool
-		want  bool // the other process leads
-	}{"unknown": {false, false}, "known": {true, true}} {
+		asked units.Offset // the leader asks for a promise and has read the members below; 0 if it does not ask
+		want  bool         // the other process leads
+	}{"unknown": {false, 0, false}, "known": {true, 0, true}, "asked": {false, 6, true}, "asked as an earlier one": {false, 5, false}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			log := metastore.NewLog()
@@ -56,9 +57,12 @@
 			if test.known {
 				other.offset = 4
 			}
-			_, _, otherLed := startMember(t, log, "b", other)
+			b, _, otherLed := startMember(t, log, "b", other)
 			time.Sleep(600 * time.Millisecond) // b reads a renewal
 			connection.Set(metastore.Fault{NoReply: true})
+			if test.asked != 0 {
+				b.ObserveKnown(term, test.asked)
+			}
 			select {
 			case <-otherLed:
 				if !test.want {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -31,6 +31,7 @@
 // peer is another entry process.
 type peer struct {
 	address   string
+	offset    units.Offset      // of its record
 	lostSince bootclock.Instant // since when this process, as leader, has not reached it; 0 if it has
 	removedAt bootclock.Instant // when its removal was read; 0 if it is registered
 }
@@ -42,25 +43,25 @@
 func (p peers) apply(m member, now bootclock.Instant) {
 	switch known := p[m.name]; {
 	case m.address != "":
-		p[m.name] = &peer{address: m.address}
+		p[m.name] = &peer{address: m.address, offset: m.offset}
 	case known != nil && known.removedAt == 0:
 		known.removedAt = now
 	}
 }
 
-// mayClaim returns the addresses of the processes that may claim the leadership while this
-// process leads and has sent its last renewal at renewedAt: those that are registered, and
-// those whose removal was read later. It forgets the others.
-func (p peers) mayClaim(renewedAt bootclock.Instant) []string {
-	addresses := make([]string, 0, len(p))
+// mayClaim returns the processes that may claim the leadership while this process leads and has
+// sent its last renewal at renewedAt: those that are registered, and those whose removal was
+// read later. It forgets the others.
+func (p peers) mayClaim(renewedAt bootclock.Instant) []peer {
+	others := make([]peer, 0, len(p))
 	for name, other := range p {
 		if other.removedAt != 0 && renewedAt.After(other.removedAt) {
 			delete(p, name)
 			continue
 		}
-		addresses = append(addresses, other.address)
+		others = append(others, *other)
 	}
-	return addresses
+	return others
 }
 
 // registered returns the addresses of the registered processes by name.
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -20,7 +20,10 @@
 	p.apply(member{role: RoleEntry, name: "here", address: "10.0.0.2:80"}, removed)
 	p.apply(member{role: RoleEntry, name: "gone"}, removed)
 	asked := func(renewedAt bootclock.Instant) []string {
-		addresses := p.mayClaim(renewedAt)
+		var addresses []string
+		for _, other := range p.mayClaim(renewedAt) {
+			addresses = append(addresses, other.address)
+		}
 		slices.Sort(addresses)
 		return addresses
 	}
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -11,6 +11,7 @@
 	"wasabihill.example/wasabihill/internal/leadership"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
 )
 
 // What the entry processes ask each other about the leadership: whether the leader's process
@@ -43,6 +44,7 @@
 // handlePromise answers another process's request for a promise not to claim the
 // leadership.
 func (e *Entry) handlePromise(_ context.Context, in *wire.SupportRequest) (*wire.SupportReply, error) {
+	e.elector.ObserveKnown(leadership.Term(in.GetTerm()), units.Offset(in.GetMembersEnd()))
 	promised, reachable, latestTerm := e.elector.Promise(leadership.Term(in.GetTerm()))
 	return &wire.SupportReply{Promised: promised, StoreReachable: reachable, Term: uint64(latestTerm)}, nil
 }
@@ -55,14 +57,14 @@
 func (e *Entry) requestPromises(ctx context.Context, term leadership.Term) (bootclock.Instant, bool) {
 	renewedAt := e.elector.RenewedAt()
 	e.mu.Lock()
-	addresses := e.peers.mayClaim(renewedAt)
+	others := e.peers.mayClaim(renewedAt)
 	e.mu.Unlock()
 	sent := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, address := range addresses {
-		group.Go(func() error { return e.requestPromise(ctx, address, term) })
+	for _, other := range others {
+		group.Go(func() error { return e.requestPromise(ctx, other, term) })
 	}
 	if err := group.Wait(); err != nil {
 		klog.InfoS("leadership is not supported", "term", term, "err", err)
@@ -71,14 +73,15 @@
 	return sent.Add(leadership.PromiseDuration), true
 }
 
-func (e *Entry) requestPromise(ctx context.Context, address string, term leadership.Term) error {
+func (e *Entry) requestPromise(ctx context.Context, other peer, term leadership.Term) error {
+	address := other.address
 	session, err := link.Dial(ctx, address, nil)
 	if err != nil {
 		return err
 	}
 	defer session.Close()
 	reply := &wire.SupportReply{}
-	if err := session.Call(ctx, pathSupport, &wire.SupportRequest{Term: uint64(term)}, reply); err != nil {
+	if err := session.Call(ctx, pathSupport, &wire.SupportRequest{Term: uint64(term), MembersEnd: uint64(other.offset + 1)}, reply); err != nil {
 		return err
 	}
 	if !reply.GetPromised() {
