--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 	@for package in ./platform ./internal/node ./internal/leadership ./internal/scheduler; do \
 		for target in $$($(GO) test -list '^Fuzz' $$package | grep '^Fuzz'); do \
 			echo "$$package $$target"; \
-			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) $$package || exit 1; \
+			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) -fuzzminimizetime 1x $$package || exit 1; \
 		done; \
 	done
 
