Log how a second run relates to its release and to the leases

cause: the line on a second run says neither when the reported run was released, nor how that compares with the end of the leases that the leader counted, nor when the current run was ordered, nor how long the agent has known the reported end; a replaced runner is logged without saying whether the new one has answered; agents are silent on announcements that they ignore and on lists that are cut.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -91,7 +91,7 @@
 	listedAt            bootclock.Instant // when the last listing was requested
 	unresponsive        bool              // the last poll failed
 	runs                map[workflow.TaskID]*run
-	ended               []EndedRun // listed but not recorded yet, ordered by number
+	ended               []unrecordedEnd // ordered by number
 	rejections          []Rejection
 	recordedEnd         uint64            // ended runs up to this number are durably recorded
 	grantedUntil        bootclock.Instant // when the scheduler's permission to run tasks ends
@@ -122,7 +122,9 @@
 		c.replaceIncarnation(info)
 		changed = true
 	case info.StartedUnixMs < c.info.StartedUnixMs:
+		current := c.info.Incarnation
 		c.mu.Unlock()
+		klog.InfoS("announcement of an earlier incarnation is ignored", "runner", info.ID, "born", info.StartedUnixMs, "current", current.ID, "currentBorn", current.StartedUnixMs)
 		return false
 	case info.Sequence < c.info.Sequence:
 		// The announcement was delayed and a later one has been applied.
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -29,8 +29,11 @@
 		c.replaceIncarnation(info)
 	}
 	prompt := c.silent(bootclock.Now())
+	if l.Truncated {
+		klog.InfoS("runner's list of ended runs is incomplete", "runner", id, "running", len(l.Running), "ended", len(l.Ended), "firstListing", !c.listed)
+	}
 	if c.unresponsive {
-		klog.InfoS("runner answers again", "runner", id)
+		klog.InfoS("runner answers again", "runner", id, "leaseLeftMs", c.leaseUntil-l.Clock, "running", len(l.Running), "ended", len(l.Ended))
 	}
 	c.listed, c.listedAt, c.unresponsive = true, sent, false
 	c.setClock(l.Clock)
@@ -78,6 +81,12 @@
 	}
 }
 
+// unrecordedEnd is an ended run that was listed but is not recorded yet.
+type unrecordedEnd struct {
+	EndedRun
+	listedAt bootclock.Instant // when a listing first showed it
+}
+
 // mergeEndedRun updates the table from an ended run in a listing, and reports
 // whether the end is new. The caller holds c.mu.
 func (c *Controller) mergeEndedRun(e EndedRun) bool {
@@ -93,6 +102,6 @@
 	if n := len(c.ended); n > 0 && c.ended[n-1].Number >= e.Number {
 		return false
 	}
-	c.ended = append(c.ended, e)
+	c.ended = append(c.ended, unrecordedEnd{e, bootclock.Now()})
 	return true
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -26,7 +26,7 @@
 	}
 	for _, e := range c.ended {
 		report.Ended = append(report.Ended, &wire.EndRow{Number: e.Number, Task: e.Task.String(), Attempt: int64(e.Attempt),
-			End: string(e.End), Checkpoint: e.Checkpoint})
+			End: string(e.End), Checkpoint: e.Checkpoint, ListedAgoMs: bootclock.Now().Sub(e.listedAt).Milliseconds()})
 	}
 	return report, len(c.rejections)
 }
--- a/internal/scheduler/history.go
+++ b/internal/scheduler/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -78,11 +79,20 @@
 }
 
 // logSecondRun counts a second run, and logs the history of the task for which w reports
-// another run than the current one. what says what is reported.
-func (s *Scheduler) logSecondRun(w *worker, t *task, attempt workflow.Attempt, what string, now Timestamp) {
+// another run than the current one. what says what is reported. If that is an end, the agent
+// has known it for endListedAgo. The line tells how the release of the reported run and the
+// order of the current one relate to the end of the leases, as far as this leader knows them.
+func (s *Scheduler) logSecondRun(w *worker, t *task, attempt workflow.Attempt, what string, endListedAgo time.Duration, now Timestamp) {
 	s.secondRuns++
-	klog.InfoS("second run of a task is reported", "task", t.id.String(), "worker", w.id, "attempt", attempt, "what", what, "report", w.reportSequence,
-		"currentWorker", t.worker.id, "currentAttempt", t.attempt, "history", s.history.of(t.id, now.Boot))
+	values := []any{"task", t.id.String(), "worker", w.id, "attempt", attempt, "what", what, "report", w.reportSequence,
+		"currentWorker", t.worker.id, "currentAttempt", t.attempt, "endListedAgo", endListedAgo}
+	if t.orderedAt != 0 {
+		values = append(values, "currentOrderedAgo", now.Boot.Sub(t.orderedAt))
+	}
+	if t.lost.attempt == attempt {
+		values = append(values, "releasedBecause", t.lost.reason, "releasedAgo", now.Boot.Sub(t.lost.at), "releasedAfterLeaseEnd", t.lost.at.Sub(t.lost.leaseEnd))
+	}
+	klog.InfoS("second run of a task is reported", append(values, "history", s.history.of(t.id, now.Boot))...)
 }
 
 // TakeSecondRuns returns how often a report has shown a run, or the end of a run, beside
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -104,6 +104,7 @@
 // startTask places the task on w and queues its start order.
 func (s *Scheduler) startTask(t *task, w *worker, attempt workflow.Attempt, now Timestamp) {
 	t.assign(w, attempt)
+	t.orderedAt = now.Boot
 	s.recordEvent(t, startOrdered, w.reportSequence, "", now)
 	if t.step.BestEffort {
 		s.predictLoss(w, t.step.Image, t.step.cores())
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"wasabihill.example/wasabihill/internal/bootclock"
 	"wasabihill.example/wasabihill/internal/runner"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/internal/workflow"
@@ -69,7 +70,8 @@
 	}
 	if w.runner.Incarnation != info.Incarnation {
 		if w.runner.ID != "" {
-			klog.InfoS("runner replaced", "worker", w.id, "old", w.runner.ID, "new", info.ID, "born", info.StartedUnixMs, "tasks", len(w.tasks))
+			klog.InfoS("runner replaced", "worker", w.id, "old", w.runner.ID, "new", info.ID, "oldBorn", w.runner.StartedUnixMs, "born", info.StartedUnixMs,
+				"tasks", len(w.tasks), "silent", in.GetSilent(), "leaseLeft", w.latestLeaseEnd.Sub(now.Boot))
 			if w.runner.ID != info.ID {
 				s.releaseTasks(w, now, runnerReplaced, func(t *task) bool { return true })
 			}
@@ -96,6 +98,14 @@
 	runnerReplaced releaseReason = "runnerReplaced" // another runner has taken the place of the previous one
 )
 
+// lostRun is a run that was released without an end.
+type lostRun struct {
+	attempt  workflow.Attempt // 0 if there is none
+	reason   releaseReason
+	at       bootclock.Instant // when it was released
+	leaseEnd bootclock.Instant // end of the worker's leases, as counted then
+}
+
 // releaseTasks releases the tasks on w that lost reports as no longer running.
 func (s *Scheduler) releaseTasks(w *worker, now Timestamp, reason releaseReason, lost func(*task) bool) {
 	released := 0
@@ -104,7 +114,7 @@
 			klog.InfoS("run is lost", "task", t.id.String(), "attempt", t.attempt, "worker", w.id, "reason", reason, "report", w.reportSequence,
 				"start", t.start.phase, "startedAfterReport", t.start.afterReport)
 			s.recordEvent(t, runLost, w.reportSequence, string(reason), now)
-			t.lostAttempt = t.attempt
+			t.lost = lostRun{attempt: t.attempt, reason: reason, at: now.Boot, leaseEnd: w.latestLeaseEnd}
 			t.release()
 			s.stopGang(t, now)
 			released++
@@ -183,8 +193,8 @@
 	case current:
 		s.recordEvent(t, runEnded, w.reportSequence, row.GetEnd(), now)
 		t.release()
-	case t.worker != nil && attempt == t.lostAttempt:
-		s.logSecondRun(w, t, attempt, "end "+row.GetEnd(), now)
+	case t.worker != nil && attempt == t.lost.attempt:
+		s.logSecondRun(w, t, attempt, "end "+row.GetEnd(), time.Duration(row.GetListedAgoMs())*time.Millisecond, now)
 	}
 	switch workflow.End(row.GetEnd()) {
 	case workflow.Done:
@@ -327,7 +337,7 @@
 		return true
 	}
 	if t.worker != nil {
-		s.logSecondRun(w, t, attempt, "run", now)
+		s.logSecondRun(w, t, attempt, "run", 0, now)
 		return false
 	}
 	if t.done || t.job.state.Final() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -122,11 +122,12 @@
 	done           bool
 	attempt        workflow.Attempt   // of the run on worker, or of the previous run
 	highestAttempt workflow.Attempt   // highest attempt that was ordered or reported
-	lostAttempt    workflow.Attempt   // of the last run that was released without an end; 0 if none
+	lost           lostRun            // the last run that was released without an end
 	failedAttempts []workflow.Attempt // attempts counted as failures, unordered
 	checkpoint     string
 	worker         *worker           // nil while the task is unplaced
 	start          startState        // of the run on worker
+	orderedAt      bootclock.Instant // when the run on worker was ordered; 0 if an earlier leader did
 	stopOrderedAt  bootclock.Instant // when a stop was last ordered; 0 if never
 	percent        int
 	lastProgress   progressReading
@@ -235,7 +236,7 @@
 	if t.step.BestEffort {
 		w.bestEffort--
 	}
-	t.worker, t.start, t.stopOrderedAt, t.lastProgress = nil, startState{}, 0, progressReading{}
+	t.worker, t.start, t.orderedAt, t.stopOrderedAt, t.lastProgress = nil, startState{}, 0, 0, progressReading{}
 	t.job.placedTasks--
 	if !t.done {
 		t.step.unplaced++
