Take over nothing of the drain of a runner's earlier life

cause: a drained runner that starts again under its id may answer a poll before its first heartbeat.

--- a/internal/runner/announcement_test.go
+++ b/internal/runner/announcement_test.go
@@ -90,3 +90,15 @@
 		t.Errorf("token: got %d, want more than %d", after.Token, before.Token)
 	}
 }
+
+// A drained runner that starts again under its id may answer a poll before it announces
+// itself. As a draining one it would never get a task again.
+func TestRestartFoundByAListDoesNotDrain(t *testing.T) {
+	c, _ := newBusyController()
+	c.info.Draining = true
+	c.mergeListing("r", Listing{StartedUnixMs: 9, Clock: 1}, bootclock.Now())
+	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "r", StartedUnixMs: 9}, Sequence: 1}, 1)
+	if report, _ := c.Report(); report.GetRunner().GetDraining() {
+		t.Error("after the restart: got a draining runner, want one that takes tasks")
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -116,7 +116,7 @@
 // announced itself yet. Its kind and its capacity are taken to be those of the one before.
 func (i Info) nextIncarnation(startedUnixMs int64) Info {
 	i.StartedUnixMs = startedUnixMs
-	i.Sequence = 0
+	i.Sequence, i.Draining, i.Remaining = 0, false, 0
 	return i
 }
 
