Count the leases that a restart of a runner under its id leaves

cause: a runner that starts again under its id accepts calls that were sent to the incarnation before. Their lease is by the clock of that one, so the new one shortens it to its maximum only (10 s), while the leader counts 6.5 s from the last grant. If the agent freezes, is cut off or ends then, the leader starts the tasks elsewhere up to 3.5 s before their runs end.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -72,15 +72,27 @@
 // holds c.mu.
 func (c *Controller) silent(now bootclock.Instant) bool { return !c.listed || c.outOfTouch(now) }
 
+// longestLease returns the longest lease that a runner grants, by the clock of this machine.
+func (c *Controller) longestLease() time.Duration { return c.MaxLease + c.MaxLease/10 }
+
+// strayLease returns for how long a runner that has restarted under its id may hold a lease
+// that no grant bounds, or 0: a call that was sent to the incarnation before may have carried
+// a lease by the clock of that one. The caller holds c.mu.
+func (c *Controller) strayLease(now bootclock.Instant) time.Duration {
+	if c.restartedAt == 0 {
+		return 0
+	}
+	return max(0, c.restartedAt.Add(c.longestLease()).Sub(now))
+}
+
 // allLeasesExpired reports whether every lease that the runner may hold has
 // certainly expired. The caller holds c.mu.
 func (c *Controller) allLeasesExpired(now bootclock.Instant) bool {
-	longest := c.MaxLease + c.MaxLease/10
-	if c.restartedAt != 0 && !now.After(c.restartedAt.Add(longest)) {
-		return false // a start sent to an earlier incarnation with this id may have carried a lease
+	if c.strayLease(now) > 0 {
+		return false
 	}
 	if c.leaseUntil == 0 { // an earlier agent process may have granted a lease
-		return c.startedAt != 0 && now.After(c.startedAt.Add(longest))
+		return c.startedAt != 0 && now.After(c.startedAt.Add(c.longestLease()))
 	}
 	remaining := time.Duration(c.leaseUntil-c.runnerClock) * time.Millisecond
 	end := c.clockReadAt.Add(time.Duration(float64(remaining)*(1+2*maxClockDrift)) + leaseExpiryMargin)
--- a/internal/runner/newincarnation_test.go
+++ b/internal/runner/newincarnation_test.go
@@ -81,3 +81,17 @@
 		t.Errorf("got calls %v and rejections %v, want none and one as %s", got, c.rejections, LeaseExpired)
 	}
 }
+
+// A call that was sent to the incarnation before may give the new one a lease by the clock of
+// that one. If the agent is lost then, only its report tells that the runs outlast the grant.
+func TestRestartUnderTheSameIDReportsAStrayLease(t *testing.T) {
+	c := newReadyController(&fakeAPI{})
+	if report, _ := c.Report(); report.GetRunner().GetStrayLeaseMs() != 0 {
+		t.Errorf("before the restart: got a stray lease of %d ms, want none", report.GetRunner().GetStrayLeaseMs())
+	}
+	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "r", StartedUnixMs: 2}}, 1)
+	report, _ := c.Report()
+	if got, want := time.Duration(report.GetRunner().GetStrayLeaseMs())*time.Millisecond, c.MaxLease; got < want {
+		t.Errorf("after the restart: got a stray lease of %v, want at least %v", got, want)
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -43,6 +43,9 @@
 		return
 	}
 	s.setRunner(w, r.GetRunner(), now)
+	if stray := r.GetRunner().GetStrayLeaseMs(); stray > 0 {
+		w.latestLeaseEnd = max(w.latestLeaseEnd, now.Boot.Add(time.Duration(stray)*time.Millisecond))
+	}
 	if w.unresponsive {
 		w.synced = false
 		if w.runsEnded {
