Grant no lease to an agent whose runner does not answer

cause: the leader granted leases to an agent whose runner was silent, and counted the end of its runs from the last one. An agent that was started again then does not know when they end, and the tasks were down for a whole lease more.

--- a/internal/node/agentconn.go
+++ b/internal/node/agentconn.go
@@ -154,9 +154,7 @@
 	l.metrics.countReport(len(in.GetEnded()), len(in.GetRejected()))
 	l.scheduler.ApplyReport(a.worker, in, at)
 	l.metrics.countSecondRuns(l.scheduler.TakeSecondRuns())
-	// Without a runner there are no runs, and a grant would hold for those of a runner
-	// that the agent finds later, without the scheduler's knowledge.
-	granted := l.isLeading() && in.GetRunner() != nil && l.endAbsence(a.worker)
+	granted := l.isLeading() && scheduler.MayExtendLease(in) && l.endAbsence(a.worker)
 	if granted {
 		l.scheduler.ExtendLease(a.worker, in, at)
 	}
--- a/internal/node/leader_test.go
+++ b/internal/node/leader_test.go
@@ -130,9 +130,12 @@
 }
 
 // Guards against a grant without the scheduler's knowledge: an agent without a runner
-// would use it for the runs of a runner that it finds later.
+// would use it for the runs of a runner that it finds later. A grant to one whose runner does
+// not answer would defer the time at which its tasks may start elsewhere.
 func TestAgentWithoutRunnerGetsNoGrant(t *testing.T) {
 	l := startTerm(t, &slowStore{})
+	silent := proto.Clone(deskReport().Runner).(*wire.RunnerState)
+	silent.Silent = true
 	a := &agentConn{worker: "w", address: "127.0.0.1:1", stop: func() {}, attachment: 1}
 	l.agents["w"] = a
 	l.agentAttached(a, nil)
@@ -141,11 +144,12 @@
 		want   bool
 	}{
 		{&wire.WorkerReport{Sequence: 1, Attachment: 1}, false},
-		{&wire.WorkerReport{Sequence: 2, Attachment: 1, Runner: deskReport().Runner}, true},
+		{&wire.WorkerReport{Sequence: 2, Attachment: 1, Runner: silent}, false},
+		{&wire.WorkerReport{Sequence: 3, Attachment: 1, Runner: deskReport().Runner}, true},
 	} {
 		result := l.applyReport(a, 1, c.report)
 		if result.err != nil || result.reply.GetGranted() != c.want {
-			t.Errorf("report with runner %t: got granted %t, error %v; want granted %t", c.report.Runner != nil, result.reply.GetGranted(), result.err, c.want)
+			t.Errorf("report with runner %v: got granted %t, error %v; want granted %t", c.report.Runner, result.reply.GetGranted(), result.err, c.want)
 		}
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -205,13 +205,12 @@
 
 // runsKnown reports whether the tables contain every task that may run on w.
 func (w *worker) runsKnown(now Timestamp) bool {
-	switch {
-	case w.attached && w.synced:
-		return true
-	case w.attached && w.unresponsive:
-		return w.runsEnded
-	}
-	return now.Boot.After(w.latestLeaseEnd)
+	return w.attached && w.synced || w.runsHaveEnded(now)
+}
+
+// runsHaveEnded reports whether no task can run on w unless a later report shows otherwise.
+func (w *worker) runsHaveEnded(now Timestamp) bool {
+	return w.attached && w.unresponsive && w.runsEnded || now.Boot.After(w.latestLeaseEnd)
 }
 
 // release removes the task from its worker.
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -67,10 +67,16 @@
 	}
 }
 
-// ExtendLease records that the agent was granted a lease for its runs now. An agent
-// that reports no runner can't extend the lease of any run.
+// MayExtendLease reports whether an agent that has made the report may be granted a lease. One
+// whose runner does not answer can't extend the lease of any run before its next report, and a
+// grant would only defer the time at which its runs have certainly ended.
+func MayExtendLease(r *wire.WorkerReport) bool {
+	return r.GetRunner() != nil && !r.GetRunner().GetSilent()
+}
+
+// ExtendLease records that the agent was granted a lease for its runs now.
 func (s *Scheduler) ExtendLease(id units.WorkerID, r *wire.WorkerReport, now Timestamp) {
-	if w := s.workers[id]; w != nil && r.GetRunner() != nil {
+	if w := s.workers[id]; w != nil && MayExtendLease(r) {
 		w.latestLeaseEnd = now.Boot.Add(s.MaxLeaseDuration)
 		w.granted = true
 	}
--- a/internal/scheduler/silent_test.go
+++ b/internal/scheduler/silent_test.go
@@ -26,6 +26,24 @@
 	return nil, ""
 }
 
+// Reports of a silent runner must not defer the end of its leases, and an agent that can't
+// tell when they end must not defer it either: the task would be down for as long.
+func TestSilentRunnerIsGivenUpAfterItsLastLease(t *testing.T) {
+	f, silent := silence(t)
+	for range 6 {
+		f.advance(time.Second)
+		f.report(silent)
+		if got := f.tick(); len(got) != 0 {
+			t.Fatalf("starts while the lease may last: got %v, want none", got)
+		}
+	}
+	f.advance(testMaxLeaseDuration - 6*time.Second + time.Millisecond)
+	f.report(silent)
+	if got := f.tick(); len(got) != 1 {
+		t.Errorf("starts after the last lease: got %v, want one", got)
+	}
+}
+
 // A runner that has restarted under its id may hold a lease that no grant bounds. Given up
 // before that ends, its task would run twice at the same time.
 func TestStrayLeaseDefersTheEndOfAWorker(t *testing.T) {
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -72,7 +72,7 @@
 
 // giveUp releases the tasks of a worker that can no longer run them.
 func (s *Scheduler) giveUp(w *worker, now Timestamp) {
-	if w.attached && w.unresponsive {
+	if !now.Boot.After(w.latestLeaseEnd) {
 		s.releaseTasks(w, now, runnerSilent, w.decided)
 		return
 	}
