Decide on the absence of a run only by a complete list

cause: a runner lists at most 500 ends at a time. An agent that has just begun, or whose runner has, had no table to keep the runs whose ends a truncated list lacks, and its report did not say so: the leader released their tasks (runNotListed) and started them again, though they were done. A new leader took such a worker's runs as all known and started the recovered tasks. change: a report is partial until a listing of the runner's life has lacked no end (Controller.complete, WorkerReport.partial). Of a partial report what it lists is applied, recorded and acknowledged; the worker is not synced, so what it lacks releases nothing, ends no takeover and gets no new task, and its runs count for a lease from the last partial report on. The first complete listing is reported at once, and a poll after a truncated one does not wait. Such a worker gets no new runs, so its backlog drains. Rows that can't be read are as before: a list with one counts as complete, since a row that stays would hold back all recovered jobs for good.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -89,6 +89,8 @@
 	incarnationSeenAt bootclock.Instant // when the current incarnation was first seen
 	listed            bool              // a listing of this incarnation has been received
 	listedAt          bootclock.Instant // when the last listing was requested
+	truncated         bool              // the last listing lacked ended runs
+	complete          bool              // a listing of this incarnation lacked none, so each run since is in the table or has ended
 	unresponsive      bool              // the last poll failed
 	runs              map[workflow.TaskID]*run
 	ended             []unrecordedEnd // ordered by number
@@ -210,7 +212,7 @@
 }
 
 // nextPoll returns the next poll, and whether its reply may wait for the end of a run. It
-// must not while the runs are not known. A candidate is polled first, without a lease and
+// must not while the runs are not known or ends are missing. A candidate is polled first, without a lease and
 // without an acknowledgement of ends. ok is false if no runner has announced itself.
 func (c *Controller) nextPoll() (call PollCall, mayWait, ok bool) {
 	c.mu.Lock()
@@ -232,7 +234,7 @@
 	if until, granted := c.extendLease(now); granted {
 		call.Until = until
 	}
-	return call, !c.silent(now), true
+	return call, !c.silent(now) && !c.truncated, true
 }
 
 // handlePollError marks the runner as unresponsive and waits before the next poll. It drops a
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -133,6 +133,7 @@
 	c.incarnations++
 	c.incarnationSeenAt = bootclock.Now()
 	c.listed, c.unresponsive = false, false
+	c.truncated, c.complete = false, false
 	c.restartedAt = 0
 	if sameID {
 		c.restartedAt = bootclock.Now()
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -30,13 +30,11 @@
 		c.replaceIncarnation(c.info.nextIncarnation(l.StartedUnixMs))
 	}
 	prompt := c.silent(bootclock.Now())
-	if l.Truncated {
-		klog.InfoS("runner's list of ended runs is incomplete", "runner", id, "running", len(l.Running), "ended", len(l.Ended), "firstListing", !c.listed)
-	}
 	if c.unresponsive {
 		klog.InfoS("runner answers again", "runner", id, "leaseLeftMs", c.leaseUntil-l.Clock, "running", len(l.Running), "ended", len(l.Ended))
 	}
 	c.listed, c.listedAt, c.unresponsive = true, sent, false
+	prompt = c.noteCompleteness(l) || prompt
 	c.setClock(l.Clock)
 	listed := make(map[workflow.TaskID]bool, len(l.Running))
 	for _, row := range l.Running {
@@ -56,6 +54,20 @@
 	return prompt
 }
 
+// noteCompleteness records whether the listing lacks ended runs, and reports whether it is
+// the first one of this incarnation that lacks none. The caller holds c.mu.
+func (c *Controller) noteCompleteness(l Listing) bool {
+	if c.truncated != l.Truncated {
+		klog.InfoS("completeness of the runner's list of ends changed", "runner", c.info.ID, "truncated", l.Truncated, "ends", len(l.Ended), "tableComplete", c.complete)
+	}
+	c.truncated = l.Truncated
+	if c.complete || l.Truncated {
+		return false
+	}
+	c.complete = true
+	return true
+}
+
 // mergeStatus updates the table from a run in a listing. The caller holds c.mu.
 func (c *Controller) mergeStatus(row RunStatus) {
 	if row.Attempt == 0 {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -5,14 +5,14 @@
 	"wasabihill.example/wasabihill/internal/wire"
 )
 
-// Report returns the complete state of the runner for the scheduler, and the number
-// of rejections in it. Pass that number to DropRejections once the report is
-// acknowledged.
+// Report returns the state of the runner for the scheduler, and the number of
+// rejections in it. Pass that number to DropRejections once the report is
+// acknowledged. The report is partial until the runner has listed all ended runs once.
 func (c *Controller) Report() (*wire.WorkerReport, int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reportSequence++
-	report := &wire.WorkerReport{Sequence: c.reportSequence}
+	report := &wire.WorkerReport{Sequence: c.reportSequence, Partial: !c.complete}
 	for _, r := range c.rejections {
 		report.Rejected = append(report.Rejected, &wire.RejectedStart{Task: r.Task.String(), Attempt: int64(r.Attempt), Reason: string(r.Reason)})
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -1,7 +1,7 @@
 // Package runner controls the runner on the machine of an agent. It starts and
 // stops runs, renews their lease, and tracks which runs are active and how runs
 // have ended. The agent is the only caller of its runner, so the table of runs
-// that it keeps is complete.
+// that it keeps is complete from the first listing on that lacks no ended run.
 package runner
 
 import (
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -28,7 +28,8 @@
 )
 
 // ApplyReport updates the tables from an agent's report on its runner. It ignores a
-// report that is not newer than the last one.
+// report that is not newer than the last one. A partial report does not make the worker
+// synced: what it lists is applied, and what it lacks decides nothing.
 func (s *Scheduler) ApplyReport(id units.WorkerID, r *wire.WorkerReport, now Timestamp) {
 	w := s.workers[id]
 	if w == nil || r.GetSequence() <= w.reportSequence {
@@ -53,11 +54,16 @@
 		}
 		return
 	}
-	w.synced = true
+	w.synced = !r.GetPartial()
+	if !w.synced { // the runs that it lists, and those that it lacks, may go on for a lease
+		w.latestLeaseEnd = max(w.latestLeaseEnd, now.Boot.Add(s.MaxLeaseDuration))
+	}
 	s.applyEnds(w, r.GetEnded(), now)
 	listed := s.applyRuns(w, r.GetRunning(), now)
 	s.learnUsage(w, now)
-	s.releaseTasks(w, now, runNotListed, func(t *task) bool { return !listed[t.id] && w.decided(t) })
+	if w.synced {
+		s.releaseTasks(w, now, runNotListed, func(t *task) bool { return !listed[t.id] && w.decided(t) })
+	}
 }
 
 // setRunner updates the state of the worker's runner. The runs of the previous
@@ -97,7 +103,7 @@
 const (
 	leasesEnded    releaseReason = "leasesEnded"    // no report shows the runs, and their leases have ended
 	runnerSilent   releaseReason = "runnerSilent"   // the agent reports that its silent runner has no run left
-	runNotListed   releaseReason = "runNotListed"   // the runner's list lacks the run
+	runNotListed   releaseReason = "runNotListed"   // the runner's complete list lacks the run
 	runnerReplaced releaseReason = "runnerReplaced" // another runner has taken the place of the previous one
 )
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -203,7 +203,8 @@
 	return &j.submittedPolicy
 }
 
-// runsKnown reports whether the tables contain every task that may run on w.
+// runsKnown reports whether the tables contain every task that may run on w. While reports
+// are partial only the end of the lease tells, and each of them extends it.
 func (w *worker) runsKnown(now Timestamp) bool {
 	return w.attached && w.synced || w.runsHaveEnded(now)
 }
