Let an agent reject an attach that is meant for another machine

cause: an agent checked the term and the number of an attach and not for which machine it was meant. When another machine has the address of a lost or cut-off one, the leader's connection for that one reached the other's agent, whose reports counted as those of the first: its other runner released all tasks there (runnerReplaced), which may run on.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -101,9 +101,13 @@
 }
 
 // handleAttach makes the caller the leader that this agent reports to. It
-// rejects a term before the current one, and within the current term an
+// rejects an attach that is meant for another worker, which may have had this
+// address before, a term before the current one, and within the current term an
 // attachment number that is not higher than the current one.
 func (a *Agent) handleAttach(ctx context.Context, in *wire.Attach) (*wire.OrdersReply, error) {
+	if in.GetWorker() != a.Settings.Name || in.GetWorker() == "" {
+		return nil, fault.New("attach", link.Rejected, "meant for worker %q, this is %q", in.GetWorker(), a.Settings.Name)
+	}
 	a.mu.Lock()
 	if in.GetTerm() < a.term || in.GetTerm() == a.term && in.GetAttachment() <= a.attachment {
 		a.mu.Unlock()
--- a/internal/node/agent_test.go
+++ b/internal/node/agent_test.go
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(session.Close)
-	if err := session.Call(ctx, pathAttach, &wire.Attach{Term: 3, Leader: "leader", Attachment: 1}, &wire.OrdersReply{}); err != nil {
+	if err := session.Call(ctx, pathAttach, &wire.Attach{Term: 3, Leader: "leader", Attachment: 1, Worker: "agent"}, &wire.OrdersReply{}); err != nil {
 		t.Fatal(err)
 	}
 	return session
@@ -99,14 +99,14 @@
 	first := attachTo(t, address, grant)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if _, err := a.handleAttach(ctx, &wire.Attach{Term: 3, Leader: "leader", Attachment: 2}); err != nil {
+	if _, err := a.handleAttach(ctx, &wire.Attach{Term: 3, Leader: "leader", Attachment: 2, Worker: "agent"}); err != nil {
 		t.Fatal(err)
 	}
 	err := first.Call(ctx, pathOrders, &wire.Orders{Term: 3, Attachment: 1}, &wire.OrdersReply{})
 	if err == nil {
 		t.Error("orders of attachment 1 were applied after attachment 2, want a rejection")
 	}
-	if _, err := a.handleAttach(ctx, &wire.Attach{Term: 2, Leader: "old", Attachment: 9}); err == nil {
+	if _, err := a.handleAttach(ctx, &wire.Attach{Term: 2, Leader: "old", Attachment: 9, Worker: "agent"}); err == nil {
 		t.Error("term 2 attached after term 3, want a rejection")
 	}
 }
--- a/internal/node/agentconn.go
+++ b/internal/node/agentconn.go
@@ -22,6 +22,9 @@
 	dialTimeout = 700 * time.Millisecond
 	// redialDelay is the pause between the end of a session and the next dial.
 	redialDelay = 200 * time.Millisecond
+	// rejectedAttachDelay is the pause after a rejected attach. The address then mostly
+	// belongs to another machine, until the agent that is meant registers again.
+	rejectedAttachDelay = time.Second
 )
 
 // agentConn is the leader's connection to one agent. Only the goroutine that
@@ -49,42 +52,45 @@
 	l.agents[id] = a
 	l.group.Go(func() error {
 		for ctx.Err() == nil {
-			l.runAttachment(ctx, a)
-			pause.Jittered(ctx, redialDelay)
+			delay := redialDelay
+			if err := l.runAttachment(ctx, a); fault.Is(err, link.Rejected) {
+				delay = rejectedAttachDelay
+			}
+			pause.Jittered(ctx, delay)
 		}
 		return nil
 	})
 }
 
 // runAttachment opens a session, attaches to the agent and returns when the
-// session has ended.
-func (l *leader) runAttachment(ctx context.Context, a *agentConn) {
+// session has ended. It returns the error of the attach call, if that was made.
+func (l *leader) runAttachment(ctx context.Context, a *agentConn) error {
 	attachment := make(chan uint64, 1)
 	if !l.enqueue(func() {
 		a.attachment++
 		attachment <- a.attachment
 	}) {
-		return
+		return nil
 	}
 	var number uint64
 	select {
 	case number = <-attachment:
 	case <-l.ctx.Done():
-		return
+		return nil
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	session, err := link.Dial(dialCtx, a.address, l.agentRoutes(a, number))
 	cancel()
 	if err != nil {
 		klog.V(1).InfoS("failed to connect to agent", "worker", a.worker, "address", a.address, "err", err)
-		return
+		return nil
 	}
 	defer session.Close()
 	// The scheduler resets its state of the worker before the attach call, after
 	// which the agent may report on this session.
 	l.enqueue(func() { l.agentAttached(a, session) })
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	err = session.Call(callCtx, pathAttach, &wire.Attach{Term: uint64(l.term), Leader: l.settings.Name, Attachment: number}, &wire.OrdersReply{})
+	err = session.Call(callCtx, pathAttach, &wire.Attach{Term: uint64(l.term), Leader: l.settings.Name, Attachment: number, Worker: string(a.worker)}, &wire.OrdersReply{})
 	cancel()
 	if err == nil {
 		klog.InfoS("agent attached", "worker", a.worker, "attachment", number)
@@ -95,6 +101,7 @@
 	}
 	klog.InfoS("session to agent ended", "worker", a.worker, "attachment", number, "err", err)
 	l.enqueue(func() { l.agentDetached(a, session) })
+	return err
 }
 
 // isCurrent reports whether a is the connection in use. An agent that returned
