Decide nothing by a listing that was requested before a restart was seen

cause: a runner that restarts under its id has seen no fencing token, so a late start call that was sent to the life before can still be carried out, until a call with the higher token arrives. The listing that shows the restart was requested with the earlier token, and so was one that is on its way when an announcement shows it; both were taken as complete: the runs that they lack were dropped, the leader started their tasks elsewhere, and the late start ran beside them. The comment on replaceIncarnation promised otherwise. change: such a listing only shows the restart; the next one, which is requested at once and with the higher token, decides. It costs one more poll, which does not wait, for each restart under the id. conclusion: kept.

--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -28,6 +28,12 @@
 			return false // the reply of an incarnation that has been replaced
 		}
 		c.replaceIncarnation(c.info.nextIncarnation(l.StartedUnixMs))
+		c.setClock(l.Clock)
+	}
+	if !sent.After(c.restartedAt) {
+		// It was requested with the token of the previous incarnation with this id. Starts with
+		// that token may still arrive, so only the next listing shows which runs are lost.
+		return true
 	}
 	prompt := c.silent(bootclock.Now())
 	if c.unresponsive {
--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -230,6 +230,12 @@
 	c.runs[later] = &run{attempt: 1, confirmedAt: requested.Add(time.Millisecond)}
 	empty := Listing{StartedUnixMs: 5, Clock: 1}
 	c.mergeListing("r", empty, requested)
+	if got := len(c.runs); got != 2 {
+		t.Errorf("after the listing that shows the new incarnation: got %d runs, want both", got)
+	}
+	requested = bootclock.Now().Add(time.Millisecond)
+	c.runs[later].confirmedAt = requested.Add(time.Millisecond)
+	c.mergeListing("r", empty, requested)
 	if c.runs[earlier] != nil || c.runs[later] == nil {
 		t.Errorf("after a listing of the new incarnation: got runs %v, want only that of job b", c.runs)
 	}
