Let no grant shorten the lease that a restarted runner may hold

cause: counts the lease that calls to the life before may leave on a runner that has restarted under its id (up to 11 s), but only while the runner is silent: the grant that follows each report of one that answers set the end back to 6.5 s from then. When the agent is killed after that, the task starts elsewhere while the run may go on. change: ExtendLease never shortens the count. measured: go test ./internal/scheduler -run TestGrantDoesNotShortenAStrayLease: before, 1 start 10 s after the report of 11 s, want none; after, none then and one after the 11 s. conclusion: kept.

--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -74,10 +74,11 @@
 	return r.GetRunner() != nil && !r.GetRunner().GetSilent()
 }
 
-// ExtendLease records that the agent was granted a lease for its runs now.
+// ExtendLease records that the agent was granted a lease for its runs now. It never shortens
+// a longer one that the runner may hold.
 func (s *Scheduler) ExtendLease(id units.WorkerID, r *wire.WorkerReport, now Timestamp) {
 	if w := s.workers[id]; w != nil && MayExtendLease(r) {
-		w.latestLeaseEnd = now.Boot.Add(s.MaxLeaseDuration)
+		w.latestLeaseEnd = max(w.latestLeaseEnd, now.Boot.Add(s.MaxLeaseDuration))
 		w.granted = true
 	}
 }
