Count a promise only from the process that is meant

cause: a leader without the store asks for promises by address, and the reply did not say whose it is. When another entry process has the address of one that is cut off, its promise counted for that one, which may have the store and claim: two leaders, and two runs of a task. change: the reply names its process, and another name is no promise. As whoever answers at the address is then no sign of the one that is meant, its record is removed like that of one that is not reached (8 s): the address is in a later record of another process. measured: go test ./internal/node -run 'Promise|Peer': before the check, TestPromiseOfAnotherProcessDoesNotCount fails (p's promise counted for q); after, all pass. The stand-in of the existing tests names itself p, as which they register it.

--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -99,13 +99,13 @@
 
 func (claimStore) Append(context.Context, durable.AppendRequest) (units.Offset, error) { return 0, nil }
 
-// servePromises starts a process that promises everything and knows the given term, and
+// servePromises starts a process p that promises everything and knows the given term, and
 // returns its address.
 func servePromises(t *testing.T, knownTerm uint64) string {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.HandleFunc(pathSupport, link.Handle(func(context.Context, *wire.SupportRequest) (*wire.SupportReply, error) {
-		return &wire.SupportReply{Promised: true, Term: knownTerm}, nil
+		return &wire.SupportReply{Promised: true, Term: knownTerm, Name: "p"}, nil
 	}))
 	listener := &link.Listener{Address: "127.0.0.1:0", Handler: mux}
 	address, err := listener.Listen()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -49,17 +49,32 @@
 	}
 }
 
-// mayClaim returns the processes that may claim the leadership while this process leads and has
-// sent its last renewal at renewedAt: those that are registered, and those whose removal was
-// read later. It forgets the others.
-func (p peers) mayClaim(renewedAt bootclock.Instant) []peer {
-	others := make([]peer, 0, len(p))
+// displaced reports whether a process that has registered later has the address of the named
+// one. Whoever answers there is that process.
+func (p peers) displaced(name string) bool {
+	this := p[name]
+	if this == nil {
+		return false
+	}
+	for _, other := range p {
+		if other.address == this.address && other.offset > this.offset {
+			return true
+		}
+	}
+	return false
+}
+
+// mayClaim returns by name the processes that may claim the leadership while this process leads
+// and has sent its last renewal at renewedAt: those that are registered, and those whose removal
+// was read later. It forgets the others.
+func (p peers) mayClaim(renewedAt bootclock.Instant) map[string]peer {
+	others := make(map[string]peer, len(p))
 	for name, other := range p {
 		if other.removedAt != 0 && renewedAt.After(other.removedAt) {
 			delete(p, name)
 			continue
 		}
-		others = append(others, *other)
+		others[name] = *other
 	}
 	return others
 }
@@ -115,7 +130,7 @@
 		for name, address := range registered {
 			reached := reaches(ctx, address)
 			e.mu.Lock()
-			lost := e.peers.probed(name, address, reached, bootclock.Now())
+			lost := e.peers.probed(name, address, reached && !e.peers.displaced(name), bootclock.Now())
 			e.mu.Unlock()
 			if lost && e.elector.StoreReachable() {
 				klog.InfoS("removing the record of an entry process that is not reached", "name", name, "address", address, "for", lostAfter)
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -8,6 +8,8 @@
 
 	"wasabihill.example/wasabihill/internal/bootclock"
 	"wasabihill.example/wasabihill/internal/durable"
+	"wasabihill.example/wasabihill/internal/leadership"
+	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -133,3 +135,40 @@
 		t.Errorf("at another address: got offset %d, want that of the new record", got)
 	}
 }
+
+// Guards against a leader that leads on by the promise of another process, which has the address
+// now: the one that is meant may be cut off and have the store, and claims.
+func TestPromiseOfAnotherProcessDoesNotCount(t *testing.T) {
+	address := servePromises(t, 1)
+	e := &Entry{Settings: &Settings{Name: "e"}, peers: peers{"p": {address: address}, "q": {address: address}}, elector: &leadership.Elector{}}
+	if _, ok := e.requestPromises(t.Context(), 1); ok {
+		t.Error("promise of p at the address of q: got it counted for q, want no promise")
+	}
+	delete(e.peers, "q")
+	if _, ok := e.requestPromises(t.Context(), 1); !ok {
+		t.Error("promise of p alone: got none, want it")
+	}
+}
+
+// Guards against a promise that counts for nobody, as the reply does not say whose it is.
+func TestPromiseNamesItsProcess(t *testing.T) {
+	e := &Entry{Settings: &Settings{Name: "p"}, elector: &leadership.Elector{}}
+	reply, err := e.handlePromise(t.Context(), &wire.SupportRequest{Term: 1})
+	if err != nil || reply.GetName() != "p" {
+		t.Errorf("reply of p to a request for a promise: got name %q, error %v; want p, none", reply.GetName(), err)
+	}
+}
+
+// Guards against a process whose record stays for good because another one answers at its
+// address: no lease by promises is possible any more.
+func TestPeerWhoseAddressHasAnotherProcessIsNotThere(t *testing.T) {
+	p := make(peers)
+	p.apply(member{role: RoleEntry, name: "gone", address: "10.0.0.1:80", offset: 3}, 0)
+	p.apply(member{role: RoleEntry, name: "new", address: "10.0.0.1:80", offset: 5}, 0)
+	p.apply(member{role: RoleEntry, name: "other", address: "10.0.0.2:80", offset: 4}, 0)
+	for name, want := range map[string]bool{"gone": true, "new": false, "other": false} {
+		if got := p.displaced(name); got != want {
+			t.Errorf("another process at the address of %s: got %t, want %t", name, got, want)
+		}
+	}
+}
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -46,7 +46,7 @@
 func (e *Entry) handlePromise(_ context.Context, in *wire.SupportRequest) (*wire.SupportReply, error) {
 	e.elector.ObserveKnown(leadership.Term(in.GetTerm()), units.Offset(in.GetMembersEnd()))
 	promised, reachable, latestTerm := e.elector.Promise(leadership.Term(in.GetTerm()))
-	return &wire.SupportReply{Promised: promised, StoreReachable: reachable, Term: uint64(latestTerm)}, nil
+	return &wire.SupportReply{Name: e.Settings.Name, Promised: promised, StoreReachable: reachable, Term: uint64(latestTerm)}, nil
 }
 
 // requestPromises requests a promise from every other entry process not to claim
@@ -63,8 +63,8 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	for _, other := range others {
-		group.Go(func() error { return e.requestPromise(ctx, other, term) })
+	for name, other := range others {
+		group.Go(func() error { return e.requestPromise(ctx, name, other, term) })
 	}
 	if err := group.Wait(); err != nil {
 		klog.InfoS("leadership is not supported", "term", term, "err", err)
@@ -73,7 +73,9 @@
 	return sent.Add(leadership.PromiseDuration), true
 }
 
-func (e *Entry) requestPromise(ctx context.Context, other peer, term leadership.Term) error {
+// requestPromise requests a promise from the named process. It returns an error unless that one
+// has promised: at its address there may be another process.
+func (e *Entry) requestPromise(ctx context.Context, name string, other peer, term leadership.Term) error {
 	address := other.address
 	session, err := link.Dial(ctx, address, nil)
 	if err != nil {
@@ -84,6 +86,9 @@
 	if err := session.Call(ctx, pathSupport, &wire.SupportRequest{Term: uint64(term), MembersEnd: uint64(other.offset + 1)}, reply); err != nil {
 		return err
 	}
+	if reply.GetName() != name {
+		return fault.New("support", link.Rejected, "%s: process %q has replied for %q", address, reply.GetName(), name)
+	}
 	if !reply.GetPromised() {
 		e.elector.ObserveTerm(leadership.Term(reply.GetTerm()))
 		return fault.New("support", link.Rejected, "%s: store reachable %t, term %d", address, reply.GetStoreReachable(), reply.GetTerm())
