Count the stray lease of a restarted runner from its first answer

cause: a call to the life before, carried out late on a runner that has restarted under its id, gives it a lease of up to 10 s that no grant bounds. The count of that began when the restart was seen, but such a call is only fenced once one with the higher token has arrived: a runner that answers 5 s later could hold a lease that ends 4 s after the count (a run there, another elsewhere). change: the count begins anew at the first listing that was requested with the higher token. measured: go test ./internal/runner -run TestStrayLeaseCounts: before, 6.0 s left after that listing, want at least 10; after, it passes.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -103,7 +103,7 @@
 	leaseSent         bool              // a call with the current fencing token may carry a lease
 	reportSequence    uint64            // sequence number of the last report
 	startedAt         bootclock.Instant // when Run was called
-	restartedAt       bootclock.Instant // when a new incarnation with the same id was first seen; 0 if the id is new
+	restartedAt       bootclock.Instant // when a new incarnation with the same id was first seen, then when it first answered; 0 if the id is new
 	model             interference.Model
 	observedAt        bootclock.Instant           // when the model was last updated
 	endedReadings     []interference.UsageReading // best-effort tasks that have ended since observedAt
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -35,6 +35,9 @@
 		// that token may still arrive, so only the next listing shows which runs are lost.
 		return true
 	}
+	if !c.listed && c.restartedAt != 0 {
+		c.restartedAt = bootclock.Now() // until now, late calls could give the runner a lease
+	}
 	prompt := c.silent(bootclock.Now())
 	if c.unresponsive {
 		klog.InfoS("runner answers again", "runner", id, "leaseLeftMs", c.leaseUntil-l.Clock, "running", len(l.Running), "ended", len(l.Ended))
--- a/internal/runner/reborn_test.go
+++ b/internal/runner/reborn_test.go
@@ -50,3 +50,22 @@
 		})
 	}
 }
+
+// A late call to the life before may reach a runner that has restarted under its id until the
+// first call with the higher token has arrived. Guards against a stray lease that is counted
+// from the time at which the restart was seen: the run outlasts it, and its task starts elsewhere.
+func TestStrayLeaseCountsFromTheFirstListingOfTheNewLife(t *testing.T) {
+	const seenAgo = 5 * time.Second // the runner has not answered meanwhile
+	c := newReadyController(&fakeAPI{})
+	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "r", StartedUnixMs: 2}}, 1)
+	c.restartedAt = c.restartedAt.Add(-seenAgo)
+	requested := bootclock.Now()
+	c.mergeListing("r", Listing{StartedUnixMs: 2, Clock: 6000}, requested)
+	if got, want := c.strayLease(requested), c.MaxLease; got < want {
+		t.Errorf("stray lease after the first listing: got %v, want at least %v", got, want)
+	}
+	c.mergeListing("r", Listing{StartedUnixMs: 2, Clock: 7000}, requested.Add(time.Second))
+	if got, want := c.strayLease(requested.Add(time.Second)), c.longestLease()-900*time.Millisecond; got > want {
+		t.Errorf("stray lease after another listing 1 s later: got %v, want at most %v", got, want)
+	}
+}
