Attach to agents, and count promises, of earlier versions

cause: processes are upgraded one by one (docs/OPERATIONS.md). A leader of an earlier version names no worker in an attach, and a process of one does not name itself in a promise; a new process rejected both, so that its runs would lapse during an upgrade change: a name that is absent is accepted, one that differs is not.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -105,7 +105,7 @@
 // address before, a term before the current one, and within the current term an
 // attachment number that is not higher than the current one.
 func (a *Agent) handleAttach(ctx context.Context, in *wire.Attach) (*wire.OrdersReply, error) {
-	if in.GetWorker() != a.Settings.Name || in.GetWorker() == "" {
+	if in.GetWorker() != "" && in.GetWorker() != a.Settings.Name { // earlier versions name none
 		return nil, fault.New("attach", link.Rejected, "meant for worker %q, this is %q", in.GetWorker(), a.Settings.Name)
 	}
 	a.mu.Lock()
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -86,7 +86,7 @@
 	if err := session.Call(ctx, pathSupport, &wire.SupportRequest{Term: uint64(term), MembersEnd: uint64(other.offset + 1)}, reply); err != nil {
 		return err
 	}
-	if reply.GetName() != name {
+	if reply.GetName() != "" && reply.GetName() != name { // earlier versions name none
 		return fault.New("support", link.Rejected, "%s: process %q has replied for %q", address, reply.GetName(), name)
 	}
 	if !reply.GetPromised() {
