Tell of a lease that a call of an earlier agent process may have left

cause: the call of an agent that was killed may be carried out late by a runner that has restarted under its id. By the clock of the life before it carries the longest lease (10 s). The next agent process did not know of it, so the leader counted 6.5 s if that one was lost too, and started the tasks elsewhere beside their runs change: a runner's clock starts with it. A process whose first list is of a runner that has run for less than a call can be under way reports the longest lease from then on measured: TestNewAgentTellsOfALeaseThatAnEarlierOneMayHaveLeft fails on the code before (10 s, the leader counts 6.5 s) and passes; go test ./internal/runner passes. For 11 s after an agent has found such a runner, its loss is counted for up to 11 s in place of 6.5 s

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -104,6 +104,7 @@
 	reportSequence    uint64            // sequence number of the last report
 	startedAt         bootclock.Instant // when Run was called
 	restartedAt       bootclock.Instant // when a new incarnation with the same id was first seen, then when it first answered; 0 if the id is new
+	foundYoungAt      bootclock.Instant // when this process found a runner that had started shortly before; 0 if it had not
 	model             interference.Model
 	observedAt        bootclock.Instant           // when the model was last updated
 	endedReadings     []interference.UsageReading // best-effort tasks that have ended since observedAt
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -22,6 +22,10 @@
 	// start elsewhere only after that lease: for a long-running task that must take less
 	// than 9 s, with the leader's reaction.
 	maxSilence = 7500 * time.Millisecond
+	// maxCallDelay is the longest time that a call of an earlier agent process may be under
+	// way. A runner's clock starts with it, so one that has run for longer has not restarted
+	// since such a call was sent.
+	maxCallDelay = 15 * time.Second
 	// leaseExpiryMargin allows for the time that the runner needs to end its
 	// runs after the lease has expired.
 	leaseExpiryMargin = 200 * time.Millisecond
@@ -75,14 +79,15 @@
 // longestLease returns the longest lease that a runner grants, by the clock of this machine.
 func (c *Controller) longestLease() time.Duration { return c.MaxLease + c.MaxLease/10 }
 
-// strayLease returns for how long a runner that has restarted under its id may hold a lease
-// that no grant bounds, or 0: a call that was sent to the incarnation before may have carried
-// a lease by the clock of that one. The caller holds c.mu.
+// strayLease returns for how long a runner that may have restarted under its id may hold a
+// lease that no grant bounds, or 0: a call that was sent to the incarnation before may have
+// carried a lease by the clock of that one. The caller holds c.mu.
 func (c *Controller) strayLease(now bootclock.Instant) time.Duration {
-	if c.restartedAt == 0 {
+	from := max(c.restartedAt, c.foundYoungAt)
+	if from == 0 {
 		return 0
 	}
-	return max(0, c.restartedAt.Add(c.longestLease()).Sub(now))
+	return max(0, from.Add(c.longestLease()).Sub(now))
 }
 
 // allLeasesExpired reports whether every lease that the runner may hold has
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -35,8 +35,8 @@
 		// that token may still arrive, so only the next listing shows which runs are lost.
 		return true
 	}
-	if !c.listed && c.restartedAt != 0 {
-		c.restartedAt = bootclock.Now() // until now, late calls could give the runner a lease
+	if !c.listed {
+		c.noteFirstListing(l)
 	}
 	prompt := c.silent(bootclock.Now())
 	if c.unresponsive {
@@ -63,6 +63,20 @@
 	return prompt
 }
 
+// noteFirstListing records until when late calls could give the runner a lease: until its first
+// answer. A runner that this process finds may have restarted under its id after a call of an
+// earlier process. The caller holds c.mu.
+func (c *Controller) noteFirstListing(l Listing) {
+	now := bootclock.Now()
+	if c.restartedAt != 0 {
+		c.restartedAt = now
+	}
+	c.foundYoungAt = 0
+	if first := c.incarnations == 1; first && time.Duration(l.Clock)*time.Millisecond < maxCallDelay {
+		c.foundYoungAt = now
+	}
+}
+
 // noteCompleteness records whether the listing lacks ended runs, and reports whether it is
 // the first one of this incarnation that lacks none. The caller holds c.mu.
 func (c *Controller) noteCompleteness(l Listing) bool {
