Claim no leadership for want of records

cause: an Elector that has read no record of the leadership (leader.Term == 0) counted as known to the leader, and one that has missed records counted as known to a later leader because an earlier one knew it. What was deleted was taken for the knowledge that nobody leads. A leader without the store goes on by the promises of those that it knows, so a process that is added then, and that has the store, led beside it. Cost: where no record of the leadership is left and the last leader is gone (all entry processes down for longer than the store's history), the next claim waits 32 s instead of 4 s.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -247,8 +247,8 @@
 	if end > first {
 		e.nextOffset = end - 1 // read the newest record
 	}
-	e.released = end == 0
-	e.recordsMissed = true
+	e.released = end == 0 // nobody has ever led
+	e.recordsMissed = end > 0
 	return nil
 }
 
@@ -316,7 +316,8 @@
 
 // mayClaim reports whether no promise prevents a claim and the leadership was released or
 // not renewed for claimTimeout. A leader that does not know this process can't ask it for a
-// promise, so it may go on by the promises of others for maxPromisedLead.
+// promise, so it may go on by the promises of others for maxPromisedLead. That holds too for a
+// leader whose records this process has not read.
 func (e *Elector) mayClaim() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/leadership/membership.go
+++ b/internal/leadership/membership.go
@@ -13,7 +13,8 @@
 // asked for ever. These rules keep it alone:
 //   - A renewal says how far the leader has read the members, and a request for a promise which
 //     record of the process it has read. A process that is registered behind that may not claim
-//     against that leader for want of renewals.
+//     against that leader for want of renewals. One that lacks records of the leadership does not
+//     know who leads, so it counts as registered behind that.
 //   - The leader removes the record of a process that it can't reach for long while it has the
 //     store. It relies on promises without that process only once a renewal that was sent after
 //     it had read the removal was appended.
@@ -52,10 +53,10 @@
 	}
 }
 
-// knownToLeader reports whether the last leader asks this process for promises. The caller
-// holds mu.
+// knownToLeader reports whether the last leader certainly asks this process for promises. A
+// leader of which no record was read may not know it. The caller holds mu.
 func (e *Elector) knownToLeader() bool {
-	return e.Membership == nil || e.leader.Term == 0 || e.knownToTerm == e.leader.Term && e.knownAs == e.Membership.Registered()
+	return e.Membership == nil || !e.recordsMissed && e.knownToTerm == e.leader.Term && e.knownAs == e.Membership.Registered()
 }
 
 // membersEnd returns how far this process has read the members.
--- /dev/null
+++ b/internal/leadership/unknown_test.go
@@ -0,0 +1,85 @@
+package leadership_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wasabihill.example/wasabihill/internal/leadership"
+	"wasabihill.example/wasabihill/internal/standin/metastore"
+	"wasabihill.example/wasabihill/internal/wire"
+	"wasabihill.example/wasabihill/pkg/units"
+)
+
+// beyondTakeover is longer than any takeover takes, and shorter than a leader goes on by promises.
+const beyondTakeover = 6 * time.Second
+
+// putKnowing appends a record of a leader that has read the members below membersEnd.
+func putKnowing(log *metastore.Log, name string, term leadership.Term, membersEnd units.Offset) {
+	record := &wire.LeadershipRecord{Name: name, Address: name, Term: uint64(term), MembersEnd: uint64(membersEnd)}
+	value, err := proto.Marshal(record)
+	if err != nil {
+		panic(err)
+	}
+	log.Put(string(leadership.Topic), "", value)
+}
+
+// leaderByPromises starts a leader that has read the members below 5, and takes the store from it.
+func leaderByPromises(t *testing.T, log *metastore.Log) (*leadership.Elector, leadership.Term) {
+	t.Helper()
+	a, connection, led := startMember(t, log, "a", &fakeMembership{readEnd: 5})
+	term := <-led
+	time.Sleep(700 * time.Millisecond) // a renewal follows the claim
+	connection.Set(metastore.Fault{NoReply: true})
+	time.Sleep(700 * time.Millisecond) // none is in flight any more
+	return a, term
+}
+
+// startAdded starts a process that is registered behind what the leader by promises has read.
+func startAdded(t *testing.T, log *metastore.Log, change func(*leadership.Elector)) *candidate {
+	t.Helper()
+	return start(t, log, "n", func(e *leadership.Elector) {
+		e.FirstStart, e.Connected, e.Membership = false, disconnected, &fakeMembership{offset: 5, readEnd: 6}
+		if change != nil {
+			change(e)
+		}
+	})
+}
+
+// wantAlone fails if the added process leads, or the first one no longer does.
+func wantAlone(t *testing.T, added *candidate, first *leadership.Elector, term leadership.Term) {
+	t.Helper()
+	added.wantNoTerm(t, beyondTakeover, "a leader that does not know it leads on by promises")
+	if !first.Leads(term) {
+		t.Errorf("%s leads term %d: got false, want true", first.Name, term)
+	}
+}
+
+// Guards against two leaders at once: a process that is added finds no record of the leadership,
+// since all were deleted, and takes that for the absence of a leader.
+func TestAddedProcessDoesNotClaimForWantOfRecords(t *testing.T) {
+	t.Parallel()
+	log := metastore.NewLog()
+	a, term := leaderByPromises(t, log)
+	log.DeleteHistory()
+	wantAlone(t, startAdded(t, log, nil), a, term)
+}
+
+// Guards against two leaders at once: a process that has not read the last leader's records, since
+// they were deleted, takes itself for known to that leader because the one before knew it.
+func TestProcessThatMissedRecordsDoesNotCountAsKnown(t *testing.T) {
+	t.Parallel()
+	log := metastore.NewLog()
+	putKnowing(log, "c", 1, 6)
+	putKnowing(log, "c", 1, 6)
+	store := &heldStore{}
+	n := startAdded(t, log, func(e *leadership.Elector) { store.Store, e.Store = e.Store, store })
+	time.Sleep(100 * time.Millisecond)
+	store.hold(true)
+	time.Sleep(800 * time.Millisecond) // a long poll that was in progress has ended
+	putKnowing(log, "a", 3, 5)
+	log.DeleteHistory()
+	store.hold(false)
+	n.wantNoTerm(t, beyondTakeover, "the leader of term 3 may not know it")
+}
