Take no claim for a leader before it is led

cause: a process that starts read only the last record of the leadership and took it for the truth. (1) The store may have executed the claim of a process that has promised not to lead. An added process that this claimant knew, or to which it said that it does not lead, counted the leadership as vacant, while the leader before goes on by promises and does not know the added one. (2) Renewals and a release that an earlier leader had in flight may follow the claim of the last one; a process that read only them claimed beside that one at once. change: a process reads the last 64 records. It keeps the terms that another process may lead (rivals): claims, and the last term that has led. A later record of a term proves that it has led and that earlier ones have ended; a release, a proven exit and 32 s without a record end a rival. It claims for want of renewals, or after the exit of the last leader, only if all (other) rivals know it, and records count as missed until one of a led term is read. With a record of a led term among the last 64 (32 s) no claim comes later than before, but where an earlier leader that may lead does not know the process.

--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -135,6 +135,7 @@
 	e.wonTerm, e.previousTerm, e.ownRecords = c.term, c.previous, nil
 	e.renewedAt = c.sent
 	e.nextOffset, e.released, e.recordsMissed, e.renewalSeenAt = c.at+1, false, false, c.sent
+	e.rivals = nil
 	e.leader, e.leaderLed = Leader{Name: e.Name, Address: e.Address, Term: c.term}, true
 	e.leaseEnd = c.sent.Add(leaseDuration)
 	return e.withdrawn, true
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -112,7 +112,8 @@
 	mu                sync.Mutex
 	leader            Leader
 	leaderLed         bool              // leader has certainly led its term: a record other than its claim was read, or this process led
-	recordsMissed     bool              // there may have been a later leader: records were deleted, and none was read since
+	recordsMissed     bool              // another process may lead of which no record was read: records were deleted, or are older than those read, and no read one shows who has led last
+	rivals            []rival           // terms that other processes may lead, as far as the read records tell
 	wonTerm           Term              // highest term won by this process
 	previousTerm      Term              // term of the leader before wonTerm; 0 if there was none or it is unknown
 	pendingClaim      Term              // term of a claim that has no reply and was not given up; 0 if there is none
@@ -125,8 +126,6 @@
 	renewalSeenAt     bootclock.Instant // when a renewal was last seen or has to be assumed; 0 if never
 	nextOffset        units.Offset      // where the next read begins; a claim or renewal requires that the topic ends there
 	released          bool              // the last leader has released the leadership
-	knownToTerm       Term              // the leader of this term knows this process
-	knownAs           units.Offset      // by this registration
 	renewedAt         bootclock.Instant // when the last renewal that extended this process's lease was sent; 0 if none
 	ownRecords        []units.Offset    // renewals of this leader that a read has shown
 	eligibleSince     bootclock.Instant // time since which a claim is possible; 0 if it is not
@@ -217,7 +216,7 @@
 		e.mu.Unlock()
 	}
 	for ctx.Err() == nil {
-		if err := e.seekLastRecord(ctx); err == nil {
+		if err := e.seekRecentRecords(ctx); err == nil {
 			break
 		} else if ctx.Err() == nil {
 			klog.InfoS("leadership records can't be read; retrying", "err", err)
@@ -232,9 +231,14 @@
 	return nil
 }
 
-// seekLastRecord sets the read position to the last record of the topic. The leader is not
-// known until it is read.
-func (e *Elector) seekLastRecord(ctx context.Context) error {
+// recentRecords is how many records a process reads that does not know the earlier ones. The last
+// one does not tell who leads: a claim that is not led may follow the records of the leader, and
+// renewals that an earlier leader had in flight may follow a claim.
+const recentRecords units.Offset = 64
+
+// seekRecentRecords sets the read position before the last records of the topic. The leader is
+// not known until they are read.
+func (e *Elector) seekRecentRecords(ctx context.Context) error {
 	first, end, err := e.Store.Range(ctx, Topic)
 	if err != nil {
 		return err
@@ -243,12 +247,9 @@
 	defer e.mu.Unlock()
 	e.storeAnsweredAt = bootclock.Now()
 	e.renewalSeenAt = e.storeAnsweredAt // a leader may just have renewed its lease
-	e.nextOffset = end
-	if end > first {
-		e.nextOffset = end - 1 // read the newest record
-	}
+	e.nextOffset = max(first, end-min(end, recentRecords))
 	e.released = end == 0 // nobody has ever led
-	e.recordsMissed = end > 0
+	e.recordsMissed = e.nextOffset > 0
 	return nil
 }
 
@@ -310,19 +311,23 @@
 		return false
 	}
 	klog.InfoS("leadership is vacant: the leader's process has ended", "leader", leader.Name, "term", leader.Term, "earlierIncarnation", leader.Name == e.Name)
-	e.forgetEarlierPromises()
+	e.observeExit(leader.Term)
 	return true
 }
 
 // mayClaim reports whether no promise prevents a claim and the leadership was released or
 // not renewed for claimTimeout. A leader that does not know this process can't ask it for a
 // promise, so it may go on by the promises of others for maxPromisedLead. That holds too for a
-// leader whose records this process has not read.
+// leader whose records this process has not read. mayClaim forgets rivals that have certainly ended.
 func (e *Elector) mayClaim() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	age := bootclock.Now().Sub(e.renewalSeenAt)
-	return e.promiseLeft() <= 0 && (e.released || age > claimTimeout && (e.knownToLeader() || age > maxPromisedLead+restartDelay))
+	ended := age > maxPromisedLead+restartDelay // whoever has led
+	if ended {
+		e.rivals = nil
+	}
+	return e.promiseLeft() <= 0 && (e.released || age > claimTimeout && (ended || e.knownToRivals(0)))
 }
 
 // read reads and applies the records since the last read. It returns errRecordsDeleted if
@@ -333,8 +338,8 @@
 	e.mu.Unlock()
 	batch, err := e.Store.Read(ctx, Topic, false, from, wait)
 	if fault.Is(err, durable.Expired) {
-		klog.InfoS("leadership records were deleted before they were read; continuing with the last record", "from", from, "first", batch.Next)
-		if err := e.seekLastRecord(ctx); err != nil {
+		klog.InfoS("leadership records were deleted before they were read; continuing with the last ones", "from", from, "first", batch.Next)
+		if err := e.seekRecentRecords(ctx); err != nil {
 			return err
 		}
 		return errRecordsDeleted
@@ -382,10 +387,13 @@
 		e.leader = Leader{Name: record.GetName(), Address: record.GetAddress(), Term: term}
 		e.leaderLed = false
 	}
+	if term == e.leader.Term && term != claimedTerm(at) {
+		e.leaderLed, e.recordsMissed = true, false
+	}
+	e.observeRival(term, record.GetName())
 	e.observeKnown(term, units.Offset(record.GetMembersEnd()))
-	if term == e.leader.Term {
-		e.recordsMissed = false
-		e.leaderLed = e.leaderLed || term != claimedTerm(at)
+	if e.released {
+		e.rivals = nil
 	}
 	if term == e.wonTerm && record.GetName() == e.Name && !record.GetReleased() {
 		e.ownRecords = append(e.ownRecords, at)
--- a/internal/leadership/membership.go
+++ b/internal/leadership/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
@@ -13,8 +14,9 @@
 // asked for ever. These rules keep it alone:
 //   - A renewal says how far the leader has read the members, and a request for a promise which
 //     record of the process it has read. A process that is registered behind that may not claim
-//     against that leader for want of renewals. One that lacks records of the leadership does not
-//     know who leads, so it counts as registered behind that.
+//     against that leader for want of renewals, nor because a claim after that is not led. One
+//     that lacks records of the leadership does not know who leads, so it counts as registered
+//     behind that.
 //   - The leader removes the record of a process that it can't reach for long while it has the
 //     store. It relies on promises without that process only once a renewal that was sent after
 //     it had read the removal was appended.
@@ -42,21 +44,53 @@
 	e.observeKnown(term, end)
 }
 
+// rival is a term that another process may lead.
+type rival struct {
+	term    Term
+	knows   bool         // its leader knows this process
+	knownAs units.Offset // by this registration
+}
+
+// observeRival updates the terms that other processes may lead from a record of the term. A claim
+// proves no leader: its sender may have promised not to lead. A later record of the last term does,
+// and with it that the earlier terms have ended. This process runs in place of all earlier ones of
+// its name. The caller holds mu.
+func (e *Elector) observeRival(term Term, name string) {
+	if e.leaderLed {
+		e.rivals = slices.DeleteFunc(e.rivals, func(r rival) bool { return r.term < e.leader.Term })
+	}
+	ended := e.leaderLed && term < e.leader.Term
+	known := slices.ContainsFunc(e.rivals, func(r rival) bool { return r.term == term })
+	if !ended && !known && name != e.Name {
+		e.rivals = append(e.rivals, rival{term: term})
+	}
+}
+
 // observeKnown records that the leader of the term has read the members below end. The caller
 // holds mu.
 func (e *Elector) observeKnown(term Term, end units.Offset) {
-	if term != e.leader.Term || e.Membership == nil {
+	if e.Membership == nil {
 		return
 	}
-	if registered := e.Membership.Registered(); end > registered {
-		e.knownToTerm, e.knownAs = term, registered
+	registered := e.Membership.Registered()
+	for i := range e.rivals {
+		if r := &e.rivals[i]; r.term == term && end > registered {
+			r.knows, r.knownAs = true, registered
+		}
 	}
 }
 
-// knownToLeader reports whether the last leader certainly asks this process for promises. A
-// leader of which no record was read may not know it. The caller holds mu.
-func (e *Elector) knownToLeader() bool {
-	return e.Membership == nil || !e.recordsMissed && e.knownToTerm == e.leader.Term && e.knownAs == e.Membership.Registered()
+// knownToRivals reports whether all processes that may lead, but for that of the ended term,
+// certainly ask this process for promises. One of which no record was read may not know it. The
+// caller holds mu.
+func (e *Elector) knownToRivals(ended Term) bool {
+	if e.Membership == nil {
+		return true
+	}
+	registered := e.Membership.Registered()
+	return !e.recordsMissed && !slices.ContainsFunc(e.rivals, func(r rival) bool {
+		return r.term != ended && !(r.knows && r.knownAs == registered)
+	})
 }
 
 // membersEnd returns how far this process has read the members.
--- a/internal/leadership/promise.go
+++ b/internal/leadership/promise.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -35,24 +36,27 @@
 }
 
 // leaderToCheck returns the last leader if this process may claim once that leader's
-// process has ended. Possible promises of an earlier incarnation prevent that, unless the
-// leader has led its term. Then no earlier leader has a lease: the leases by promises had
-// ended when its claim succeeded, and it has refused to promise since.
+// process has ended. Possible promises of an earlier incarnation prevent that, and an earlier
+// leader that may not know this process, unless the leader has led its term. Then no earlier
+// leader has a lease: the leases by promises had ended when its claim succeeded, and it has
+// refused to promise since.
 func (e *Elector) leaderToCheck() (Leader, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader.Term == 0 || e.recordsMissed {
+	if e.leader.Term == 0 || e.recordsMissed || !e.knownToRivals(e.leader.Term) {
 		return Leader{}, false
 	}
 	return e.leader, e.promiseLeft() <= 0 || e.leaderLed && !bootclock.Now().Before(e.promisedUntil)
 }
 
-// forgetEarlierPromises permits a claim at once after the process of the last leader has
-// ended. Earlier incarnations of this process have promised nothing to later leaders.
-func (e *Elector) forgetEarlierPromises() {
+// observeExit records that the process of the last leader, of the term, has ended. If it has
+// led, that permits a claim at once: earlier incarnations of this process have promised nothing
+// to later leaders.
+func (e *Elector) observeExit(term Term) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leaderLed {
+	e.rivals = slices.DeleteFunc(e.rivals, func(r rival) bool { return r.term == term })
+	if e.leaderLed && e.leader.Term == term {
 		e.restartedUntil = 0
 	}
 }
--- a/internal/leadership/unknown_test.go
+++ b/internal/leadership/unknown_test.go
@@ -1,6 +1,7 @@
 package leadership_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"wasabihill.example/wasabihill/internal/standin/metastore"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
+	"wasabihill.example/wasabihill/platform"
 )
 
 // beyondTakeover is longer than any takeover takes, and shorter than a leader goes on by promises.
@@ -83,3 +85,79 @@
 	store.hold(false)
 	n.wantNoTerm(t, beyondTakeover, "the leader of term 3 may not know it")
 }
+
+// putClaim appends a claim that its sender never leads. The sender has read the members below
+// membersEnd.
+func putClaim(t *testing.T, log *metastore.Log, name string, membersEnd units.Offset) {
+	t.Helper()
+	store := platform.NewStoreClient(newServer(t, log).Address)
+	_, end, err := store.Range(context.Background(), leadership.Topic)
+	if err != nil {
+		t.Fatal(err)
+	}
+	putKnowing(log, name, leadership.Term(end+1), membersEnd)
+}
+
+// Guards against two leaders at once: the store executes the claim of a process that has promised
+// not to lead, and an added process, which that one knows or which learns that it does not lead,
+// takes it for the last leader. The one before it leads on by promises.
+func TestClaimThatIsNotLedDoesNotHideALeaderByPromises(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		membersEnd units.Offset
+		exited     bool
+	}{"claimant knows the process": {6, false}, "claimant does not lead": {0, true}, "both": {6, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := metastore.NewLog()
+			a, term := leaderByPromises(t, log)
+			putClaim(t, log, "x", test.membersEnd)
+			n := startAdded(t, log, func(e *leadership.Elector) {
+				e.LeaderExited = func(context.Context, leadership.Leader) bool { return test.exited }
+			})
+			wantAlone(t, n, a, term)
+		})
+	}
+}
+
+// Guards against a claim beside the leader: records of an earlier leader that the store executes
+// late follow the last claim, and a process that starts then takes the last of them for the truth.
+func TestLateRecordsOfAnEarlierLeaderDoNotHideTheLast(t *testing.T) {
+	t.Parallel()
+	for name, released := range map[string]bool{"renewal": false, "release": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := metastore.NewLog()
+			putRecord(log, "c", 1, false)
+			putRecord(log, "x", 2, false)
+			putRecord(log, "c", 1, false)
+			putRecord(log, "c", 1, released)
+			n := start(t, log, "n", func(e *leadership.Elector) {
+				e.Connected = disconnected
+				e.LeaderExited = func(_ context.Context, leader leadership.Leader) bool { return leader.Name == "c" }
+			})
+			n.wantNoTerm(t, 1700*time.Millisecond, "the lease of term 2 is valid")
+			n.wantTerm(t, quick)
+		})
+	}
+}
+
+// Guards against a needless wait: all entry processes are restarted right after a claim. Each reads
+// that the leader before knew it, too.
+func TestRestartedProcessThatAllLeadersKnowClaimsSoon(t *testing.T) {
+	t.Parallel()
+	for name, exited := range map[string]bool{"the claimant is back": true, "the claimant is gone": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := metastore.NewLog()
+			putKnowing(log, "c", 1, 6)
+			putKnowing(log, "c", 1, 6)
+			putKnowing(log, "x", 3, 6)
+			n := startAdded(t, log, func(e *leadership.Elector) {
+				e.LeaderExited = func(context.Context, leadership.Leader) bool { return exited }
+			})
+			n.wantNoTerm(t, leadership.PromiseDuration, "an earlier incarnation may have promised not to claim")
+			n.wantTerm(t, quick)
+		})
+	}
+}
