Wait for promises given before the leader knew a process

cause: a process counted as known at the moment when the leader's request or renewal first named it. The leader's lease by the promises of the others, requested before, lasts for up to 2 s longer. A process that was added during an outage has seen no renewal for long, so it claimed at once and led beside that lease: the request for its promise, which it refuses, was what let it claim. change: a process counts as known to a leader 2.2 s (PromiseDuration + maxClockDrift) after it first learns so, at once if the leader's claim says so, since all promises of the term follow the claim. Cost: if a leader's machine is lost within 0.3 s after the first renewal that names a process, that process claims up to 0.3 s later.

--- a/internal/leadership/faults_test.go
+++ b/internal/leadership/faults_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -112,6 +113,9 @@
 	name    string
 	store   *faultyStore
 	server  *metastore.Server
+	// registered is the offset of the process's record among the members.
+	registered units.Offset
+	readEnd    atomic.Uint64 // the process has read the members below
 
 	connected atomic.Bool // the leader that this process knows leads
 
@@ -126,9 +130,24 @@
 	return m.elector
 }
 
+// Registered implements leadership.Membership.
+func (m *member) Registered() units.Offset { return m.registered }
+
+// ReadEnd implements leadership.Membership.
+func (m *member) ReadEnd() units.Offset { return units.Offset(m.readEnd.Load()) }
+
+// Confirm implements leadership.Membership: no record is removed.
+func (m *member) Confirm(context.Context) bool { return true }
+
+// serves reports whether the store serves the process.
+func (s *faultyStore) serves() bool {
+	mode, _, _ := s.draw()
+	return mode == storeServes
+}
+
 // start starts an incarnation of the process.
 func (m *member) start(first bool) {
-	e := &leadership.Elector{Store: m.store, Name: m.name, Address: m.name, FirstStart: first}
+	e := &leadership.Elector{Store: m.store, Name: m.name, Address: m.name, FirstStart: first, Membership: m}
 	e.RunLeader = func(ctx context.Context, _ leadership.Term) { <-ctx.Done() }
 	e.RequestPromises = func(_ context.Context, term leadership.Term) (bootclock.Instant, bool) {
 		return m.requestPromises(e, term)
@@ -153,14 +172,15 @@
 // requestPromises does what an entry process does.
 func (m *member) requestPromises(e *leadership.Elector, term leadership.Term) (bootclock.Instant, bool) {
 	sent := bootclock.Now()
-	for _, other := range m.cluster.members {
-		if other == m {
+	for _, other := range m.cluster.all() {
+		if other == m || other.registered >= m.ReadEnd() {
 			continue
 		}
 		asked := other.running()
 		if asked == nil {
 			return 0, false
 		}
+		asked.ObserveKnown(term, other.registered+1)
 		promised, _, highest := asked.Promise(term)
 		if !promised {
 			e.ObserveTerm(highest)
@@ -185,10 +205,49 @@
 
 // cluster is a number of processes that elect a leader.
 type cluster struct {
-	log     *metastore.Log
+	log   *metastore.Log
+	seed  uint64
+	rand  *rand.Rand
+	steps []step // still to come of an outage
+
+	mu      sync.Mutex
 	members []*member
-	rand    *rand.Rand
-	steps   []step // still to come of an outage
+}
+
+const (
+	// firstMembers is the number of processes that start at first.
+	firstMembers = 3
+	// maxMembers limits the processes, added ones included.
+	maxMembers = 5
+)
+
+// all returns the processes.
+func (c *cluster) all() []*member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.members)
+}
+
+// add registers a process that has not started.
+func (c *cluster) add() *member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := len(c.members)
+	server := c.log.NewServer()
+	store := &faultyStore{Store: platform.NewStoreClient(server.Address), rand: rand.New(rand.NewPCG(c.seed, uint64(i+1)))}
+	m := &member{cluster: c, name: fmt.Sprintf("m%d", i), store: store, server: server, registered: units.Offset(i)}
+	c.members = append(c.members, m)
+	return m
+}
+
+// readMembers lets each process that the store serves read the members. Others keep what they know.
+func (c *cluster) readMembers() {
+	members := c.all()
+	for _, m := range members {
+		if m.store.serves() {
+			m.readEnd.Store(uint64(len(members)))
+		}
+	}
 }
 
 // step is a change at a time.
@@ -198,17 +257,16 @@
 }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
-	c := &cluster{log: metastore.NewLog(), rand: rand.New(rand.NewPCG(seed, 0))}
-	for i := range 3 {
-		server := c.log.NewServer()
-		store := &faultyStore{Store: platform.NewStoreClient(server.Address), rand: rand.New(rand.NewPCG(seed, uint64(i+1)))}
-		c.members = append(c.members, &member{cluster: c, name: fmt.Sprintf("m%d", i), store: store, server: server})
+	c := &cluster{log: metastore.NewLog(), seed: seed, rand: rand.New(rand.NewPCG(seed, 0))}
+	for range firstMembers {
+		c.add()
 	}
-	for _, m := range c.members {
+	c.readMembers()
+	for _, m := range c.all() {
 		m.start(true)
 	}
 	t.Cleanup(func() {
-		for _, m := range c.members {
+		for _, m := range c.all() {
 			if m.running() != nil {
 				m.kill()
 			}
@@ -220,7 +278,7 @@
 
 // running returns the elector of the process of that name, or nil.
 func (c *cluster) running(name string) *leadership.Elector {
-	for _, m := range c.members {
+	for _, m := range c.all() {
 		if m.name == name {
 			return m.running()
 		}
@@ -230,7 +288,7 @@
 
 // connect tells every process whether the leader that it knows leads.
 func (c *cluster) connect() {
-	for _, m := range c.members {
+	for _, m := range c.all() {
 		if e := m.running(); e != nil {
 			leader := e.Leader()
 			other := c.running(leader.Name)
@@ -239,17 +297,20 @@
 	}
 }
 
-// disrupt changes the store's mode for a process, restarts one, deletes records or begins
-// an outage.
+// disrupt changes the store's mode for a process, restarts one, deletes records, adds a process
+// or begins an outage.
 func (c *cluster) disrupt() {
-	m := c.members[c.rand.IntN(len(c.members))]
-	switch c.rand.IntN(8) {
+	members := c.all()
+	m := members[c.rand.IntN(len(members))]
+	switch c.rand.IntN(10) {
 	case 0:
 		c.restart(m)
 	case 1:
 		c.log.DeleteHistory()
 	case 2, 3, 4:
 		c.planOutage()
+	case 5, 6:
+		c.planAddition()
 	default:
 		m.store.set(storeMode(c.rand.IntN(int(storeModes))))
 	}
@@ -263,6 +324,37 @@
 	m.start(false)
 }
 
+// planAddition lets the store turn all processes away and adds one that it serves. The store may
+// forget its records meanwhile, and may have executed a claim of another process.
+func (c *cluster) planAddition() {
+	if len(c.all()) >= maxMembers {
+		c.planOutage()
+		return
+	}
+	after := time.Now()
+	plan := func(wait time.Duration, change func()) {
+		after = after.Add(wait)
+		c.steps = append(c.steps, step{after, change})
+	}
+	modes := []storeMode{storeDown, storeLosesReplies, storeIsLate}
+	for _, m := range c.all() {
+		m.store.set(modes[c.rand.IntN(len(modes))])
+	}
+	plan(c.draw(0, 2500*time.Millisecond), func() {
+		for _, m := range c.all() {
+			m.store.set(storeDown)
+		}
+	})
+	if c.rand.IntN(2) == 0 {
+		plan(c.draw(0, time.Second), c.log.DeleteHistory)
+	}
+	plan(c.draw(0, time.Second), func() { c.add().start(false) })
+	plan(c.draw(3*time.Second, 6*time.Second), func() {})
+	for _, m := range c.all() {
+		plan(c.draw(0, time.Second), func() { m.store.set(storeServes) })
+	}
+}
+
 // planOutage lets an outage begin at the leader: the others still have the store, late or
 // not, when they claim the leadership, and lose it then. Afterwards the store is back for
 // one process after the other, some of which are restarted before.
@@ -272,7 +364,7 @@
 		after = after.Add(wait)
 		c.steps = append(c.steps, step{after, change})
 	}
-	for _, m := range c.members {
+	for _, m := range c.all() {
 		if e := m.running(); e != nil && e.Leads(e.Leader().Term) {
 			m.store.set(storeDown)
 		} else {
@@ -280,16 +372,17 @@
 		}
 	}
 	plan(c.draw(500*time.Millisecond, 2500*time.Millisecond), func() {
-		for _, m := range c.members {
+		for _, m := range c.all() {
 			m.store.set(storeDown)
 		}
 	})
 	plan(c.draw(500*time.Millisecond, 2500*time.Millisecond), func() {})
-	for _, i := range c.rand.Perm(len(c.members)) {
+	members := c.all()
+	for _, i := range c.rand.Perm(len(members)) {
 		if c.rand.IntN(4) == 0 {
-			plan(0, func() { c.restart(c.members[i]) })
+			plan(0, func() { c.restart(members[i]) })
 		}
-		plan(c.draw(0, time.Second), func() { c.members[i].store.set(storeServes) })
+		plan(c.draw(0, time.Second), func() { members[i].store.set(storeServes) })
 	}
 }
 
@@ -315,7 +408,7 @@
 		term    leadership.Term
 	}
 	var first []leader
-	for _, m := range c.members {
+	for _, m := range c.all() {
 		if e := m.running(); e != nil {
 			if l := (leader{m.name, e, e.Leader().Term}); e.Leads(l.term) {
 				first = append(first, l)
@@ -342,6 +435,7 @@
 			end := time.Now().Add(*faultDuration)
 			next, led := time.Now().Add(time.Second), false
 			for time.Now().Before(end) {
+				c.readMembers()
 				c.connect()
 				leaders := c.leaders()
 				if len(leaders) > 1 {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -391,7 +391,7 @@
 		e.leaderLed, e.recordsMissed = true, false
 	}
 	e.observeRival(term, record.GetName())
-	e.observeKnown(term, units.Offset(record.GetMembersEnd()))
+	e.observeKnown(term, units.Offset(record.GetMembersEnd()), knownSince(at, term))
 	if e.released {
 		e.rivals = nil
 	}
--- a/internal/leadership/membership.go
+++ b/internal/leadership/membership.go
@@ -14,9 +14,11 @@
 // asked for ever. These rules keep it alone:
 //   - A renewal says how far the leader has read the members, and a request for a promise which
 //     record of the process it has read. A process that is registered behind that may not claim
-//     against that leader for want of renewals, nor because a claim after that is not led. One
-//     that lacks records of the leadership does not know who leads, so it counts as registered
-//     behind that.
+//     against that leader for want of renewals, nor because a claim after that is not led.
+//   - A process of which the leader learns during its term waits until promises that the leader
+//     has requested before have ended.
+//   - A process that lacks records of the leadership does not know who leads, so it counts as not
+//     known to the leader.
 //   - The leader removes the record of a process that it can't reach for long while it has the
 //     store. It relies on promises without that process only once a renewal that was sent after
 //     it had read the removal was appended.
@@ -41,16 +43,20 @@
 func (e *Elector) ObserveKnown(term Term, end units.Offset) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.observeKnown(term, end)
+	e.observeKnown(term, end, bootclock.Now().Add(knownDelay))
 }
 
 // rival is a term that another process may lead.
 type rival struct {
-	term    Term
-	knows   bool         // its leader knows this process
-	knownAs units.Offset // by this registration
+	term      Term
+	knownFrom bootclock.Instant // the leader has no lease from then on without a promise of this process; 0 if it may not know it
+	knownAs   units.Offset      // the registration by which it knows this process
 }
 
+// knownDelay is how long a leader may rely on promises that it has requested before it knew this
+// process.
+const knownDelay = PromiseDuration + maxClockDrift
+
 // observeRival updates the terms that other processes may lead from a record of the term. A claim
 // proves no leader: its sender may have promised not to lead. A later record of the last term does,
 // and with it that the earlier terms have ended. This process runs in place of all earlier ones of
@@ -66,16 +72,18 @@
 	}
 }
 
-// observeKnown records that the leader of the term has read the members below end. The caller
-// holds mu.
-func (e *Elector) observeKnown(term Term, end units.Offset) {
+// observeKnown records that the leader of the term has read the members below end, and from then
+// on has no lease without their promises. The caller holds mu.
+func (e *Elector) observeKnown(term Term, end units.Offset, from bootclock.Instant) {
 	if e.Membership == nil {
 		return
 	}
 	registered := e.Membership.Registered()
 	for i := range e.rivals {
-		if r := &e.rivals[i]; r.term == term && end > registered {
-			r.knows, r.knownAs = true, registered
+		r := &e.rivals[i]
+		known := r.knownFrom != 0 && r.knownAs == registered
+		if r.term == term && end > registered && !known {
+			r.knownFrom, r.knownAs = from, registered
 		}
 	}
 }
@@ -87,12 +95,22 @@
 	if e.Membership == nil {
 		return true
 	}
-	registered := e.Membership.Registered()
+	registered, now := e.Membership.Registered(), bootclock.Now()
 	return !e.recordsMissed && !slices.ContainsFunc(e.rivals, func(r rival) bool {
-		return r.term != ended && !(r.knows && r.knownAs == registered)
+		return r.term != ended && (r.knownFrom == 0 || r.knownAs != registered || now.Before(r.knownFrom))
 	})
 }
 
+// knownSince returns when the leader of a record at an offset, which is read now, has a lease only
+// by the promises of all members that it had read. All that it has requested in its term follow
+// its claim.
+func knownSince(at units.Offset, term Term) bootclock.Instant {
+	if term == claimedTerm(at) {
+		return bootclock.Now()
+	}
+	return bootclock.Now().Add(knownDelay)
+}
+
 // membersEnd returns how far this process has read the members.
 func (e *Elector) membersEnd() units.Offset {
 	if e.Membership == nil {
--- a/internal/leadership/unknown_test.go
+++ b/internal/leadership/unknown_test.go
@@ -161,3 +161,18 @@
 		})
 	}
 }
+
+// Guards against two leaders at once: a leader that has just learned of a process asks it for a
+// promise, and the process claims while the promises of the others, given before, still hold.
+func TestProcessWaitsForPromisesGivenBeforeItWasKnown(t *testing.T) {
+	t.Parallel()
+	log := metastore.NewLog()
+	_, term := leaderByPromises(t, log)
+	n := startAdded(t, log, nil)
+	n.wantNoTerm(t, 3*time.Second, "the leader does not know it")
+	for range 3 { // it is asked anew while it refuses
+		n.ObserveKnown(term, 6)
+		n.wantNoTerm(t, (leadership.PromiseDuration-50*time.Millisecond)/3, "a lease by the promises of the others may be valid")
+	}
+	n.wantTerm(t, quick)
+}
