See that this process's record is gone though its removal is deleted

cause: an entry process that reads the members anew, because the store has deleted records that it had not read, learned nothing from the lack of its own record. If its own is missing and its record is below the end, the process counts as removed and registers again.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,6 +21,7 @@
 	"wasabihill.example/wasabihill/internal/pause"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/internal/workflow"
+	"wasabihill.example/wasabihill/pkg/units"
 )
 
 // Entry is a process that serves client requests and may be elected leader. Set
@@ -102,7 +103,7 @@
 	group.Go(func() error { return e.Operations.Run(ctx) })
 	group.Go(func() error { return serve(ctx, readiness, e.ReadinessHandler(e)) })
 	group.Go(func() error {
-		followMembers(ctx, e.Store, e.handleMember, e.membership.setReadEnd)
+		followMembers(ctx, e.Store, e.memberFollower())
 		return nil
 	})
 	group.Go(func() error {
@@ -379,3 +380,16 @@
 	defer e.mu.Unlock()
 	e.peers.apply(m, bootclock.Now())
 }
+
+// memberFollower returns what keeps the other entry processes and this process's registration up to
+// date.
+func (e *Entry) memberFollower() memberFollower {
+	return memberFollower{apply: e.handleMember, present: e.handlePresent, known: e.membership.setReadEnd}
+}
+
+// handlePresent updates the registration of this process if the store has no record of it.
+func (e *Entry) handlePresent(keys map[string]bool, end units.Offset) {
+	if !keys[memberKey(RoleEntry, e.Settings.Name)] {
+		e.membership.observeAbsence(end)
+	}
+}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -138,7 +138,7 @@
 	klog.InfoS("leader is ready", "term", l.term, "records", len(items), "members", len(*members), "absent", len(absent),
 		"fence", fenced.Sub(begin), "total", time.Since(begin))
 	l.group.Go(func() error {
-		followMembers(ctx, l.store, func(m member) { l.enqueue(func() { l.handleMember(m) }) }, nil)
+		followMembers(ctx, l.store, memberFollower{apply: func(m member) { l.enqueue(func() { l.handleMember(m) }) }})
 		return nil
 	})
 	return nil
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -99,10 +99,20 @@
 	return m, nil
 }
 
-// followMembers calls fn for every member and every later change until ctx ends. After each
-// read it calls known, unless that is nil, with the offset below which fn was called for all
-// records.
-func followMembers(ctx context.Context, store durable.Store, fn func(member), known func(units.Offset)) {
+// memberFollower is what followMembers calls.
+type memberFollower struct {
+	// apply processes a member's record.
+	apply func(member)
+	// present is called with the keys of all members that the store has. Any other member whose
+	// record is below end has been removed, and the record of that may be deleted. It may be nil.
+	present func(keys map[string]bool, end units.Offset)
+	// known is called after each read with the offset below which all records were processed. It
+	// may be nil.
+	known func(units.Offset)
+}
+
+// followMembers passes every member and every later change to the follower until ctx ends.
+func followMembers(ctx context.Context, store durable.Store, f memberFollower) {
 	for ctx.Err() == nil {
 		snapshot, err := store.ReadSnapshot(ctx, membersTopic)
 		if err != nil {
@@ -110,20 +120,29 @@
 			pause.Jittered(ctx, storeRetryDelay)
 			continue
 		}
-		for _, item := range snapshot.Items {
-			applyMember(item.Key, item.Value, item.Offset, fn)
-		}
-		if known != nil {
-			known(snapshot.From)
-		}
-		tailMembers(ctx, store, snapshot.From, fn, known)
+		f.applySnapshot(snapshot)
+		f.tail(ctx, store, snapshot.From)
+	}
+}
+
+func (f memberFollower) applySnapshot(snapshot durable.Snapshot) {
+	keys := make(map[string]bool, len(snapshot.Items))
+	for _, item := range snapshot.Items {
+		keys[item.Key] = true
+		applyMember(item.Key, item.Value, item.Offset, f.apply)
+	}
+	if f.present != nil {
+		f.present(keys, snapshot.From)
+	}
+	if f.known != nil {
+		f.known(snapshot.From)
 	}
 }
 
-// tailMembers calls fn for every record from the offset on. It returns when ctx
+// tail passes every record from the offset on to the follower. It returns when ctx
 // ends or the store reports an error other than unavailability, for example that
 // records were missed.
-func tailMembers(ctx context.Context, store durable.Store, from units.Offset, fn func(member), known func(units.Offset)) {
+func (f memberFollower) tail(ctx context.Context, store durable.Store, from units.Offset) {
 	for ctx.Err() == nil {
 		batch, err := store.Read(ctx, membersTopic, true, from, memberPollTimeout)
 		if fault.Is(err, durable.Unavailable) {
@@ -134,11 +153,11 @@
 			return
 		}
 		for i, r := range batch.Records {
-			applyMember(r.Key, r.Value, from+units.Offset(i), fn)
+			applyMember(r.Key, r.Value, from+units.Offset(i), f.apply)
 		}
 		from = batch.Next
-		if known != nil {
-			known(from)
+		if f.known != nil {
+			f.known(from)
 		}
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -169,7 +169,7 @@
 	offset    units.Offset // of this process's record, or unregistered
 	readEnd   units.Offset // all records below were read and applied
 	removed   bool         // this process's record was removed, and it has not registered again
-	removedAt units.Offset // offset after the last removal that was read; 0 if there was none
+	removedAt units.Offset // offset after the last removal that was read or has to be assumed; 0 if there was none
 }
 
 // Registered implements leadership.Membership.
@@ -248,6 +248,18 @@
 	}
 }
 
+// observeAbsence updates the registration after the store has shown no record of this process
+// below end. Its removal may be deleted.
+func (m *membership) observeAbsence(end units.Offset) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.removedAt = max(m.removedAt, end)
+	if m.offset != unregistered && m.offset < end {
+		klog.InfoS("the store has no record of this process any more; registering again", "end", end)
+		m.offset, m.removed = unregistered, true
+	}
+}
+
 // maintain registers this process again whenever its record was removed.
 func (m *membership) maintain(ctx context.Context, address string) error {
 	for ctx.Err() == nil {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -172,3 +172,42 @@
 		}
 	}
 }
+
+// Guards against a process that takes itself for registered, and leads, although the leader has
+// removed it and no longer asks it for promises: the record of the removal is deleted before it
+// reads that.
+func TestMembershipEndsWithADeletedRemoval(t *testing.T) {
+	const address = "10.0.0.1:80"
+	store := &memberStore{}
+	e := &Entry{Settings: &Settings{Name: "x"}, peers: make(peers), membership: membership{store: store, name: "x", offset: unregistered}}
+	readSnapshot := func() {
+		t.Helper()
+		snapshot, err := store.ReadSnapshot(t.Context(), membersTopic)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.memberFollower().applySnapshot(snapshot)
+	}
+	readSnapshot()
+	if err := e.membership.register(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	if got := e.membership.Registered(); got != 0 || !e.membership.Confirm(t.Context()) {
+		t.Errorf("registered: got offset %d, want 0 and confirmed", got)
+	}
+	readSnapshot()
+	if got := e.membership.Registered(); got != 0 {
+		t.Errorf("present in the store: got offset %d, want 0", got)
+	}
+	removeMember(t.Context(), store, RoleEntry, "x")
+	readSnapshot()
+	if got := e.membership.Registered(); got != unregistered || e.membership.Confirm(t.Context()) {
+		t.Errorf("removed: got offset %d, want it unregistered and not confirmed", got)
+	}
+	if err := e.membership.register(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	if got := e.membership.Registered(); got != 2 || !e.membership.Confirm(t.Context()) {
+		t.Errorf("registered again: got offset %d, want 2 and confirmed", got)
+	}
+}
