--- a/internal/leadership/faults_test.go
+++ b/internal/leadership/faults_test.go
@@ -22,7 +22,7 @@
 
 var (
 	faultSeed     = flag.Uint64("leadership.seed", 1, "seed of the first schedule of faults")
-	faultSeeds    = flag.Int("leadership.seeds", 4, "number of schedules of faults, played at the same time")
+	faultSeeds    = flag.Int("leadership.seeds", 4, "number of schedules of faults, played at the same time on a cluster that grows and on one that does not")
 	faultDuration = flag.Duration("leadership.duration", 12*time.Second, "duration of a schedule of faults")
 )
 
@@ -147,7 +147,10 @@
 
 // start starts an incarnation of the process.
 func (m *member) start(first bool) {
-	e := &leadership.Elector{Store: m.store, Name: m.name, Address: m.name, FirstStart: first, Membership: m}
+	e := &leadership.Elector{Store: m.store, Name: m.name, Address: m.name, FirstStart: first}
+	if m.cluster.grows {
+		e.Membership = m
+	}
 	e.RunLeader = func(ctx context.Context, _ leadership.Term) { <-ctx.Done() }
 	e.RequestPromises = func(_ context.Context, term leadership.Term) (bootclock.Instant, bool) {
 		return m.requestPromises(e, term)
@@ -207,6 +210,7 @@
 type cluster struct {
 	log   *metastore.Log
 	seed  uint64
+	grows bool // processes register and are added; otherwise each knows all
 	rand  *rand.Rand
 	steps []step // still to come of an outage
 
@@ -256,8 +260,8 @@
 	change func()
 }
 
-func newCluster(t *testing.T, seed uint64) *cluster {
-	c := &cluster{log: metastore.NewLog(), seed: seed, rand: rand.New(rand.NewPCG(seed, 0))}
+func newCluster(t *testing.T, seed uint64, grows bool) *cluster {
+	c := &cluster{log: metastore.NewLog(), seed: seed, grows: grows, rand: rand.New(rand.NewPCG(seed, 0))}
 	for range firstMembers {
 		c.add()
 	}
@@ -297,20 +301,22 @@
 	}
 }
 
-// disrupt changes the store's mode for a process, restarts one, deletes records, adds a process
-// or begins an outage.
+// disrupt changes the store's mode for a process, restarts one, deletes records or begins an
+// outage. In a cluster that grows, some outages add a process.
 func (c *cluster) disrupt() {
+	if c.grows && c.rand.IntN(5) == 0 {
+		c.planAddition()
+		return
+	}
 	members := c.all()
 	m := members[c.rand.IntN(len(members))]
-	switch c.rand.IntN(10) {
+	switch c.rand.IntN(8) {
 	case 0:
 		c.restart(m)
 	case 1:
 		c.log.DeleteHistory()
 	case 2, 3, 4:
 		c.planOutage()
-	case 5, 6:
-		c.planAddition()
 	default:
 		m.store.set(storeMode(c.rand.IntN(int(storeModes))))
 	}
@@ -427,11 +433,11 @@
 // Two processes must never lead at the same time, whatever happens to the store, to the
 // replies and to the processes: both would start tasks and grant leases.
 func TestOneLeaderAtATimeDespiteFaults(t *testing.T) {
-	for i := range *faultSeeds {
-		seed := *faultSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+	for i := range 2 * *faultSeeds {
+		seed, grows := *faultSeed+uint64(i/2), i%2 == 1
+		t.Run(fmt.Sprintf("seed %d grows %t", seed, grows), func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, seed)
+			c := newCluster(t, seed, grows)
 			end := time.Now().Add(*faultDuration)
 			next, led := time.Now().Add(time.Second), false
 			for time.Now().Before(end) {
