Count the ends that a silent runner has listed before

cause: a report on a runner that does not answer also has the ends that the runner listed before, but the leader looked at none of them. It released the tasks without an end once the leases had ended, and started tasks again whose end the agent knew.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -49,6 +49,7 @@
 	}
 	if w.unresponsive {
 		w.synced = false
+		s.applyEnds(w, r.GetEnded(), now) // listed before the runner fell silent
 		if w.runsEnded {
 			s.releaseTasks(w, now, runnerSilent, w.decided)
 		}
--- a/internal/scheduler/silent_test.go
+++ b/internal/scheduler/silent_test.go
@@ -61,3 +61,25 @@
 		t.Errorf("starts after the stray lease: got %v, want one", got)
 	}
 }
+
+// A run that was listed as done before its runner fell silent must not be released without its
+// end: the task would run again.
+func TestEndsOfASilentRunnerCount(t *testing.T) {
+	f := newFixture(t)
+	a := f.addWorker("a", 8)
+	f.addWorker("b", 8)
+	id := f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})
+	worker := units.WorkerID("a")
+	for _, worker = range f.tick() {
+		a = f.agents[worker]
+	}
+	f.report(worker)
+	a.end(anyRun(a), workflow.Done)
+	a.runner.Silent = true
+	f.report(worker)
+	f.advance(2 * testMaxLeaseDuration)
+	if got := f.tick(); len(got) != 0 {
+		t.Errorf("starts after the leases of the silent runner: got %v, want none", got)
+	}
+	f.wantState(id, workflow.Completed)
+}
