Raise the token before a lease follows the end of all leases

cause: the fencing token that keeps a late start from running after all leases have ended was raised only by a silent report, a stop or the end of a start.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -225,7 +225,7 @@
 		return PollCall{}, false, false
 	}
 	now := bootclock.Now()
-	call = PollCall{Runner: c.info.ID, Token: c.fencingToken(), Wait: pollWait}
+	call = PollCall{Runner: c.info.ID, Wait: pollWait}
 	if !c.outOfTouch(now) { // the next incarnation counts its ended runs anew
 		call.Recorded = c.recordedEnd
 	}
@@ -235,6 +235,7 @@
 	if until, granted := c.extendLease(now); granted {
 		call.Until = until
 	}
+	call.Token = c.fencingToken()
 	return call, !c.silent(now) && !c.truncated, true
 }
 
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -54,8 +54,10 @@
 // may be of an incarnation that has ended, and by the clock of the next one the lease
 // could outlast the grant. The lease expires before the grant ends, because the clock
 // reading is older than the time of its receipt and because the expiry allows for a
-// slow clock. The caller holds c.mu.
+// slow clock. If all leases had ended, later calls have a higher token, so call
+// fencingToken afterwards. The caller holds c.mu.
 func (c *Controller) extendLease(now bootclock.Instant) (ClockTime, bool) {
+	c.endLeases(now)
 	if !now.Before(c.grantedUntil) || c.runnerClock == 0 || c.outOfTouch(now) {
 		return 0, false
 	}
