Poll the current runner in turn with a candidate that does not answer

cause: a runner that has announced itself under another id was polled until it answered or another one did. If its polls fail otherwise for good, as with an id that no header can carry, the current runner was never polled again, and its leases ended.

--- /dev/null
+++ b/internal/runner/candidatestate_test.go
@@ -0,0 +1,65 @@
+package runner
+
+import (
+	"testing"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+)
+
+// announceOther announces a runner "other", which has started at 9.
+func announceOther(c *Controller, sequence int64, draining bool) {
+	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "other", StartedUnixMs: 9}, Sequence: sequence, Draining: draining}, 1)
+}
+
+// answerOther lets the runner "other", started at the given time, answer, and reports whether it
+// counts as draining.
+func answerOther(c *Controller, startedUnixMs int64) (draining bool) {
+	c.mergeListing("other", Listing{StartedUnixMs: startedUnixMs, Clock: 1}, bootclock.Now())
+	report, _ := c.Report()
+	return report.GetRunner().GetDraining()
+}
+
+// Guards against a deregistration that is lost because the runner has not answered yet: it would
+// get tasks while it ends.
+func TestDeregisteredCandidateDrains(t *testing.T) {
+	c, _ := newBusyController()
+	announceOther(c, 7, false)
+	c.MarkDraining("other")
+	if !answerOther(c, 9) {
+		t.Error("after the deregistration: got a runner that takes tasks, want a draining one")
+	}
+}
+
+// Guards against a deregistration that a heartbeat sent before it cancels.
+func TestDeregisteredCandidateDrainsAfterAHeartbeat(t *testing.T) {
+	c, _ := newBusyController()
+	announceOther(c, 7, false)
+	c.MarkDraining("other")
+	announceOther(c, 8, false)
+	if !answerOther(c, 9) {
+		t.Error("after the deregistration and a heartbeat: got a runner that takes tasks, want a draining one")
+	}
+}
+
+// Guards against a late heartbeat that hides that the runner drains.
+func TestLateHeartbeatLeavesTheCandidateDraining(t *testing.T) {
+	c, _ := newBusyController()
+	announceOther(c, 7, true)
+	announceOther(c, 3, false)
+	if !answerOther(c, 9) {
+		t.Error("after a late heartbeat: got a runner that takes tasks, want a draining one")
+	}
+}
+
+// Guards against a runner that never takes tasks, or is never known by its start, because an
+// earlier life under its id announced itself: the life that answers is another one.
+func TestAnswerOfALaterLifeThanAnnounced(t *testing.T) {
+	c, _ := newBusyController()
+	announceOther(c, 7, true)
+	if answerOther(c, 12) {
+		t.Error("after the answer of the next life: got a draining runner, want one that takes tasks")
+	}
+	if report, _ := c.Report(); report.GetRunner().GetBornUnixMs() != 12 {
+		t.Errorf("start of the runner: got %d, want 12", report.GetRunner().GetBornUnixMs())
+	}
+}
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -84,6 +84,7 @@
 	mu                sync.Mutex
 	info              *Info             // last runner that has answered a call; nil before the first one
 	candidate         *Info             // has announced itself under another id and has not answered yet; nil if there is none
+	pollCurrent       bool              // the last poll of the candidate has failed, so the next one is for the current runner
 	ordinal           FencingToken      // counts the incarnations and the ends of all leases; later calls have a higher one
 	incarnations      int               // number of incarnations seen by this process
 	incarnationSeenAt bootclock.Instant // when the current incarnation was first seen
@@ -213,17 +214,19 @@
 }
 
 // nextPoll returns the next poll, and whether its reply may wait for the end of a run. It
-// must not while the runs are not known or ends are missing. A candidate is polled first, without a lease and
-// without an acknowledgement of ends. ok is false if no runner has announced itself.
+// must not while the runs are not known or ends are missing. A candidate is polled first, without
+// a lease and without an acknowledgement of ends, and in turn with the current runner while it
+// does not answer: it may not be there. ok is false if no runner has announced itself.
 func (c *Controller) nextPoll() (call PollCall, mayWait, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.candidate != nil {
+	if c.candidate != nil && (c.info == nil || !c.pollCurrent) {
 		return PollCall{Runner: c.candidate.ID, Token: c.fencingToken()}, false, true
 	}
 	if c.info == nil {
 		return PollCall{}, false, false
 	}
+	c.pollCurrent = false
 	now := bootclock.Now()
 	call = PollCall{Runner: c.info.ID, Wait: pollWait}
 	if !c.outOfTouch(now) { // the next incarnation counts its ended runs anew
@@ -236,7 +239,7 @@
 		call.Until = until
 	}
 	call.Token = c.fencingToken()
-	return call, !c.silent(now) && !c.truncated, true
+	return call, !c.silent(now) && !c.truncated && c.candidate == nil, true
 }
 
 // handlePollError marks the runner as unresponsive and waits before the next poll. It drops a
@@ -252,6 +255,7 @@
 		c.mu.Unlock()
 		return
 	}
+	c.pollCurrent = c.candidate != nil && c.candidate.ID == id
 	first := !c.unresponsive && c.info != nil && (c.info.ID == id || c.candidate != nil && c.candidate.ID == id)
 	if first {
 		c.unresponsive = true
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -68,7 +68,9 @@
 	if old := c.candidate; old != nil && old.ID == info.ID && (info.StartedUnixMs < old.StartedUnixMs || info.Sequence < old.Sequence) {
 		return false
 	}
-	if c.candidate == nil || c.candidate.Incarnation != info.Incarnation {
+	if old := c.candidate; old != nil && old.Incarnation == info.Incarnation {
+		info.Draining = info.Draining || old.Draining // as in update
+	} else {
 		klog.InfoS("another runner announces itself", "runner", info.ID, "born", info.StartedUnixMs, "sequence", info.Sequence, "draining", info.Draining)
 	}
 	c.candidate = &info
