--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -130,12 +130,13 @@
 	if in.GetTerm() != a.term || in.GetAttachment() != a.attachment {
 		return nil, fault.New("orders", link.Rejected, "term %d attachment %d is in force", a.term, a.attachment)
 	}
+	incarnation := runner.Incarnation{ID: in.GetRunner(), StartedUnixMs: in.GetRecordedBornUnixMs()}
 	for _, s := range in.GetStarts() {
 		id, err := workflow.ParseTaskID(s.GetTask())
 		if err != nil {
 			return nil, err
 		}
-		a.Controller.Start(a.ctx, runner.Incarnation{ID: in.GetRunner(), StartedUnixMs: in.GetRecordedBornUnixMs()}, startFromWire(id, s))
+		a.Controller.Start(a.ctx, incarnation, startFromWire(id, s))
 	}
 	for _, s := range in.GetDescriptions() {
 		id, err := workflow.ParseTaskID(s.GetTask())
@@ -153,7 +154,7 @@
 		a.Controller.Stop(a.ctx, id, workflow.Attempt(s.GetAttempt()))
 	}
 	a.setEstimates(in.GetPairs())
-	a.Controller.MarkRecorded(in.GetRecordedBornUnixMs(), in.GetRecorded())
+	a.Controller.MarkRecorded(incarnation, in.GetRecorded())
 	return &wire.OrdersReply{Sequence: a.Controller.LastReportSequence()}, nil
 }
 
@@ -240,7 +241,9 @@
 		a.Controller.ExtendGrant(sent.Add(grantDuration))
 	}
 	a.setEstimates(reply.GetPairs())
-	a.Controller.MarkRecorded(reply.GetRecordedBornUnixMs(), reply.GetRecorded())
+	if reported := report.GetRunner(); reported != nil { // the reply is about the runner of the report
+		a.Controller.MarkRecorded(runner.Incarnation{ID: reported.GetId(), StartedUnixMs: reply.GetRecordedBornUnixMs()}, reply.GetRecorded())
+	}
 }
 
 // runListener accepts sessions until ctx ends, then shuts them down.
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -124,10 +124,10 @@
 
 // MarkRecorded drops the ended runs up to number, which are durably recorded. A
 // call for another incarnation than the current one has no effect.
-func (c *Controller) MarkRecorded(startedUnixMs int64, number uint64) {
+func (c *Controller) MarkRecorded(incarnation Incarnation, number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.info == nil || c.info.StartedUnixMs != startedUnixMs || number <= c.recordedEnd {
+	if c.info == nil || c.info.Incarnation != incarnation || number <= c.recordedEnd {
 		return
 	}
 	c.recordedEnd = number
--- a/internal/runner/partial_test.go
+++ b/internal/runner/partial_test.go
@@ -39,10 +39,10 @@
 	wantPartial(t, c, "before any listing", true, 0)
 	c.mergeListing("r", Listing{StartedUnixMs: 1, Clock: 2000, Ended: []EndedRun{endOf(1, "a")}, Truncated: true}, requested)
 	wantPartial(t, c, "after a truncated listing", true, 1)
-	c.MarkRecorded(1, 1)
+	c.MarkRecorded(Incarnation{ID: "r", StartedUnixMs: 1}, 1)
 	c.mergeListing("r", Listing{StartedUnixMs: 1, Clock: 3000, Ended: []EndedRun{endOf(2, "b")}, Truncated: true}, requested)
 	wantPartial(t, c, "after a second truncated listing", true, 1)
-	c.MarkRecorded(1, 2)
+	c.MarkRecorded(Incarnation{ID: "r", StartedUnixMs: 1}, 2)
 	if prompt := c.mergeListing("r", Listing{StartedUnixMs: 1, Clock: 4000}, requested); !prompt {
 		t.Error("the first complete listing: got no prompt report, want one")
 	}
