Drop a candidate once the current runner has answered

cause: a candidate stayed until it was rejected, though an answer of the current runner to a later call proves that it is not there. The record of a gone entry process stayed for good when the leader itself had its address: it reached itself change: such an answer drops the candidate; at the address of this process no other one is reached.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -128,7 +128,8 @@
 			continue
 		}
 		for name, address := range registered {
-			reached := reaches(ctx, address)
+			// At the address of this process only this process answers.
+			reached := address != e.Settings.advertisedAddress() && reaches(ctx, address)
 			e.mu.Lock()
 			lost := e.peers.probed(name, address, reached && !e.peers.displaced(name), bootclock.Now())
 			e.mu.Unlock()
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -84,6 +84,7 @@
 	mu                sync.Mutex
 	info              *Info             // last runner that has answered a call; nil before the first one
 	candidate         *Info             // has announced itself under another id and has not answered yet; nil if there is none
+	announcedAt       bootclock.Instant // when the candidate last announced itself
 	pollCurrent       bool              // the last poll of the candidate has failed, so the next one is for the current runner
 	ordinal           FencingToken      // counts the incarnations and the ends of all leases; later calls have a higher one
 	incarnations      int               // number of incarnations seen by this process
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -73,7 +73,7 @@
 	} else {
 		klog.InfoS("another runner announces itself", "runner", info.ID, "born", info.StartedUnixMs, "sequence", info.Sequence, "draining", info.Draining)
 	}
-	c.candidate = &info
+	c.candidate, c.announcedAt = &info, bootclock.Now()
 	if c.candidateAppeared != nil {
 		close(c.candidateAppeared)
 	}
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -23,6 +23,10 @@
 	if c.info == nil || c.info.ID != id {
 		return false
 	}
+	if c.candidate != nil && sent.After(c.announcedAt) {
+		klog.InfoS("runner that has announced itself is not there, as the current one answers", "runner", c.candidate.ID, "born", c.candidate.StartedUnixMs, "current", id)
+		c.candidate = nil
+	}
 	if l.StartedUnixMs != 0 && l.StartedUnixMs != c.info.StartedUnixMs {
 		if l.StartedUnixMs < c.info.StartedUnixMs && !sent.After(c.incarnationSeenAt) {
 			return false // the reply of an incarnation that has been replaced
