--- a/internal/scheduler/absence.go
+++ b/internal/scheduler/absence.go
@@ -11,7 +11,7 @@
 const minAbsence = 1500 * time.Millisecond
 
 // Absence describes a worker whose runs cannot be seen: there is no session with its
-// agent, or its runner does not answer.
+// agent, or its agent has no runner.
 type Absence struct {
 	Worker    units.WorkerID
 	LeaseLeft time.Duration // its runs end within this time unless it returns; 0 if they have ended
@@ -22,7 +22,7 @@
 	var list []Absence
 	for id, w := range s.workers {
 		left := max(0, w.latestLeaseEnd.Sub(now.Boot))
-		if w.attached && w.synced || left > s.MaxLeaseDuration-minAbsence {
+		if w.attached && (w.synced || w.unresponsive) || left > s.MaxLeaseDuration-minAbsence {
 			continue
 		}
 		list = append(list, Absence{id, left})
--- a/internal/scheduler/silent_test.go
+++ b/internal/scheduler/silent_test.go
@@ -83,3 +83,18 @@
 	}
 	f.wantState(id, workflow.Completed)
 }
+
+// The record of an absence keeps a worker without a lease until it is deleted. A runner that
+// has only been silent for a moment must get its next lease at once.
+func TestSilentRunnerIsNoAbsence(t *testing.T) {
+	f, silent := silence(t)
+	f.advance(2 * minAbsence)
+	f.report(silent)
+	if got := f.scheduler.Absences(f.now); len(got) != 0 {
+		t.Errorf("absences while the runner is silent: got %v, want none", got)
+	}
+	f.scheduler.Detach(silent)
+	if got := f.scheduler.Absences(f.now); len(got) != 1 {
+		t.Errorf("absences after the end of the session: got %v, want one", got)
+	}
+}
