Start nothing on a restarted runner before it says what it is

cause: a restart that only a list has shown was taken to be of the kind and capacity of the life before until its first heartbeat, up to about a second. A candidate that appeared while the agent began to wait for one was noticed with the next heartbeat. One field had two meanings: when a restart was seen, and since when its stray lease counts change: starts are rejected until such a runner has announced itself; the wait looks for a candidate first; two fields.

--- a/internal/runner/candidatestate_test.go
+++ b/internal/runner/candidatestate_test.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"context"
 	"testing"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/internal/workflow"
 )
 
 // announceOther announces a runner "other", which has started at 9.
@@ -63,3 +65,17 @@
 		t.Errorf("start of the runner: got %d, want 12", report.GetRunner().GetBornUnixMs())
 	}
 }
+
+// A runner that starts again under its id may be of another kind and size. Guards against a start
+// on one that has not said yet what it is, as a list has shown the restart.
+func TestNoStartBeforeARestartedRunnerSaysWhatItIs(t *testing.T) {
+	api := &fakeAPI{}
+	c := newReadyController(api)
+	c.info.StartedUnixMs, c.info.Labels = 5, []string{"big"}
+	c.mergeListing("r", Listing{StartedUnixMs: 9, Clock: 1}, bootclock.Now())
+	c.mergeListing("r", Listing{StartedUnixMs: 9, Clock: 2}, c.restartedAt+1)
+	c.Start(context.Background(), Incarnation{ID: "r", StartedUnixMs: 9}, StartOrder{Task: workflow.TaskID{Job: "a"}, Attempt: 1})
+	if got := len(c.rejections); got != 1 {
+		t.Errorf("start before the first announcement of the new life: got %d rejections, want 1", got)
+	}
+}
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -105,8 +105,8 @@
 	leaseSent         bool              // a call with the current fencing token may carry a lease
 	reportSequence    uint64            // sequence number of the last report
 	startedAt         bootclock.Instant // when Run was called
-	restartedAt       bootclock.Instant // when a new incarnation with the same id was first seen, then when it first answered; 0 if the id is new
-	foundYoungAt      bootclock.Instant // when this process found a runner that had started shortly before; 0 if it had not
+	restartedAt       bootclock.Instant // when a new incarnation with the same id was first seen; 0 if the id is new
+	lateCallsUntil    bootclock.Instant // until then a call for an earlier incarnation with this id may have given a lease; 0 if none may
 	model             interference.Model
 	observedAt        bootclock.Instant           // when the model was last updated
 	endedReadings     []interference.UsageReading // best-effort tasks that have ended since observedAt
@@ -206,8 +206,11 @@
 // awaitRunner waits until a runner has announced itself.
 func (c *Controller) awaitRunner(ctx context.Context) {
 	c.mu.Lock()
-	appeared := c.candidateAppeared
+	appeared, there := c.candidateAppeared, c.candidate != nil
 	c.mu.Unlock()
+	if there {
+		return
+	}
 	select {
 	case <-appeared:
 	case <-ctx.Done():
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -115,10 +115,10 @@
 }
 
 // nextIncarnation returns what is known of an incarnation under the same id that has not
-// announced itself yet. Its kind and its capacity are taken to be those of the one before.
+// announced itself yet. Its kind and its capacity may differ from those of the one before.
 func (i Info) nextIncarnation(startedUnixMs int64) Info {
 	i.StartedUnixMs = startedUnixMs
-	i.Sequence, i.Draining, i.Remaining = 0, false, 0
+	i.Sequence, i.Draining, i.Remaining, i.Unknown = 0, false, 0, true
 	return i
 }
 
@@ -136,7 +136,7 @@
 	c.incarnationSeenAt = bootclock.Now()
 	c.listed, c.unresponsive = false, false
 	c.truncated, c.complete = false, false
-	c.restartedAt = 0
+	c.restartedAt, c.lateCallsUntil = 0, 0
 	if sameID {
 		c.restartedAt = bootclock.Now()
 		for _, r := range c.runs {
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -85,7 +85,7 @@
 // lease that no grant bounds, or 0: a call that was sent to the incarnation before may have
 // carried a lease by the clock of that one. The caller holds c.mu.
 func (c *Controller) strayLease(now bootclock.Instant) time.Duration {
-	from := max(c.restartedAt, c.foundYoungAt)
+	from := max(c.restartedAt, c.lateCallsUntil)
 	if from == 0 {
 		return 0
 	}
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -67,17 +67,13 @@
 	return prompt
 }
 
-// noteFirstListing records until when late calls could give the runner a lease: until its first
-// answer. A runner that this process finds may have restarted under its id after a call of an
-// earlier process. The caller holds c.mu.
+// noteFirstListing records until when a call for an earlier incarnation with this id could give
+// the runner a lease: until its first answer. A runner that this process finds may have
+// restarted after a call of an earlier process. The caller holds c.mu.
 func (c *Controller) noteFirstListing(l Listing) {
-	now := bootclock.Now()
-	if c.restartedAt != 0 {
-		c.restartedAt = now
-	}
-	c.foundYoungAt = 0
-	if first := c.incarnations == 1; first && time.Duration(l.Clock)*time.Millisecond < maxCallDelay {
-		c.foundYoungAt = now
+	found := c.incarnations == 1 && time.Duration(l.Clock)*time.Millisecond < maxCallDelay
+	if c.restartedAt != 0 || found {
+		c.lateCallsUntil = bootclock.Now()
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,6 +30,7 @@
 	Draining  bool
 	Remaining time.Duration // while draining, lower bound of the time until the runner leaves; 0 when unknown
 	Sequence  int64         // increases with each announcement of one incarnation
+	Unknown   bool          // the incarnation has not announced itself: the rest is of the one before
 }
 
 // ClockTime is a reading of the runner's own clock, in milliseconds.
