Wait for no stray lease of an incarnation that is known

cause: since a new process of an agent that finds a runner which had just started reports a possible lease of 11 s, also where the runner has not restarted.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -43,10 +43,8 @@
 		w.synced, w.unresponsive = false, false
 		return
 	}
+	s.countStrayLease(w, r.GetRunner(), now)
 	s.setRunner(w, r.GetRunner(), now)
-	if stray := r.GetRunner().GetStrayLeaseMs(); stray > 0 {
-		w.latestLeaseEnd = max(w.latestLeaseEnd, now.Boot.Add(time.Duration(stray)*time.Millisecond))
-	}
 	if w.unresponsive {
 		w.synced = false
 		s.applyEnds(w, r.GetEnded(), now) // listed before the runner fell silent
@@ -67,6 +65,18 @@
 	}
 }
 
+// countStrayLease counts a lease that no grant bounds. A new process of the agent that has found
+// a runner which had just started can't know whether it has restarted under its id; if the
+// incarnation is the one that the process before has reported, it has not. It is called before
+// setRunner.
+func (s *Scheduler) countStrayLease(w *worker, in *wire.RunnerState, now Timestamp) {
+	known := w.runner.Incarnation == runner.Incarnation{ID: in.GetId(), StartedUnixMs: in.GetBornUnixMs()}
+	stray := time.Duration(in.GetStrayLeaseMs()) * time.Millisecond
+	if stray > 0 && !(known && in.GetFoundYoung()) {
+		w.latestLeaseEnd = max(w.latestLeaseEnd, now.Boot.Add(stray))
+	}
+}
+
 // setRunner updates the state of the worker's runner. The runs of the previous
 // incarnation are lost if the runner has a new id. A new incarnation with the same id
 // may run tasks whose start was ordered for the previous one and arrived late, so its
--- a/internal/scheduler/straylease_test.go
+++ b/internal/scheduler/straylease_test.go
@@ -32,3 +32,27 @@
 		t.Errorf("starts after the stray lease: got %v, want one", got)
 	}
 }
+
+// A new process of an agent can't know whether its runner, which has just started, holds a stray
+// lease. The leader does if it knows the incarnation: waiting for the longest lease would keep
+// tasks down. One that it does not know may hold such a lease.
+func TestStrayLeaseOfAKnownIncarnationIsNoneOfANewAgent(t *testing.T) {
+	for name, restarted := range map[string]bool{"the incarnation is known": false, "the runner has restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			f, silent := silence(t)
+			a := f.agents[silent]
+			a.runner.Silent, a.sequence = false, 0
+			a.runner.StrayLeaseMs, a.runner.FoundYoung = 11_000, true
+			if restarted {
+				a.runner.BornUnixMs++
+			}
+			f.scheduler.Attach(silent, f.now)
+			f.report(silent)
+			f.scheduler.Detach(silent)
+			f.advance(testMaxLeaseDuration + time.Millisecond)
+			if got, want := len(f.tick()) == 0, restarted; got != want {
+				t.Errorf("task waits longer than a granted lease: got %t, want %t", got, want)
+			}
+		})
+	}
+}
