--- a/internal/node/absence.go
+++ b/internal/node/absence.go
@@ -37,7 +37,7 @@
 )
 
 // longestLeaseMs limits what a record may say, so that a wrong one can't hold back recovered
-// tasks for longer than any lease.
+// tasks for longer than a granted lease.
 const longestLeaseMs = int64((grantDuration + grantMargin) / time.Millisecond)
 
 // absenceRecord is the stored form of an absence.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -81,8 +81,9 @@
 	return true
 }
 
-// Expected returns the incarnation that the next poll is for: the candidate, or else the current
-// one. ok is false if no runner has announced itself.
+// Expected returns the incarnation that an answer is expected from: the candidate, or else the
+// current one. ok is false if no runner has announced itself. It lets callers of
+// HandleAnnouncement see what became of an announcement.
 func (c *Controller) Expected() (incarnation Incarnation, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -17,27 +17,9 @@
 func (c *Controller) mergeListing(id string, l Listing, sent bootclock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.candidate != nil && c.candidate.ID == id {
-		c.confirmCandidate(l)
-	}
-	if c.info == nil || c.info.ID != id {
-		return false
-	}
-	if c.candidate != nil && sent.After(c.announcedAt) {
-		klog.InfoS("runner that has announced itself is not there, as the current one answers", "runner", c.candidate.ID, "born", c.candidate.StartedUnixMs, "current", id)
-		c.candidate = nil
-	}
-	if l.StartedUnixMs != 0 && l.StartedUnixMs != c.info.StartedUnixMs {
-		if l.StartedUnixMs < c.info.StartedUnixMs && !sent.After(c.incarnationSeenAt) {
-			return false // the reply of an incarnation that has been replaced
-		}
-		c.replaceIncarnation(c.info.nextIncarnation(l.StartedUnixMs))
-		c.setClock(l.Clock)
-	}
-	if !sent.After(c.restartedAt) {
-		// It was requested with the token of the previous incarnation with this id. Starts with
-		// that token may still arrive, so only the next listing shows which runs are lost.
-		return true
+	restarted, decides := c.identify(id, l, sent)
+	if !decides {
+		return restarted
 	}
 	if !c.listed {
 		c.noteFirstListing(l)
@@ -67,6 +49,34 @@
 	return prompt
 }
 
+// identify updates the current runner from the answer to a poll of id that was sent at the given
+// time. It reports whether the answer has shown that the runner restarted under its id, or had
+// done so since the poll, and whether the listing decides which runs are left: it is of the
+// current incarnation and was requested with its token. The caller holds c.mu.
+func (c *Controller) identify(id string, l Listing, sent bootclock.Instant) (restarted, decides bool) {
+	if c.candidate != nil && c.candidate.ID == id {
+		c.confirmCandidate(l)
+	}
+	if c.info == nil || c.info.ID != id {
+		return false, false
+	}
+	if c.candidate != nil && sent.After(c.announcedAt) {
+		klog.InfoS("runner that has announced itself is not there, as the current one answers", "runner", c.candidate.ID, "born", c.candidate.StartedUnixMs, "current", id)
+		c.candidate = nil
+	}
+	if l.StartedUnixMs != 0 && l.StartedUnixMs != c.info.StartedUnixMs {
+		if l.StartedUnixMs < c.info.StartedUnixMs && !sent.After(c.incarnationSeenAt) {
+			return false, false // the reply of an incarnation that has been replaced
+		}
+		c.replaceIncarnation(c.info.nextIncarnation(l.StartedUnixMs))
+		c.setClock(l.Clock)
+	}
+	// Starts with the token of the previous incarnation with this id may still arrive, so only
+	// the next listing shows which runs are lost.
+	restarted = !sent.After(c.restartedAt)
+	return restarted, !restarted
+}
+
 // noteFirstListing records until when a call for an earlier incarnation with this id could give
 // the runner a lease: until its first answer. A runner that this process finds may have
 // restarted after a call of an earlier process. The caller holds c.mu.
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -237,7 +237,7 @@
 }
 
 // RecoverWorker adds a worker on which an earlier leader may have ordered runs. These end
-// within leaseLeft of now, unless the worker reports them.
+// within leaseLeft of now, unless the worker reports them or holds a stray lease.
 func (s *Scheduler) RecoverWorker(id units.WorkerID, leaseLeft time.Duration, now Timestamp) {
 	s.AddWorker(id, now)
 	s.workers[id].latestLeaseEnd = now.Boot.Add(leaseLeft)
