Let registered processes say that none of them leads

cause: since a process that has read no record of the leadership waits for 32 s, as a leader of which it does not know may go on by promises.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -101,6 +101,9 @@
 	// LeaderExited queries the leader's machine and reports whether the leader's process
 	// has ended and another one runs there. It is called while Connected reports false.
 	LeaderExited func(ctx context.Context, leader Leader) bool
+	// NobodyLeads asks all other registered entry processes and reports whether each has
+	// answered that MayLead is false. It is called while the records do not tell who leads.
+	NobodyLeads func(ctx context.Context) bool
 	// Connected reports whether this process leads or has a session with the leader. If it
 	// is nil, the process counts as connected.
 	Connected func() bool
@@ -128,6 +131,7 @@
 	released          bool              // the last leader has released the leadership
 	renewedAt         bootclock.Instant // when the last renewal that extended this process's lease was sent; 0 if none
 	ownRecords        []units.Offset    // renewals of this leader that a read has shown
+	askedAt           bootclock.Instant // when NobodyLeads was last called; 0 if never
 	eligibleSince     bootclock.Instant // time since which a claim is possible; 0 if it is not
 	withdrawn         bool              // this process does not become leader again
 }
@@ -256,7 +260,7 @@
 // follow reads records until this process has won the leadership.
 func (e *Elector) follow(ctx context.Context) (Term, bool) {
 	for ctx.Err() == nil {
-		if !e.isWithdrawn() && (e.mayClaim() || e.leaderExited(ctx)) && e.claimDelayElapsed() {
+		if !e.isWithdrawn() && (e.mayClaim() || e.leaderExited(ctx) || e.nobodyLeads(ctx)) && e.claimDelayElapsed() {
 			if term, ok := e.claim(ctx); ok {
 				return term, true
 			}
--- a/internal/leadership/membership.go
+++ b/internal/leadership/membership.go
@@ -4,6 +4,9 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -101,6 +104,41 @@
 	})
 }
 
+// askInterval separates two calls of NobodyLeads.
+const askInterval = 500 * time.Millisecond
+
+// nobodyLeads reports whether no promise prevents a claim and all registered processes have
+// answered that they don't lead, where the records leave open who does. A process without a
+// registration leads nothing, and one that claims meanwhile lets this process's claim conflict.
+func (e *Elector) nobodyLeads(ctx context.Context) bool {
+	if e.NobodyLeads == nil || !e.mayAsk() || !e.NobodyLeads(ctx) {
+		return false
+	}
+	klog.InfoS("leadership is vacant: no registered process leads")
+	return true
+}
+
+// mayAsk reports whether only the missing knowledge of who leads prevents a claim, and the last
+// call of NobodyLeads was askInterval ago.
+func (e *Elector) mayAsk() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := bootclock.Now()
+	if e.promiseLeft() > 0 || now.Sub(e.renewalSeenAt) <= claimTimeout || e.knownToRivals(0) || now.Before(e.askedAt.Add(askInterval)) {
+		return false
+	}
+	e.askedAt = now
+	return true
+}
+
+// MayLead reports whether this process leads a term, or may become the leader by a claim that
+// has no reply yet.
+func (e *Elector) MayLead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pendingClaim != 0 || e.leader.Name == e.Name && bootclock.Now().Before(e.leaseEnd)
+}
+
 // knownSince returns when the leader of a record at an offset, which is read now, has a lease only
 // by the promises of all members that it had read. All that it has requested in its term follow
 // its claim.
--- a/internal/leadership/unknown_test.go
+++ b/internal/leadership/unknown_test.go
@@ -176,3 +176,41 @@
 	}
 	n.wantTerm(t, quick)
 }
+
+// Guards against a system without a leader for as long as one could go on by promises, after all
+// entry processes have ended and the history is gone: those that are registered can say that
+// none of them leads.
+func TestProcessClaimsOnceNobodyLeads(t *testing.T) {
+	t.Parallel()
+	for name, vacant := range map[string]bool{"nobody leads": true, "one may lead": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log := metastore.NewLog()
+			putKnowing(log, "gone", 1, 5)
+			log.DeleteHistory()
+			n := startAdded(t, log, func(e *leadership.Elector) {
+				e.NobodyLeads = func(context.Context) bool { return vacant }
+			})
+			if vacant {
+				n.wantTerm(t, beyondTakeover)
+				return
+			}
+			n.wantNoTerm(t, beyondTakeover, "another process may lead")
+		})
+	}
+}
+
+// Guards against a leader by promises that says that it does not lead: another process would
+// claim beside it.
+func TestLeaderByPromisesMayLead(t *testing.T) {
+	t.Parallel()
+	log := metastore.NewLog()
+	a, _ := leaderByPromises(t, log)
+	time.Sleep(2 * time.Second) // longer than a lease without promises
+	if !a.MayLead() {
+		t.Error("leader by promises: got that it does not lead, want that it may")
+	}
+	if n := startAdded(t, log, nil); n.MayLead() {
+		t.Error("process that only follows: got that it may lead, want that it does not")
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -92,7 +92,7 @@
 	return &leadership.Elector{
 		Store: e.Store, Name: e.Settings.Name, Address: e.Settings.advertisedAddress(), FirstStart: e.Settings.FirstStart,
 		ClaimDelay: e.Settings.claimDelay(), RunLeader: e.lead, OnChange: e.followLeader, RequestPromises: e.requestPromises,
-		LeaderExited: e.leaderExited, Connected: e.connected, Membership: &e.membership,
+		LeaderExited: e.leaderExited, NobodyLeads: e.nobodyLeads, Connected: e.connected, Membership: &e.membership,
 	}
 }
 
--- a/internal/node/promises.go
+++ b/internal/node/promises.go
@@ -18,8 +18,12 @@
 // has ended, and promises not to claim.
 
 // handleVacancy reports whether this process leads the given term or has just
-// claimed it. Otherwise the process renounces that term.
+// claimed it. Otherwise the process renounces that term. If it is asked for any term, it reports
+// whether this process may lead one.
 func (e *Entry) handleVacancy(_ context.Context, in *wire.VacancyRequest) (*wire.VacancyReply, error) {
+	if in.GetAny() {
+		return &wire.VacancyReply{Name: e.Settings.Name, Any: true, Leads: e.elector.MayLead()}, nil
+	}
 	return &wire.VacancyReply{Name: e.Settings.Name, Leads: e.elector.ConfirmOrRenounce(leadership.Term(in.GetTerm()))}, nil
 }
 
@@ -41,6 +45,47 @@
 	return reply.GetName() == leader.Name && !reply.GetLeads()
 }
 
+// nobodyLeads reports whether all other registered entry processes have answered that they
+// neither lead nor are about to. It is false until this process has read the members that
+// registered before it.
+func (e *Entry) nobodyLeads(ctx context.Context) bool {
+	if e.membership.ReadEnd() <= e.membership.Registered() {
+		return false
+	}
+	e.mu.Lock()
+	others := e.peers.registered()
+	e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, vacancyTimeout)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for name, address := range others {
+		group.Go(func() error { return requestVacancy(ctx, name, address) })
+	}
+	err := group.Wait()
+	if err != nil {
+		klog.InfoS("it is not known who leads", "others", len(others), "err", err)
+	}
+	return err == nil
+}
+
+// requestVacancy returns an error unless the named process at the address answers that it
+// neither leads nor is about to.
+func requestVacancy(ctx context.Context, name, address string) error {
+	session, err := link.Dial(ctx, address, nil)
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	reply := &wire.VacancyReply{}
+	if err := session.Call(ctx, pathVacancy, &wire.VacancyRequest{Any: true}, reply); err != nil {
+		return err
+	}
+	if reply.GetName() != name || !reply.GetAny() || reply.GetLeads() {
+		return fault.New("vacancy", link.Rejected, "%s: process %q, may lead %t", address, reply.GetName(), reply.GetLeads())
+	}
+	return nil
+}
+
 // handlePromise answers another process's request for a promise not to claim the
 // leadership.
 func (e *Entry) handlePromise(_ context.Context, in *wire.SupportRequest) (*wire.SupportReply, error) {
