--- a/internal/leadership/faults_test.go
+++ b/internal/leadership/faults_test.go
@@ -155,6 +155,7 @@
 	e.RequestPromises = func(_ context.Context, term leadership.Term) (bootclock.Instant, bool) {
 		return m.requestPromises(e, term)
 	}
+	e.NobodyLeads = func(context.Context) bool { return m.nobodyLeads() }
 	e.Connected = m.connected.Load
 	e.LeaderExited = func(_ context.Context, leader leadership.Leader) bool {
 		other := m.cluster.running(leader.Name)
@@ -172,6 +173,22 @@
 	wait.Go(func() { _ = e.Run(ctx) }) // ends with ctx
 }
 
+// nobodyLeads does what an entry process does.
+func (m *member) nobodyLeads() bool {
+	if m.ReadEnd() <= m.registered {
+		return false
+	}
+	for _, other := range m.cluster.all() {
+		if other == m || other.registered >= m.ReadEnd() {
+			continue
+		}
+		if asked := other.running(); asked == nil || asked.MayLead() {
+			return false
+		}
+	}
+	return true
+}
+
 // requestPromises does what an entry process does.
 func (m *member) requestPromises(e *leadership.Elector, term leadership.Term) (bootclock.Instant, bool) {
 	sent := bootclock.Now()
