--- /dev/null
+++ b/internal/soak/catalog.go
@@ -0,0 +1,29 @@
+package soak
+
+import "slices"
+
+// Catalog names the kinds of faults from which a schedule is drawn. The schedule of a seed
+// depends on the kinds and on their order, so new kinds go into a catalog of their own.
+type Catalog string
+
+// The catalogs.
+const (
+	StandardFaults Catalog = ""        // the kinds of faults.go
+	MachineFaults  Catalog = "machine" // those, and what only real machines and networks do
+)
+
+var catalogs = []Catalog{StandardFaults, MachineFaults}
+
+// kinds returns the kinds of faults of the catalog.
+func (c Catalog) kinds() []faultKind {
+	if c == MachineFaults {
+		return slices.Concat(faultKinds, networkFaultKinds, runnerFaultKinds)
+	}
+	return faultKinds
+}
+
+// networkFaultKinds are the faults of a machine's network, processors and processes.
+var networkFaultKinds = []faultKind{}
+
+// runnerFaultKinds are the faults of runners that take turns on a machine.
+var runnerFaultKinds = []faultKind{}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -49,7 +49,9 @@
 			&cli.FloatFlag{Name: "minutes", Usage: "run random seeds for this many minutes instead of a fixed number"},
 			&cli.DurationFlag{Name: "faults", Value: 20 * time.Second, Usage: "how long faults are injected in each run"},
 			&cli.IntFlag{Name: "processes", Value: 9, Usage: "processes of a run; a third of them, but at least two, are entry processes"},
+			&cli.IntFlag{Name: "entries", Usage: "entry processes of a run, if another number than a third of them"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "maximum number of concurrent runs"},
+			&cli.StringFlag{Name: "catalog", Usage: "kinds of faults to choose from: machine adds those of real machines and networks to the standard ones"},
 			&cli.StringFlag{Name: "only", Usage: "inject only this kind of fault"},
 			&cli.StringFlag{Name: "node", Value: "bin/wasabihill-node", Usage: "path of the wasabihill-node program"},
 			&cli.StringFlag{Name: "dir", Usage: "directory for settings and logs; a temporary one when omitted"},
@@ -84,6 +86,9 @@
 	}
 	n := c.Int("processes")
 	p := &campaign{command: c, dir: dir, entries: max(2, n/(agentsPerEntry+1))}
+	if c.IsSet("entries") {
+		p.entries = c.Int("entries")
+	}
 	p.agents = n - p.entries
 	if err := p.runSeeds(ctx); err != nil {
 		return err
@@ -125,7 +130,8 @@
 func (p *campaign) runSeed(ctx context.Context, seed uint64) error {
 	run := &Run{
 		Seed: seed, Faults: p.command.Duration("faults"), Entries: p.entries, Agents: p.agents,
-		Binary: p.command.String("node"), Dir: filepath.Join(p.dir, fmt.Sprint("seed-", seed)), Only: p.command.String("only"),
+		Binary: p.command.String("node"), Dir: filepath.Join(p.dir, fmt.Sprint("seed-", seed)),
+		Catalog: Catalog(p.command.String("catalog")), Only: p.command.String("only"),
 	}
 	result, err := run.Run(ctx)
 	if err != nil {
@@ -143,6 +149,12 @@
 // reproduceCommand returns the command that repeats the run of a seed.
 func (p *campaign) reproduceCommand(seed uint64) string {
 	command := fmt.Sprintf("wasabihill-soak --seed %d --processes %d --faults %s", seed, p.entries+p.agents, p.command.Duration("faults"))
+	if p.command.IsSet("entries") {
+		command += fmt.Sprint(" --entries ", p.entries)
+	}
+	if catalog := p.command.String("catalog"); catalog != "" {
+		command += " --catalog " + catalog
+	}
 	if only := p.command.String("only"); only != "" {
 		command += " --only " + only
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -40,7 +40,7 @@
 func schedule(r *Run) []scheduledFault {
 	random := rand.New(rand.NewPCG(r.Seed, 1))
 	var list []scheduledFault
-	chosen := slices.DeleteFunc(slices.Clone(faultKinds), func(k faultKind) bool { return r.Only != "" && k.name != r.Only })
+	chosen := slices.DeleteFunc(slices.Clone(r.Catalog.kinds()), func(k faultKind) bool { return r.Only != "" && k.name != r.Only })
 	if len(chosen) == 0 {
 		return nil
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,9 +50,10 @@
 	Faults  time.Duration // how long faults are injected
 	Entries int
 	Agents  int
-	Binary  string // path of wasabihill-node
-	Dir     string // directory of settings and logs
-	Only    string // the only kind of fault to inject; empty for all kinds
+	Binary  string  // path of wasabihill-node
+	Dir     string  // directory of settings and logs
+	Catalog Catalog // kinds of faults to choose from; the standard ones when empty
+	Only    string  // the only kind of fault to inject; empty for all kinds of the catalog
 
 	began     time.Time // start of the fault-free time before the first fault
 	fleet     *fleet
@@ -96,7 +97,10 @@
 	if r.Entries < 2 || r.Agents < 2 {
 		return nil, fault.New("soak", Invalid, "%d entry processes and %d agents; want at least two of each", r.Entries, r.Agents)
 	}
-	if r.Only != "" && !slices.ContainsFunc(faultKinds, func(k faultKind) bool { return k.name == r.Only }) {
+	if !slices.Contains(catalogs, r.Catalog) {
+		return nil, fault.New("soak", Invalid, "unknown catalog of faults %q", r.Catalog)
+	}
+	if r.Only != "" && !slices.ContainsFunc(r.Catalog.kinds(), func(k faultKind) bool { return k.name == r.Only }) {
 		return nil, fault.New("soak", Invalid, "unknown kind of fault %q", r.Only)
 	}
 	if err := os.MkdirAll(r.Dir, 0o755); err != nil {
