Log from which address a runner announces itself

cause: the agent's lines on announcements name the runner and not its address, so a log can't tell an announcement of another machine's runner from one of a successor on this machine. change: the address that the announcement names is in the lines on candidates and on ignored announcements. measured: go test ./internal/runner ./platform passes.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -71,7 +71,7 @@
 	if old := c.candidate; old != nil && old.Incarnation == info.Incarnation {
 		info.Draining = info.Draining || old.Draining // as in update
 	} else {
-		klog.InfoS("another runner announces itself", "runner", info.ID, "born", info.StartedUnixMs, "sequence", info.Sequence, "draining", info.Draining)
+		klog.InfoS("another runner announces itself", "runner", info.ID, "address", info.Address, "born", info.StartedUnixMs, "sequence", info.Sequence, "draining", info.Draining)
 	}
 	c.candidate, c.announcedAt = &info, bootclock.Now()
 	if c.candidateAppeared != nil {
@@ -99,7 +99,7 @@
 // logIgnored logs an announcement of an incarnation that has been replaced. The caller holds
 // c.mu.
 func (c *Controller) logIgnored(info Info) {
-	klog.InfoS("announcement of an earlier incarnation is ignored", "runner", info.ID, "born", info.StartedUnixMs,
+	klog.InfoS("announcement of an earlier incarnation is ignored", "runner", info.ID, "address", info.Address, "born", info.StartedUnixMs,
 		"current", c.info.ID, "currentBorn", c.info.StartedUnixMs)
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,6 +30,7 @@
 	Draining  bool
 	Remaining time.Duration // while draining, lower bound of the time until the runner leaves; 0 when unknown
 	Sequence  int64         // increases with each announcement of one incarnation
+	Address   string        // as announced (IP:port), for logs: calls go to the address in the settings
 	Unknown   bool          // the incarnation has not announced itself: the rest is of the one before
 }
 
