--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,13 +14,9 @@
 	"wasabihill.example/wasabihill/internal/bootclock"
 	"wasabihill.example/wasabihill/internal/drain"
 	"wasabihill.example/wasabihill/internal/durable"
-	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/leadership"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/operations"
-	"wasabihill.example/wasabihill/internal/pause"
-	"wasabihill.example/wasabihill/internal/wire"
-	"wasabihill.example/wasabihill/internal/workflow"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -178,141 +174,6 @@
 	e.mu.Unlock()
 }
 
-// followLeader replaces the session to the previous leader by one to the given
-// leader.
-func (e *Entry) followLeader(leader leadership.Leader) {
-	e.mu.Lock()
-	e.knownLeader = leader
-	previous := e.session
-	e.session = nil
-	e.mu.Unlock()
-	if previous != nil {
-		go shutdownSession(previous)
-	}
-	if leader.Name != e.Settings.Name {
-		go e.maintainSession(leader)
-	}
-}
-
-// shutdownSession closes the session once the requests in flight on it are answered, or
-// after sessionShutdownTimeout, because a leader that was lost answers none.
-func shutdownSession(session *link.Session) {
-	ctx, cancel := context.WithTimeout(context.Background(), sessionShutdownTimeout)
-	defer cancel()
-	session.Shutdown(ctx)
-}
-
-// closeLeaderSession closes the session to the leader and prevents another one.
-func (e *Entry) closeLeaderSession() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.knownLeader = leadership.Leader{}
-	if e.session != nil {
-		e.session.Close()
-	}
-}
-
-// maintainSession keeps a session to the leader open until the elector reports
-// another leader.
-func (e *Entry) maintainSession(leader leadership.Leader) {
-	for e.isKnownLeader(leader) {
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		session, err := link.Dial(ctx, leader.Address, nil)
-		cancel()
-		if err != nil {
-			time.Sleep(redialDelay)
-			continue
-		}
-		klog.InfoS("connected to the leader", "leader", leader.Name, "term", leader.Term)
-		if !e.useSession(leader, session) {
-			session.Close()
-			return
-		}
-		<-session.Done()
-		e.dropSession(session)
-		time.Sleep(redialDelay)
-	}
-}
-
-func (e *Entry) isKnownLeader(leader leadership.Leader) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.knownLeader == leader
-}
-
-func (e *Entry) useSession(leader leadership.Leader, session *link.Session) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.knownLeader != leader {
-		return false
-	}
-	e.session = session
-	return true
-}
-
-func (e *Entry) dropSession(session *link.Session) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.session == session {
-		e.session = nil
-		klog.InfoS("connection to the leader is lost", "leader", e.knownLeader.Name)
-	}
-}
-
-const (
-	// leaderWait is how long a request waits for a leader. A planned change of leader takes
-	// less, and its caller would come back only after a second. It is a small part of the time
-	// that the caller has, so that a refusal still comes early.
-	leaderWait = 300 * time.Millisecond
-	// leaderRetryDelay is the delay before such a request is tried again.
-	leaderRetryDelay = 40 * time.Millisecond
-)
-
-// Serve answers a client request, locally when this process leads and otherwise
-// through the session to the leader. A request that had no effect because there is no leader
-// waits for one for up to leaderWait.
-func (e *Entry) Serve(ctx context.Context, r Request) Reply {
-	begin := time.Now()
-	reply := e.handleRequest(ctx, r)
-	for reply.awaitsLeader && time.Since(begin) < leaderWait && ctx.Err() == nil {
-		pause.For(ctx, leaderRetryDelay)
-		reply = e.handleRequest(ctx, r)
-	}
-	e.metrics.recordRequest(r.Verb, reply.Outcome, time.Since(begin))
-	return reply
-}
-
-func (e *Entry) handleRequest(ctx context.Context, r Request) Reply {
-	e.mu.Lock()
-	local, session := e.leader, e.session
-	e.mu.Unlock()
-	if local != nil {
-		return local.handleRequest(ctx, r)
-	}
-	if session == nil {
-		return noLeader("no leader is connected")
-	}
-	message := &wire.ClientCall{Verb: string(r.Verb), JobId: string(r.ID), Queue: string(r.Queue)}
-	if r.Job != nil {
-		message.Job = workflow.ToWire(r.Job, r.Policy)
-	}
-	reply := &wire.ClientReply{}
-	if err := session.Call(ctx, pathClient, message, reply); err != nil {
-		return replyFailedCall(r, err)
-	}
-	return replyFromWire(reply)
-}
-
-// replyFailedCall returns the reply to a client whose call to the leader
-// failed. Only a call that was not sent certainly had no effect.
-func replyFailedCall(r Request, err error) Reply {
-	reply := noLeader(err.Error())
-	if !fault.Is(err, link.NotSent) && (r.Verb == Submit || r.Verb == Cancel) {
-		reply.Outcome, reply.awaitsLeader = Unknown, false
-	}
-	return reply
-}
-
 func (e *Entry) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(pathClient, link.Handle(e.handleClient))
@@ -321,52 +182,6 @@
 	return mux
 }
 
-// handleClient answers a request that another entry process forwards.
-func (e *Entry) handleClient(ctx context.Context, in *wire.ClientCall) (*wire.ClientReply, error) {
-	e.mu.Lock()
-	local := e.leader
-	e.mu.Unlock()
-	if local == nil {
-		return noLeader("not the leader").toWire(), nil
-	}
-	r, err := requestFromWire(in)
-	if err != nil {
-		return nil, err
-	}
-	return local.handleRequest(ctx, r).toWire(), nil
-}
-
-// requestFromWire decodes a forwarded request. It returns an error for one that no entry
-// process forwards, because the scheduler relies on valid jobs.
-func requestFromWire(in *wire.ClientCall) (Request, error) {
-	r := Request{Verb: Verb(in.GetVerb()), Queue: workflow.QueueName(in.GetQueue()), ID: workflow.JobID(in.GetJobId())}
-	switch r.Verb {
-	case Lookup, Cancel, Count:
-		return r, nil
-	case Submit:
-	default:
-		return r, fault.New("forward", link.Rejected, "unknown verb %q", in.GetVerb())
-	}
-	if in.GetJob() == nil {
-		return r, fault.New("forward", link.Rejected, "submission of %q has no job", r.ID)
-	}
-	r.Job, r.Policy = workflow.FromWire(in.GetJob())
-	if err := r.Job.Validate(); err != nil {
-		return r, fault.Wrap("forward", link.Rejected, err)
-	}
-	if r.Job.ID != r.ID || r.ID == "" {
-		return r, fault.New("forward", link.Rejected, "submission of %q has job %q", r.ID, r.Job.ID)
-	}
-	return r, nil
-}
-
-// connected reports whether this process leads or has a session to the leader.
-func (e *Entry) connected() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.leader != nil || e.session != nil
-}
-
 // handleMember updates the other entry processes, and the registration of this one.
 func (e *Entry) handleMember(m member) {
 	if m.role != RoleEntry {
