--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"wasabihill.example/wasabihill/internal/childprocess"
 	"wasabihill.example/wasabihill/internal/relay"
 	"wasabihill.example/wasabihill/internal/standin/metastore"
 	"wasabihill.example/wasabihill/internal/standin/taskrunner"
@@ -95,12 +97,11 @@
 // terminate stops the process gracefully, as operators do. Meanwhile it gets further
 // signals, which must not end it sooner.
 func (r *Run) terminate(h *host) {
-	go func() {
-		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
-			time.Sleep(signalGap)
-			h.process.Signal(s)
-		}
-	}()
+	ended := make(chan struct{})
+	var series sync.WaitGroup
+	series.Go(func() { sendSeries(h.process, ended) })
+	defer series.Wait()
+	defer close(ended)
 	if !h.process.Terminate(gracePeriod) {
 		r.recordFailure("a planned stop ends in time", fmt.Errorf("%s did not stop within %v and was killed", h.name, gracePeriod))
 	} else if err := h.process.Result(); err != nil {
@@ -108,6 +109,19 @@
 	}
 }
 
+// sendSeries sends a series of signals to the process until it has ended: the next process of
+// the host must not get them.
+func sendSeries(p *childprocess.Process, ended <-chan struct{}) {
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		select {
+		case <-ended:
+			return
+		case <-time.After(signalGap):
+			p.Signal(s)
+		}
+	}
+}
+
 func sendSignal(s syscall.Signal) func(*Run, *host) {
 	return func(_ *Run, h *host) { h.process.Signal(s) }
 }
