Count a stray lease of a life that no process of the agent has listed

cause: a runner restarts under its id, its agent sees the announcement, reports the life as silent and is killed. A late call of it gives the new life a lease, and the next process of the agent finds the runner. The leader took the life for known, as any report of it counted, and did not count that lease: if the agent is lost then, the task starts beside its run (TWICE). Found by reading. strayunlisted_test.go:23: end of the leases after the report of the next process: got 6.5s, want at least 11s change: a life counts as known once it was reported with its lists, since the call for them fences all calls to the lives before measured: go test -run NeverListed ./internal/scheduler: fails before, passes after (-count=20 with all of Stray); go test -race ./internal/scheduler ./internal/node: passes, one run; go vet, staticcheck, gofmt of ./internal/scheduler: clean conclusion: closed; never seen outside the test

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -70,12 +70,16 @@
 
 // countStrayLease counts a lease that no grant bounds, and has it recorded. A new process of the
 // agent that has found a runner which had just started can't know whether it has restarted under
-// its id; if the incarnation is the one that the process before has reported, it has not. If this
-// leader knows of no life of the runner before, the lease is counted but not recorded: so it is
-// with each new machine, whose loss would hold back recovered tasks for 4.5 s longer. It is called
-// before setRunner.
+// its id; if the process before has reported that incarnation with its lists, no call to a life
+// before has given a lease since. If this leader knows of no life of the runner before, the lease
+// is counted but not recorded: so it is with each new machine, whose loss would hold back recovered
+// tasks for 4.5 s longer. It is called before setRunner.
 func (s *Scheduler) countStrayLease(w *worker, in *wire.RunnerState, now Timestamp) {
-	known := w.runner.Incarnation == runner.Incarnation{ID: in.GetId(), StartedUnixMs: in.GetBornUnixMs()}
+	incarnation := runner.Incarnation{ID: in.GetId(), StartedUnixMs: in.GetBornUnixMs()}
+	known := w.listedIncarnation == incarnation
+	if !in.GetSilent() {
+		w.listedIncarnation = incarnation
+	}
 	stray := time.Duration(in.GetStrayLeaseMs()) * time.Millisecond
 	if stray <= 0 || known && in.GetFoundYoung() {
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,6 +153,7 @@
 	unresponsive       bool // the runner does not respond to its agent
 	runsEnded          bool // the runner is unresponsive, and none of its runs can still be active
 	runner             runner.Info
+	listedIncarnation  runner.Incarnation // last one that the agent has reported with its lists; no call to a life before has any effect on it
 	capacity           units.Resources
 	used               units.Resources
 	rack               string
