Tell of a stray lease that a call gave at the last moment

cause: a call of an earlier agent process may be under way for 15 s, and the lease that it gives lasts from its arrival. A new agent process took a runner that had run for 15 s or more for one without such a lease: found at 15.1 s it may have one of 9.8 s, where the leader counts 6.5 s (TWICE if leader's count ends first).

--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -78,12 +78,17 @@
 }
 
 // noteFirstListing records until when a call for an earlier incarnation with this id could give
-// the runner a lease: until its first answer. A runner that this process finds may have
-// restarted after a call of an earlier process. The caller holds c.mu.
+// the runner a lease: until its first answer. A runner that this process finds may have restarted
+// after a call of an earlier process, which may have arrived until maxCallDelay after the restart.
+// The caller holds c.mu.
 func (c *Controller) noteFirstListing(l Listing) {
-	found := c.incarnations == 1 && time.Duration(l.Clock)*time.Millisecond < maxCallDelay
-	if c.restartedAt != 0 || found {
-		c.lateCallsUntil = bootclock.Now()
+	now := bootclock.Now()
+	switch {
+	case c.restartedAt != 0:
+		c.lateCallsUntil = now
+	case c.incarnations == 1 && l.Clock < ClockTime((maxCallDelay+c.longestLease()).Milliseconds()):
+		age := time.Duration(l.Clock) * time.Millisecond
+		c.lateCallsUntil = now.Add(-max(0, age-maxCallDelay))
 	}
 }
 
