Guard the lease of a fake runner that a test reads

cause: TestNewAgentTellsOfALeaseThatAnEarlierOneMayHaveLeft reads the fake's lease while the start that it has ordered extends it: go test -race -count=300 reported a data race in 1 of 300 runs change: a mutex; the assertion is the same measured: go test -race -count=300 of that test: passes, 300 of 300; go test -race ./internal/runner: passes conclusion: closed

--- a/internal/runner/newincarnation_test.go
+++ b/internal/runner/newincarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,14 +15,26 @@
 // maxLease and never shortens one that it has.
 type leasingRunner struct {
 	fakeAPI
-	clock, lease, maxLease ClockTime
-	runs                   int
+	clock, maxLease ClockTime
+	runs            int
+
+	leaseMu sync.Mutex // guards lease
+	lease   ClockTime
 }
 
 func (r *leasingRunner) extend(until ClockTime) {
+	r.leaseMu.Lock()
+	defer r.leaseMu.Unlock()
 	r.lease = max(r.lease, min(until, r.clock+r.maxLease))
 }
 
+// leaseEnd returns the end of the lease while calls may be under way.
+func (r *leasingRunner) leaseEnd() ClockTime {
+	r.leaseMu.Lock()
+	defer r.leaseMu.Unlock()
+	return r.lease
+}
+
 func (r *leasingRunner) Start(_ context.Context, call StartCall) (ClockTime, error) {
 	if call.Until <= r.clock {
 		return r.clock, fault.New("start", LeaseExpired, "scripted")
--- a/internal/runner/strayagent_test.go
+++ b/internal/runner/strayagent_test.go
@@ -25,7 +25,7 @@
 	c.Start(t.Context(), Incarnation{ID: "r", StartedUnixMs: 2}, StartOrder{Task: workflow.TaskID{Job: "a"}, Attempt: 1})
 	report, _ := c.Report()
 	counted := max(grant, time.Duration(report.GetRunner().GetStrayLeaseMs())*time.Millisecond)
-	if got := time.Duration(r.lease-100) * time.Millisecond; len(report.GetRunning()) == 1 && got > counted {
+	if got := time.Duration(r.leaseEnd()-100) * time.Millisecond; len(report.GetRunning()) == 1 && got > counted {
 		t.Errorf("lease of the run: got %v, want at most the %v that the leader counts", got, counted)
 	}
 }
