Let runner stand-ins take turns at an address and call other agents

cause: real runners give occasions that the stand-ins did not: a heartbeat without an answer within a second goes to the next node, heartbeats and calls arrive 2 to 12 s late and overtake each other, and the next runner of a machine answers at the address of one that works on. change: Address: a connection is answered by the runner that held the address when it was opened; Announce goes on to the next agents; Fault holds up heartbeats, calls and polls. A poll that waits while its runner crashes or restarts gets no answer: so far the next incarnation answered it, on a connection that had ended. measured: go test -count=3 ./internal/standin/taskrunner: passes.

--- a/internal/standin/taskrunner/runner.go
+++ b/internal/standin/taskrunner/runner.go
@@ -34,6 +34,9 @@
 	IgnoreCapacity bool
 	// ClockRate is the speed of the runner's clock relative to real time; 0 means 1.
 	ClockRate float64
+	// KeepsAgent keeps sending heartbeats to the agent of another machine that has acknowledged
+	// one, until one fails there. Otherwise each is first sent to the runner's own agent.
+	KeepsAgent bool
 }
 
 // run is a run that has not ended.
@@ -58,8 +61,13 @@
 	NoReply      bool          // do not reply
 	Status       int           // reject every call with this HTTP status
 	ApplyDelay   time.Duration // execute starts, stops and pace changes after this time, without a reply
+	DelayPolls   bool          // ApplyDelay holds for polls, too
+	DelaySpread  time.Duration // ApplyDelay and HeartbeatDelay vary by up to this, so that messages overtake each other
 	FailRuns     bool          // new runs fail after a millisecond
 	NoHeartbeats bool          // send no heartbeats
+	// HeartbeatDelay is how long heartbeats are held up on their way. They arrive even if the
+	// runner has crashed since.
+	HeartbeatDelay time.Duration
 }
 
 // Runner is one runner. Its methods are safe for concurrent use.
@@ -72,6 +80,7 @@
 	leaseEnd            time.Time
 	runs                map[string]*run
 	startCount          int              // of runs in all incarnations
+	callCount           uint64           // of calls received
 	lateCalls           int              // calls executed after Fault.ApplyDelay
 	highestAttempt      map[string]int64 // of each task that was started or stopped in this incarnation
 	endedRuns           []endedRun
@@ -125,6 +134,13 @@
 	r.crashed = true
 }
 
+// hasEnded reports whether the incarnation that started at the given time has ended.
+func (r *Runner) hasEnded(incarnation time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashed || r.startTime != incarnation
+}
+
 // Drain makes the runner report in its heartbeats that it is draining.
 func (r *Runner) Drain() {
 	r.mu.Lock()
@@ -168,48 +184,6 @@
 	return r.lateCalls
 }
 
-// clockMs returns the reading of the runner's clock in milliseconds. The clock
-// starts with the incarnation. r.mu must be held.
-func (r *Runner) clockMs() int64 {
-	return int64(float64(time.Since(r.startTime))*r.clockRate()/float64(time.Millisecond)) + 1
-}
-
-// timeAtClock returns the time at which the runner's clock reads untilMs.
-func (r *Runner) timeAtClock(untilMs int64) time.Time {
-	return r.startTime.Add(time.Duration(float64(untilMs) * float64(time.Millisecond) / r.clockRate()))
-}
-
-func (r *Runner) clockRate() float64 {
-	if r.ClockRate == 0 {
-		return 1
-	}
-	return r.ClockRate
-}
-
-// extendLease extends the lease of all runs, but not beyond MaxLease. r.mu must be
-// held.
-func (r *Runner) extendLease(untilMs int64) {
-	r.markLeaseExpired()
-	until := r.timeAtClock(untilMs)
-	if limit := time.Now().Add(r.MaxLease); until.After(limit) {
-		until = limit
-	}
-	if until.After(r.leaseEnd) {
-		r.leaseEnd = until
-	}
-}
-
-// markLeaseExpired marks the listed ended runs if the lease has expired. r.mu must
-// be held.
-func (r *Runner) markLeaseExpired() {
-	if r.leaseEnd.IsZero() || !time.Now().After(r.leaseEnd) {
-		return
-	}
-	for i := range r.endedRuns {
-		r.endedRuns[i].leaseExpired = true
-	}
-}
-
 // start starts a run. It returns the reason of a rejection, or "" if the run was
 // started or is already running.
 func (r *Runner) start(task, spec string, attempt int64, untilMs int64, token uint64) string {
@@ -260,23 +234,6 @@
 	r.watchLease(incarnation, task, attempt)
 }
 
-// watchLease ends a run when the lease expires.
-func (r *Runner) watchLease(incarnation time.Time, task string, attempt int64) {
-	time.AfterFunc(time.Until(r.leaseEnd)+time.Millisecond, func() {
-		r.mu.Lock()
-		x := r.runs[task]
-		running := r.startTime == incarnation && x != nil && x.attempt == attempt
-		if running && time.Now().Before(r.leaseEnd) {
-			r.watchLease(incarnation, task, attempt)
-			running = false
-		}
-		r.mu.Unlock()
-		if running {
-			r.endRun(incarnation, task, attempt, "lapsed")
-		}
-	})
-}
-
 // endRun ends a run of the given incarnation, unless it has already ended.
 func (r *Runner) endRun(incarnation time.Time, task string, attempt int64, end string) {
 	r.mu.Lock()
--- a/internal/standin/taskrunner/serve.go
+++ b/internal/standin/taskrunner/serve.go
@@ -1,7 +1,6 @@
 package taskrunner
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -12,70 +11,18 @@
 // Serve serves the agent's calls on listener and sends heartbeats to the address
 // agent, until ctx ends.
 func (r *Runner) Serve(ctx context.Context, listener net.Listener, agent string) {
+	go r.Announce(ctx, listener.Addr().String(), agent)
+	NewAddress(r).Serve(ctx, listener)
+}
+
+// handler returns the handler of the agent's calls.
+func (r *Runner) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", r.withFault(r.serveStart))
 	mux.HandleFunc("POST /api/run-stop", r.withFault(r.serveStop))
 	mux.HandleFunc("POST /api/hold", r.withFault(r.serveHold))
 	mux.HandleFunc("POST /api/pace", r.withFault(r.servePace))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
-	go r.sendHeartbeats(ctx, listener.Addr().String(), agent)
-	_ = server.Serve(listener) // ends with ctx
-}
-
-// heartbeatInterval is the interval of heartbeats.
-const heartbeatInterval = 100 * time.Millisecond
-
-func (r *Runner) sendHeartbeats(ctx context.Context, address, agent string) {
-	client := &http.Client{Timeout: time.Second}
-	defer client.CloseIdleConnections()
-	for ctx.Err() == nil {
-		if url, body, ok := r.nextHeartbeat(address, agent); ok {
-			r.sendHeartbeat(client, url, body)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
-
-func (r *Runner) sendHeartbeat(client *http.Client, url string, body []byte) {
-	r.mu.Lock()
-	draining := r.draining
-	r.mu.Unlock()
-	response, err := client.Post(url, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return // the next heartbeat follows
-	}
-	response.Body.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if draining && r.draining && r.drainAcknowledgedAt.IsZero() && response.StatusCode/100 == 2 {
-		r.drainAcknowledgedAt = time.Now()
-	}
-}
-
-// nextHeartbeat returns the URL and the body of the next heartbeat; ok is false if
-// none is to be sent.
-func (r *Runner) nextHeartbeat(address, agent string) (url string, body []byte, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.crashed || r.fault.NoHeartbeats {
-		return "", nil, false
-	}
-	r.sequence++
-	state := "ready"
-	if r.draining {
-		state = "draining"
-	}
-	body, err := json.Marshal(map[string]any{
-		"service": r.Service, "address": address, "zone": r.Domain, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
-		"capacity": map[string]any{"cpu": r.Cores * 1000, "memMb": r.MemoryMb, "gpu": 0}, "labels": r.Labels,
-		"clockMs": r.clockMs(), "seq": r.sequence, "born": r.startTime.UnixMilli(),
-	})
-	return "http://" + agent + "/api/instances/" + r.ID + "/heartbeat", body, err == nil
+	return mux
 }
 
 // callBody has the fields of all calls.
@@ -101,8 +48,10 @@
 		}
 		r.mu.Lock()
 		f, crashed, expected := r.fault, r.crashed, r.ID
+		r.callCount++
+		delay := f.ApplyDelay + r.spread(r.callCount)
 		r.mu.Unlock()
-		changesRuns := q.URL.Path != "/api/hold"
+		isDelayed := f.ApplyDelay > 0 && (f.DelayPolls || q.URL.Path != "/api/hold")
 		expectedHere := func(id string) bool { return q.Header.Get("X-Expected-Instance") == id }
 		switch {
 		case crashed:
@@ -111,8 +60,10 @@
 			<-q.Context().Done()
 		case f.Status != 0:
 			w.WriteHeader(f.Status)
-		case f.ApplyDelay > 0 && changesRuns:
-			time.AfterFunc(f.ApplyDelay, func() {
+		case isDelayed:
+			late := q.WithContext(context.WithoutCancel(q.Context()))
+			body.WaitMs = 0 // nobody waits for the reply
+			time.AfterFunc(delay, func() {
 				r.mu.Lock()
 				executes := !r.crashed && expectedHere(r.ID)
 				if executes {
@@ -120,7 +71,7 @@
 				}
 				r.mu.Unlock()
 				if executes {
-					serve(&discardWriter{}, q, body)
+					serve(&discardWriter{}, late, body)
 				}
 			})
 			<-q.Context().Done()
@@ -195,7 +146,7 @@
 		}
 		r.endedRuns = r.endedRuns[1:]
 	}
-	changed, nothingEnded := r.changed, len(r.endedRuns) == 0
+	changed, nothingEnded, incarnation := r.changed, len(r.endedRuns) == 0, r.startTime
 	r.mu.Unlock()
 	if nothingEnded && in.WaitMs > 0 {
 		select {
@@ -203,6 +154,9 @@
 		case <-q.Context().Done():
 		case <-time.After(time.Duration(in.WaitMs) * time.Millisecond):
 		}
+		if r.hasEnded(incarnation) {
+			panic(http.ErrAbortHandler) // its connections have ended with it
+		}
 	}
 	r.writeListing(w)
 }
