--- a/internal/soak/catalog.go
+++ b/internal/soak/catalog.go
@@ -24,6 +24,3 @@
 
 // networkFaultKinds are the faults of a machine's network, processors and processes.
 var networkFaultKinds = []faultKind{}
-
-// runnerFaultKinds are the faults of runners that take turns on a machine.
-var runnerFaultKinds = []faultKind{}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -142,7 +142,10 @@
 func jobID(task string) string { job, _ := parseTaskName(task); return job }
 
 // hostName returns the name of the agent on the runner's machine.
-func hostName(runner string) string { return strings.TrimPrefix(runner, runnerPrefix) }
+func hostName(runner string) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(runner, runnerPrefix), lifeSeparator)
+	return name
+}
 
 type violationReporter = func(at time.Time, job, format string, args ...any)
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -73,9 +73,9 @@
 	{"runnerRefuses", agents, false, false, 4 * time.Second, onRunner(taskrunner.Fault{Status: 503}), onRunner(taskrunner.Fault{})},
 	{"runnerLate", agents, false, false, 4 * time.Second, onRunner(taskrunner.Fault{ApplyDelay: 1500 * time.Millisecond}), onRunner(taskrunner.Fault{})},
 	{"runnerMute", agents, false, false, 5 * time.Second, onRunner(taskrunner.Fault{NoHeartbeats: true}), onRunner(taskrunner.Fault{})},
-	{"runnerCrash", agents, false, false, 4 * time.Second, func(_ *Run, h *host) { h.runner.Crash() }, func(_ *Run, h *host) { h.runner.Restart() }},
-	{"runnerReborn", agents, false, false, time.Millisecond, func(_ *Run, h *host) { h.runner.Restart() }, nil},
-	{"runnerDrains", agents, false, true, 6 * time.Second, func(_ *Run, h *host) { h.runner.Drain() }, (*Run).replaceRunner},
+	{"runnerCrash", agents, false, false, 4 * time.Second, func(_ *Run, h *host) { h.runner().Crash() }, func(_ *Run, h *host) { h.runner().Restart() }},
+	{"runnerReborn", agents, false, false, time.Millisecond, func(_ *Run, h *host) { h.runner().Restart() }, nil},
+	{"runnerDrains", agents, false, true, 6 * time.Second, func(_ *Run, h *host) { h.runner().Drain() }, (*Run).replaceRunner},
 	{"runnerLinkReset", agents, false, false, time.Millisecond, resetLink(runnerLink), nil},
 	{"runnerLinkSilent", agents, false, false, 5 * time.Second, blackholeLink(runnerLink, true, true), restoreLink(runnerLink)},
 
@@ -170,12 +170,14 @@
 
 func onStore(f metastore.Fault) func(*Run, *host) { return func(_ *Run, h *host) { h.store.Set(f) } }
 
-func onRunner(f taskrunner.Fault) func(*Run, *host) { return func(_ *Run, h *host) { h.runner.Set(f) } }
+func onRunner(f taskrunner.Fault) func(*Run, *host) {
+	return func(_ *Run, h *host) { h.runner().Set(f) }
+}
 
 // replaceRunner starts a new incarnation of a drained runner.
 func (r *Run) replaceRunner(h *host) {
 	r.recordDrain(h)
-	h.runner.Restart()
+	h.runner().Restart()
 }
 
 func (r *Run) configure(*host) {
@@ -216,12 +218,14 @@
 
 // recordDrain records the period since the agent received the draining state of
 // its runner.
-func (r *Run) recordDrain(h *host) {
-	acknowledgedAt := h.runner.DrainAcknowledgedAt()
+func (r *Run) recordDrain(h *host) { r.recordDrainOf(h, h.runner()) }
+
+func (r *Run) recordDrainOf(h *host, x *taskrunner.Runner) {
+	acknowledgedAt := x.DrainAcknowledgedAt()
 	if acknowledgedAt.IsZero() {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.draining = append(r.draining, noStartPeriod{runner: h.runner.ID, host: h.name, from: acknowledgedAt, until: time.Now()})
+	r.draining = append(r.draining, noStartPeriod{runner: x.ID, host: h.name, from: acknowledgedAt, until: time.Now()})
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -47,10 +47,9 @@
 	toStore  *relay.Relay
 	sessions *relay.Relay // sessions from other processes to this one
 	clients  *relay.Relay // callers to the entry process; nil for an agent
-	runner   *taskrunner.Runner
+	machine  *machine     // of the runner; nil for an entry process
 	toRunner *relay.Relay
 	toAgent  *relay.Relay // announcements of the runner
-
 }
 
 // deploymentCount gives each deployment of this process its own addresses.
@@ -105,7 +104,9 @@
 			continue
 		}
 		f.agents = append(f.agents, h)
-		if err := f.startRunner(ctx, h, n); err != nil {
+	}
+	for n := range f.agents {
+		if err := f.startRunner(ctx, r, n); err != nil {
 			f.close()
 			return nil, err
 		}
@@ -164,22 +165,6 @@
 	return nil
 }
 
-// startRunner starts the runner on an agent's machine. The clocks of the runners
-// run up to 2 % slow.
-func (f *fleet) startRunner(ctx context.Context, h *host, n int) error {
-	h.runner = taskrunner.New(taskrunner.Settings{
-		ID: runnerPrefix + h.name, Service: service, Domain: h.domain, Labels: []string{"a", fmt.Sprint("rack-", n/2)},
-		Cores: runnerCores, MemoryMb: 64_000, Recorder: f.runRecorder, MaxLease: 10 * time.Second, StopDelay: 20 * time.Millisecond,
-		IgnoreCapacity: true, ClockRate: 1 - 0.005*float64(n%5), Work: workOf,
-	})
-	listener, err := net.Listen("tcp", h.toRunner.Target())
-	if err != nil {
-		return fault.Wrap("start runner of "+h.name, NotStarted, err)
-	}
-	go h.runner.Serve(ctx, listener, h.toAgent.Address())
-	return nil
-}
-
 // configure writes the next version of the configuration to the store.
 func (f *fleet) configure() error {
 	f.mu.Lock()
@@ -256,8 +241,8 @@
 		for _, l := range h.relays() {
 			l.ClearFaults()
 		}
-		if h.runner != nil {
-			h.runner.Set(taskrunner.Fault{})
+		if h.machine != nil {
+			h.runner().Set(taskrunner.Fault{})
 		}
 		h.process.Signal(syscall.SIGCONT)
 	}
