--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,13 +37,18 @@
 	return h.machine.runner
 }
 
-// startRunner starts the first runner on the machine of the n-th agent. With the catalog of
-// real machines, a heartbeat that its agent does not acknowledge goes to the next agents.
+// kindsWithOtherAgents are the only kinds during which a heartbeat that its agent does not
+// acknowledge goes to the next agents; "" stands for all kinds of the catalog of real machines
+// together. The other kinds show what they break by themselves.
+var kindsWithOtherAgents = []string{"", "agentFrozen", "agentKilled"}
+
+// startRunner starts the first runner on the machine of the n-th agent.
 func (f *fleet) startRunner(ctx context.Context, r *Run, n int) error {
 	h := f.agents[n]
 	h.machine = &machine{index: n, recorder: f.runRecorder, context: ctx}
+	callsOthers := r.Catalog == MachineFaults && slices.Contains(kindsWithOtherAgents, r.Only)
 	for i := range f.agents {
-		if i == 0 || r.Catalog == MachineFaults {
+		if i == 0 || callsOthers {
 			h.machine.agents = append(h.machine.agents, f.agents[(n+i)%len(f.agents)].toAgent.Address())
 		}
 	}
--- a/internal/soak/runnerfaults.go
+++ b/internal/soak/runnerfaults.go
@@ -1,11 +1,6 @@
 package soak
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
-	"maps"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -105,36 +100,9 @@
 	r.kill(h)
 }
 
-// foreignFields are what heartbeats of other writers say in place of a runner's; nil omits the
-// field.
-var foreignFields = []map[string]any{
-	{"state": "leaving"}, {"state": nil}, {"state": 1}, {"service": "other"}, {"service": nil}, {"address": nil}, {"address": "nowhere"},
-	{"capacity": nil}, {"capacity": json.RawMessage("null")}, {"capacity": "large"}, {"labels": json.RawMessage("null")}, {"labels": 3},
-	{"born": json.RawMessage("null")}, {"born": "now"}, {"seq": nil}, {"seq": "4"}, {"clockMs": json.RawMessage("null")}, {"zone": nil},
-	{"version": nil}, {"slots": nil}, {"coldMs": nil}, {},
-}
-
-// sendForeignHeartbeats sends the agent heartbeats that name another runner: some are of other
-// writers, and the last is one of a runner that is not there.
+// sendForeignHeartbeats sends the agent heartbeats of other writers.
 func (r *Run) sendForeignHeartbeats(h *host) {
-	client := &http.Client{Timeout: time.Second}
-	defer client.CloseIdleConnections()
-	born := time.Now().UnixMilli()
-	for i, fields := range foreignFields {
-		message := map[string]any{
-			"service": service, "address": h.machine.listener.Addr().String(), "zone": h.domain, "version": "v1", "slots": 8, "state": "ready", "coldMs": 0,
-			"capacity": map[string]any{"cpu": 1000, "memMb": 1000, "gpu": 0}, "labels": []string{"a", "rack-0"}, "clockMs": 1, "seq": 1, "born": born,
-		}
-		maps.Copy(message, fields)
-		maps.DeleteFunc(message, func(_ string, value any) bool { return value == nil })
-		body, err := json.Marshal(message)
-		if err != nil {
-			r.recordFailure("a heartbeat is written", err)
-			return
-		}
-		url := fmt.Sprintf("http://%s/api/instances/foreign-%d/heartbeat", h.machine.agents[0], i)
-		if response, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
-			response.Body.Close()
-		}
+	if err := h.runner().SendForeignHeartbeats(h.machine.listener.Addr().String(), h.machine.agents[0]); err != nil {
+		r.recordFailure("heartbeats of other writers are answered", err)
 	}
 }
--- a/internal/standin/taskrunner/heartbeat.go
+++ b/internal/standin/taskrunner/heartbeat.go
@@ -94,17 +94,22 @@
 	if r.draining {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{
-		"service": r.Service, "address": address, "zone": r.Domain, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
-		"capacity": map[string]any{"cpu": r.Cores * 1000, "memMb": r.MemoryMb, "gpu": 0}, "labels": r.Labels,
-		"clockMs": r.clockMs(), "seq": r.sequence, "born": r.startTime.UnixMilli(),
-	})
+	body, err := json.Marshal(r.heartbeat(address, state))
 	if r.fault.HeartbeatDelay > 0 {
 		delay = r.fault.HeartbeatDelay + r.spread(uint64(r.sequence))
 	}
 	return body, delay, err == nil
 }
 
+// heartbeat returns the fields of a heartbeat. r.mu must be held.
+func (r *Runner) heartbeat(address, state string) map[string]any {
+	return map[string]any{
+		"service": r.Service, "address": address, "zone": r.Domain, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
+		"capacity": map[string]any{"cpu": r.Cores * 1000, "memMb": r.MemoryMb, "gpu": 0}, "labels": r.Labels,
+		"clockMs": r.clockMs(), "seq": r.sequence, "born": r.startTime.UnixMilli(),
+	}
+}
+
 // delayStep separates the delays of successive messages within Fault.DelaySpread, so that
 // they overtake each other.
 const delayStep = 3700 * time.Millisecond
