--- a/internal/standin/taskrunner/runner.go
+++ b/internal/standin/taskrunner/runner.go
@@ -269,5 +269,19 @@
 	return ""
 }
 
+// setPace sets the pace of a run. It returns the reason of a rejection, or "".
+func (r *Runner) setPace(task string, attempt int64, percent int, token uint64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if token < r.token {
+		return "fence"
+	}
+	r.token = token
+	if x := r.runs[task]; x != nil && x.attempt == attempt {
+		x.pace = percent
+	}
+	return ""
+}
+
 // jobOf returns the job part of a task's name.
 func jobOf(task string) string { return task[:strings.IndexByte(task, '.')] }
--- a/internal/standin/taskrunner/serve.go
+++ b/internal/standin/taskrunner/serve.go
@@ -104,12 +104,7 @@
 }
 
 func (r *Runner) servePace(w http.ResponseWriter, _ *http.Request, in callBody) {
-	r.mu.Lock()
-	if x := r.runs[in.Task]; x != nil && x.attempt == in.Attempt {
-		x.pace = in.Percent
-	}
-	r.mu.Unlock()
-	r.writeReply(w, "")
+	r.writeReply(w, r.setPace(in.Task, in.Attempt, in.Percent, in.FencingToken))
 }
 
 // writeReply replies to a call; a reason that is not empty rejects it.
@@ -161,6 +156,10 @@
 	r.writeListing(w)
 }
 
+// maxEndsPerReply is the maximum number of ended runs in a reply. The others follow once these
+// have been acknowledged.
+const maxEndsPerReply = 500
+
 // writeListing replies with the running and the ended runs.
 func (r *Runner) writeListing(w http.ResponseWriter) {
 	r.mu.Lock()
@@ -168,7 +167,7 @@
 	for task, x := range r.runs {
 		running = append(running, []any{task, x.attempt, "", x.pace, 0})
 	}
-	for _, e := range r.endedRuns {
+	for _, e := range r.endedRuns[:min(len(r.endedRuns), maxEndsPerReply)] {
 		ended = append(ended, []any{e.number, e.task, e.attempt, e.end, ""})
 	}
 	body := map[string]any{"clockMs": r.clockMs(), "born": r.startTime.UnixMilli(), "running": running, "ended": ended}
--- a/internal/standin/taskrunner/serve_test.go
+++ b/internal/standin/taskrunner/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -45,3 +46,36 @@
 		}
 	}
 }
+
+// TestListOfEndsIsCut guards against lists that are longer than those of real runners, which
+// hide what a reader makes of the ends that are missing.
+func TestListOfEndsIsCut(t *testing.T) {
+	const ends = maxEndsPerReply + 20
+	r := newTestRunner("runner-1")
+	for i := range ends {
+		r.endedRuns = append(r.endedRuns, endedRun{number: uint64(i + 1), task: "job.0.0.0", attempt: 1, end: "done"})
+	}
+	for _, c := range []struct {
+		lastSeen, first uint64
+		rows            int
+	}{{0, 1, maxEndsPerReply}, {maxEndsPerReply, maxEndsPerReply + 1, 20}, {ends, 0, 0}} {
+		reply := httptest.NewRecorder()
+		r.serveHold(reply, httptest.NewRequest(http.MethodPost, "/api/hold", nil), callBody{LastSeen: c.lastSeen})
+		var got struct{ Ended [][]any }
+		if err := json.Unmarshal(reply.Body.Bytes(), &got); err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Ended) != c.rows || c.rows > 0 && got.Ended[0][0] != float64(c.first) {
+			t.Errorf("last seen %d: got %d rows, want %d from %d on", c.lastSeen, len(got.Ended), c.rows, c.first)
+		}
+	}
+}
+
+// TestLatePaceIsFenced guards against a late call that a real runner rejects.
+func TestLatePaceIsFenced(t *testing.T) {
+	r := newTestRunner("runner-1")
+	r.start("job.0.0.0", "", 1, 60_000, 7)
+	if got := r.setPace("job.0.0.0", 1, 50, 6); got != "fence" {
+		t.Errorf("pace with a lower token: got %q, want a rejection", got)
+	}
+}
