Let a successor wait until its predecessor has no runs left

cause: the answer of the next runner proves that it holds the address, not that the runs of the one before have ended: that one may work on, without the address, until its last lease ends. The agent dropped its table at the answer, and the leader released all tasks of the worker at once. change: a candidate that has answered becomes the current runner only once the one before has no runs in its list, or no lease, or has gone: its connections have ended, it has not announced itself for 2.5 s, and it is not one that drains and has not deregistered. Meanwhile the one before is reported as draining, and is polled as long as it answers. Tests that took the answer alone for a proof now let the runner before crash first, and check besides who is reported. cost: after a crash with a successor within 2.5 s, the tasks start 2.5 s after the end of the connections at the earliest, otherwise as before.

--- a/internal/runner/announcement_test.go
+++ b/internal/runner/announcement_test.go
@@ -76,10 +76,12 @@
 	}
 }
 
-// The answer of another runner proves that the one before has ended, so its tasks start anew.
+// The answer of another runner, after the one before has crashed, proves that its runs have
+// ended, so its tasks start anew.
 func TestAnswerReplacesTheRunner(t *testing.T) {
 	c, _ := newBusyController()
 	before, _, _ := c.nextPoll()
+	crash(c)
 	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "other", StartedUnixMs: 9}}, 1)
 	c.mergeListing("other", Listing{StartedUnixMs: 9, Clock: 1}, bootclock.Now())
 	report, _ := c.Report()
--- a/internal/runner/candidatestate_test.go
+++ b/internal/runner/candidatestate_test.go
@@ -13,11 +13,16 @@
 	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "other", StartedUnixMs: 9}, Sequence: sequence, Draining: draining}, 1)
 }
 
-// answerOther lets the runner "other", started at the given time, answer, and reports whether it
-// counts as draining.
-func answerOther(c *Controller, startedUnixMs int64) (draining bool) {
+// answerOther lets the runner "other", started at the given time, answer after the one before has
+// crashed, and reports whether it counts as draining.
+func answerOther(t *testing.T, c *Controller, startedUnixMs int64) (draining bool) {
+	t.Helper()
+	crash(c)
 	c.mergeListing("other", Listing{StartedUnixMs: startedUnixMs, Clock: 1}, bootclock.Now())
 	report, _ := c.Report()
+	if got := report.GetRunner().GetId(); got != "other" {
+		t.Errorf("runner after the answer: got %s, want other", got)
+	}
 	return report.GetRunner().GetDraining()
 }
 
@@ -27,7 +32,7 @@
 	c, _ := newBusyController()
 	announceOther(c, 7, false)
 	c.MarkDraining("other")
-	if !answerOther(c, 9) {
+	if !answerOther(t, c, 9) {
 		t.Error("after the deregistration: got a runner that takes tasks, want a draining one")
 	}
 }
@@ -38,7 +43,7 @@
 	announceOther(c, 7, false)
 	c.MarkDraining("other")
 	announceOther(c, 8, false)
-	if !answerOther(c, 9) {
+	if !answerOther(t, c, 9) {
 		t.Error("after the deregistration and a heartbeat: got a runner that takes tasks, want a draining one")
 	}
 }
@@ -48,7 +53,7 @@
 	c, _ := newBusyController()
 	announceOther(c, 7, true)
 	announceOther(c, 3, false)
-	if !answerOther(c, 9) {
+	if !answerOther(t, c, 9) {
 		t.Error("after a late heartbeat: got a runner that takes tasks, want a draining one")
 	}
 }
@@ -58,7 +63,7 @@
 func TestAnswerOfALaterLifeThanAnnounced(t *testing.T) {
 	c, _ := newBusyController()
 	announceOther(c, 7, true)
-	if answerOther(c, 12) {
+	if answerOther(t, c, 12) {
 		t.Error("after the answer of the next life: got a draining runner, want one that takes tasks")
 	}
 	if report, _ := c.Report(); report.GetRunner().GetBornUnixMs() != 12 {
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -81,10 +81,11 @@
 	MaxLease  time.Duration // upper limit of the duration of a lease
 	OnChange  func()        // called without locks after a change that the scheduler must receive promptly
 
-	mu                sync.Mutex
-	info              *Info             // last runner that has answered a call; nil before the first one
-	candidate         *Info             // has announced itself under another id and has not answered yet; nil if there is none
-	announcedAt       bootclock.Instant // when the candidate last announced itself
+	mu          sync.Mutex
+	info        *Info             // last runner that has answered a call; nil before the first one
+	candidate   *Info             // has announced itself under another id and has not answered yet; nil if there is none
+	announcedAt bootclock.Instant // when the candidate last announced itself
+	succession
 	pollCurrent       bool              // the last poll of the candidate has failed, so the next one is for the current runner
 	ordinal           FencingToken      // counts the incarnations and the ends of all leases; later calls have a higher one
 	incarnations      int               // number of incarnations seen by this process
@@ -224,7 +225,8 @@
 func (c *Controller) nextPoll() (call PollCall, mayWait, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.candidate != nil && (c.info == nil || !c.pollCurrent) {
+	waits := c.awaitsPredecessor() && c.mayHoldRuns(bootclock.Now())
+	if c.candidate != nil && !waits && (c.info == nil || !c.pollCurrent) {
 		return PollCall{Runner: c.candidate.ID, Token: c.fencingToken()}, false, true
 	}
 	if c.info == nil {
@@ -243,7 +245,7 @@
 		call.Until = until
 	}
 	call.Token = c.fencingToken()
-	return call, !c.silent(now) && !c.truncated && c.candidate == nil, true
+	return call, !c.silent(now) && !c.truncated && (c.candidate == nil || waits), true
 }
 
 // handlePollError marks the runner as unresponsive and waits before the next poll. It drops a
@@ -255,10 +257,11 @@
 	c.mu.Lock()
 	if Is(err, WrongIncarnation) && c.candidate != nil && c.candidate.ID == id {
 		klog.InfoS("runner that has announced itself is not there", "runner", id, "born", c.candidate.StartedUnixMs)
-		c.candidate = nil
+		c.candidate, c.candidateAnswered = nil, false
 		c.mu.Unlock()
 		return
 	}
+	c.noteConnectionEnd(id, err)
 	c.pollCurrent = c.candidate != nil && c.candidate.ID == id
 	first := !c.unresponsive && c.info != nil && (c.info.ID == id || c.candidate != nil && c.candidate.ID == id)
 	if first {
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -9,9 +9,9 @@
 
 // The incarnations of the runner. An announcement may be late, or be made by another program,
 // so it proves nothing about the runner that is there: a runner that announces itself under
-// another id is only a candidate. Its answer to a poll proves that it is there and that the
-// runner before it has ended with all its runs, because a runner answers only calls that name
-// it. Until then the state of the runner before is kept.
+// another id is only a candidate. Its answer to a poll proves that it holds the address, because
+// a runner answers only calls that name it. The state of the runner before is kept until then,
+// and until its runs have ended; see succession.go.
 
 // HandleAnnouncement updates the state of the runner from an announcement of the
 // runner. It reports false when the announcement comes from an incarnation that
@@ -27,6 +27,9 @@
 		c.logIgnored(info)
 		return false
 	}
+	if info.Incarnation == c.info.Incarnation {
+		c.noteSignOfLife(clock)
+	}
 	changed := c.update(info)
 	if clock > c.runnerClock {
 		c.setClock(clock)
@@ -71,6 +74,7 @@
 	if old := c.candidate; old != nil && old.Incarnation == info.Incarnation {
 		info.Draining = info.Draining || old.Draining // as in update
 	} else {
+		c.candidateAnswered = false
 		klog.InfoS("another runner announces itself", "runner", info.ID, "address", info.Address, "born", info.StartedUnixMs, "sequence", info.Sequence, "draining", info.Draining)
 	}
 	c.candidate, c.announcedAt = &info, bootclock.Now()
@@ -107,7 +111,7 @@
 // caller holds c.mu.
 func (c *Controller) confirmCandidate(l Listing) {
 	info := *c.candidate
-	c.candidate = nil
+	c.candidate, c.candidateAnswered = nil, false
 	if l.StartedUnixMs != 0 && l.StartedUnixMs != info.StartedUnixMs {
 		info = info.nextIncarnation(l.StartedUnixMs)
 	}
@@ -138,6 +142,7 @@
 	c.listed, c.unresponsive = false, false
 	c.truncated, c.complete = false, false
 	c.restartedAt, c.lateCallsUntil = 0, 0
+	c.connectionEndedAt, c.deregistered = 0, false
 	if sameID {
 		c.restartedAt = bootclock.Now()
 		for _, r := range c.runs {
@@ -149,7 +154,7 @@
 	c.ended, c.recordedEnd, c.runnerClock, c.leaseUntil, c.leaseSent = nil, 0, 0, 0, false
 }
 
-// MarkDraining marks the runner as draining after it has deregistered.
+// MarkDraining marks the runner as draining after it has deregistered, as it does before it ends.
 func (c *Controller) MarkDraining(id string) {
 	c.mu.Lock()
 	for _, info := range []*Info{c.info, c.candidate} {
@@ -157,6 +162,7 @@
 			info.Draining = true
 		}
 	}
+	c.deregistered = c.deregistered || c.info != nil && c.info.ID == id
 	c.mu.Unlock()
 	c.notifyChange()
 }
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -55,12 +55,16 @@
 // current incarnation and was requested with its token. The caller holds c.mu.
 func (c *Controller) identify(id string, l Listing, sent bootclock.Instant) (restarted, decides bool) {
 	if c.candidate != nil && c.candidate.ID == id {
+		if c.deferCandidate() {
+			return false, false
+		}
 		c.confirmCandidate(l)
 	}
 	if c.info == nil || c.info.ID != id {
 		return false, false
 	}
-	if c.candidate != nil && sent.After(c.announcedAt) {
+	c.connectionEndedAt = 0
+	if c.candidate != nil && !c.candidateAnswered && sent.After(c.announcedAt) {
 		klog.InfoS("runner that has announced itself is not there, as the current one answers", "runner", c.candidate.ID, "born", c.candidate.StartedUnixMs, "current", id)
 		c.candidate = nil
 	}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -40,7 +40,7 @@
 	return &wire.RunnerState{
 		Id: info.ID, BornUnixMs: info.StartedUnixMs, Service: string(info.Service), Domain: string(info.Domain), Labels: info.Labels,
 		Millicores: int64(info.Capacity.Processors), MemoryBytes: int64(info.Capacity.Memory), Accelerators: info.Capacity.Accelerators,
-		Draining: info.Draining, RemainingMs: info.Remaining.Milliseconds(),
+		Draining: info.Draining || c.awaitsPredecessor(), RemainingMs: info.Remaining.Milliseconds(),
 		Silent: silent, Empty: silent && !c.isStarting() && c.endLeases(now), StrayLeaseMs: c.strayLease(now).Milliseconds(),
 		FoundYoung: c.restartedAt == 0 && c.strayLease(now) > 0,
 	}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -56,7 +56,7 @@
 		return WrongIncarnation
 	case r != nil && r.attempt == s.Attempt:
 		return duplicateStart
-	case r != nil || c.info.Draining || c.info.Unknown || !c.listed:
+	case r != nil || c.info.Draining || c.info.Unknown || !c.listed || c.awaitsPredecessor():
 		return Unavailable
 	case c.grantedUntil != 0 && !now.Before(c.grantedUntil):
 		return LeaseExpired
