--- a/internal/soak/runnerfaults.go
+++ b/internal/soak/runnerfaults.go
@@ -25,6 +25,7 @@
 	{"runnerCrashSuccessor", agents, false, false, 3 * time.Second, func(_ *Run, h *host) { h.runner().Crash() }, crashAndSucceed},
 	{"runnerLateOrders", agents, false, false, 4 * time.Second, onRunner(lateCalls(false)), onRunner(taskrunner.Fault{})},
 	{"runnerLateCalls", agents, false, false, 4 * time.Second, onRunner(lateCalls(true)), onRunner(taskrunner.Fault{})},
+	{"successorAtRestart", agents, true, false, 3 * time.Second, (*Run).succeedWithoutAgent, (*Run).restart},
 }
 
 // Messages that are held up arrive 2 to 12 s late.
@@ -100,6 +101,13 @@
 	r.kill(h)
 }
 
+// succeedWithoutAgent kills the agent, which then does not see that the next runner takes the
+// place of one that works on.
+func (r *Run) succeedWithoutAgent(h *host) {
+	r.kill(h)
+	succeed(closeConnections)(r, h)
+}
+
 // sendForeignHeartbeats sends the agent heartbeats of other writers.
 func (r *Run) sendForeignHeartbeats(h *host) {
 	if err := h.runner().SendForeignHeartbeats(h.machine.listener.Addr().String(), h.machine.agents[0]); err != nil {
