--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -78,7 +78,7 @@
 	m.runner = taskrunner.New(taskrunner.Settings{
 		ID: id, Service: service, Domain: h.domain, Labels: []string{"a", fmt.Sprint("rack-", m.index/2)},
 		Cores: runnerCores, MemoryMb: 64_000, Recorder: m.recorder, MaxLease: 10 * time.Second, StopDelay: 20 * time.Millisecond,
-		IgnoreCapacity: true, ClockRate: 1 - 0.005*float64(m.index%5), Work: workOf, KeepsAgent: m.index%2 == 1,
+		IgnoreCapacity: true, ClockRate: 1 - 0.005*float64(m.index%5), Work: workOf,
 	})
 	return m.runner
 }
