Keep the runs of a predecessor that the agent has not known for their lease

cause: the leader took a report that names another runner for the end of the one before. A process of the agent that has started meanwhile knows nothing of that one, which may work on until the leases of the earlier process have ended. change: an agent that has known the predecessor says that its runs have ended (predecessor_ended). Without that word the leader keeps its tasks, and orders no starts there, until the leases that were counted before the report have ended.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -135,6 +135,9 @@
 // carries a higher token, which fences all earlier calls. The caller holds c.mu.
 func (c *Controller) replaceIncarnation(info Info) {
 	sameID := c.info != nil && c.info.ID == info.ID
+	if c.info != nil && !sameID {
+		c.predecessorEnded = c.info.ID
+	}
 	c.info = &info
 	c.ordinal++
 	c.incarnations++
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -42,7 +42,7 @@
 		Millicores: int64(info.Capacity.Processors), MemoryBytes: int64(info.Capacity.Memory), Accelerators: info.Capacity.Accelerators,
 		Draining: info.Draining || c.awaitsPredecessor(), RemainingMs: info.Remaining.Milliseconds(),
 		Silent: silent, Empty: silent && !c.isStarting() && c.endLeases(now), StrayLeaseMs: c.strayLease(now).Milliseconds(),
-		FoundYoung: c.restartedAt == 0 && c.strayLease(now) > 0,
+		FoundYoung: c.restartedAt == 0 && c.strayLease(now) > 0, PredecessorEnded: c.predecessorEnded,
 	}
 }
 
--- a/internal/runner/succession.go
+++ b/internal/runner/succession.go
@@ -29,6 +29,7 @@
 	candidateAnswered bool              // the candidate has answered, and waits until the current runner has no runs left
 	connectionEndedAt bootclock.Instant // when a connection to the current runner ended without a later sign of life; 0 if none has
 	deregistered      bool              // the current runner has said that it ends
+	predecessorEnded  string            // id of the runner before the current one; empty if this process has known none
 }
 
 // noteConnectionEnd records that the connection of a call to the current runner has ended. The
--- a/internal/runner/succession_test.go
+++ b/internal/runner/succession_test.go
@@ -79,6 +79,9 @@
 		if id, runs := answerSuccessor(c); id != "other" || runs != 0 {
 			t.Errorf("%s: got runner %s with %d runs, want other without runs", name, id, runs)
 		}
+		if report, _ := c.Report(); report.GetRunner().GetPredecessorEnded() != "r" {
+			t.Errorf("%s: runner that has ended: got %q, want r", name, report.GetRunner().GetPredecessorEnded())
+		}
 	}
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -43,8 +43,9 @@
 		w.synced, w.unresponsive = false, false
 		return
 	}
+	leaseEnd := w.latestLeaseEnd // of the runner of the last report
 	s.countStrayLease(w, r.GetRunner(), now)
-	s.setRunner(w, r.GetRunner(), now)
+	s.setRunner(w, r.GetRunner(), leaseEnd, now)
 	if w.unresponsive {
 		w.synced = false
 		s.applyEnds(w, r.GetEnded(), now) // listed before the runner fell silent
@@ -53,7 +54,7 @@
 		}
 		return
 	}
-	w.synced = !r.GetPartial()
+	w.synced = !r.GetPartial() && !w.hasPredecessor(now)
 	if !w.synced { // the runs that it lists, and those that it lacks, may go on for a lease
 		w.extendLeases(now.Boot.Add(s.MaxLeaseDuration))
 	}
@@ -64,6 +65,7 @@
 	listed := s.applyRuns(w, r.GetRunning(), now)
 	s.learnUsage(w, now)
 	if w.synced {
+		s.releasePredecessor(w, listed, now)
 		s.releaseTasks(w, now, runNotListed, func(t *task) bool { return !listed[t.id] && w.decided(t) })
 	}
 }
@@ -75,7 +77,7 @@
 // is counted but not recorded: so it is with each new machine, whose loss would hold back recovered
 // tasks for 4.5 s longer. It is called before setRunner.
 func (s *Scheduler) countStrayLease(w *worker, in *wire.RunnerState, now Timestamp) {
-	incarnation := runner.Incarnation{ID: in.GetId(), StartedUnixMs: in.GetBornUnixMs()}
+	incarnation := incarnationOf(in)
 	known := w.listedIncarnation == incarnation
 	if !in.GetSilent() {
 		w.listedIncarnation = incarnation
@@ -91,23 +93,19 @@
 }
 
 // setRunner updates the state of the worker's runner. The runs of the previous
-// incarnation are lost if the runner has a new id. A new incarnation with the same id
-// may run tasks whose start was ordered for the previous one and arrived late, so its
-// lists of runs determine which tasks are lost.
-func (s *Scheduler) setRunner(w *worker, in *wire.RunnerState, now Timestamp) {
+// incarnation, whose leases end at leaseEnd, are lost if the runner has a new id; see
+// replaceRunner. A new incarnation with the same id may run tasks whose start was ordered
+// for the previous one and arrived late, so its lists of runs determine which tasks are lost.
+func (s *Scheduler) setRunner(w *worker, in *wire.RunnerState, leaseEnd bootclock.Instant, now Timestamp) {
 	info := runner.Info{
-		Incarnation: runner.Incarnation{ID: in.GetId(), StartedUnixMs: in.GetBornUnixMs()},
+		Incarnation: incarnationOf(in),
 		Service:     units.ServiceName(in.GetService()), Domain: units.DomainName(in.GetDomain()), Labels: in.GetLabels(),
 		Capacity: units.Resources{Processors: units.Millicores(in.GetMillicores()), Memory: units.Bytes(in.GetMemoryBytes()), Accelerators: in.GetAccelerators()},
 		Draining: in.GetDraining(), Remaining: time.Duration(in.GetRemainingMs()) * time.Millisecond,
 	}
 	if w.runner.Incarnation != info.Incarnation {
 		if w.runner.ID != "" {
-			klog.InfoS("runner replaced", "worker", w.id, "old", w.runner.ID, "new", info.ID, "oldBorn", w.runner.StartedUnixMs, "born", info.StartedUnixMs,
-				"tasks", len(w.tasks), "silent", in.GetSilent(), "leaseLeft", w.latestLeaseEnd.Sub(now.Boot))
-			if w.runner.ID != info.ID {
-				s.releaseTasks(w, now, runnerReplaced, func(t *task) bool { return true })
-			}
+			s.replaceRunner(w, in, leaseEnd, now)
 		}
 		w.durableEnd, w.unflushedEnds, w.failureStreak, w.retryAt, w.speed = 0, nil, 0, 0, speed{}
 	}
@@ -118,7 +116,7 @@
 	if w.unresponsive != in.GetSilent() || w.runsEnded != in.GetEmpty() {
 		klog.InfoS("state of a runner changed", "worker", w.id, "runner", info.ID, "report", w.reportSequence, "unresponsive", in.GetSilent(), "runsEnded", in.GetEmpty())
 	}
-	w.unresponsive, w.runsEnded = in.GetSilent(), in.GetEmpty()
+	w.unresponsive, w.runsEnded = in.GetSilent(), in.GetEmpty() && !w.hasPredecessor(now)
 }
 
 // releaseReason is why the tasks of a worker are released without an end of their runs.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -160,6 +160,7 @@
 	reportSequence     uint64            // sequence number of the last report
 	latestLeaseEnd     bootclock.Instant // no task runs there afterwards, unless a report shows otherwise
 	grantEnd           bootclock.Instant // no granted lease lasts longer; not after latestLeaseEnd, which counts stray leases too
+	predecessorUntil   bootclock.Instant // runs of the runner before may go on until then; 0 if none may
 	granted            bool              // a lease in this session; without one the agent rejects every start
 	mayHaveUnknownRuns bool              // runs ordered by an earlier leader may be missing from the tables
 	tasks              map[workflow.TaskID]*task
