Let the end of a crashed or deregistered predecessor be seen sooner

cause: a successor waited 2.5 s after every crash, where it took over in 0.1 s before, and for a whole lease after a predecessor that had closed its connections, and later deregistered and ended. change: connections that end without a drain before the next runner has started prove a crash: whoever takes an address over has started before. A deregistration counts as a sign of the end, as the connections do.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -145,7 +145,7 @@
 	c.listed, c.unresponsive = false, false
 	c.truncated, c.complete = false, false
 	c.restartedAt, c.lateCallsUntil = 0, 0
-	c.connectionEndedAt, c.deregistered = 0, false
+	c.endSeenAt, c.deregistered = 0, false
 	if sameID {
 		c.restartedAt = bootclock.Now()
 		for _, r := range c.runs {
@@ -165,7 +165,7 @@
 			info.Draining = true
 		}
 	}
-	c.deregistered = c.deregistered || c.info != nil && c.info.ID == id
+	c.noteDeregistration(id)
 	c.mu.Unlock()
 	c.notifyChange()
 }
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -63,7 +63,7 @@
 	if c.info == nil || c.info.ID != id {
 		return false, false
 	}
-	c.connectionEndedAt = 0
+	c.endSeenAt = 0
 	if c.candidate != nil && !c.candidateAnswered && sent.After(c.announcedAt) {
 		klog.InfoS("runner that has announced itself is not there, as the current one answers", "runner", c.candidate.ID, "born", c.candidate.StartedUnixMs, "current", id)
 		c.candidate = nil
--- a/internal/runner/succession.go
+++ b/internal/runner/succession.go
@@ -17,7 +17,7 @@
 
 const (
 	// goneAfter is the time without an announcement after which a runner whose connections have
-	// ended counts as gone. It exceeds the interval of announcements twice.
+	// ended, or that has deregistered, counts as gone. It exceeds the interval of announcements twice.
 	goneAfter = 2500 * time.Millisecond
 	// clockTolerance is how much later, by the runner's clock, an announcement must have been
 	// made than the estimated end of a connection to show that the runner has outlived it.
@@ -27,7 +27,8 @@
 // succession is what a Controller knows of the end of the current runner.
 type succession struct {
 	candidateAnswered bool              // the candidate has answered, and waits until the current runner has no runs left
-	connectionEndedAt bootclock.Instant // when a connection to the current runner ended without a later sign of life; 0 if none has
+	endSeenAt         bootclock.Instant // when a connection to the current runner ended, or it deregistered, without a later sign of life; 0 if neither
+	endSeenUnixMs     int64             // the same by the time of day
 	deregistered      bool              // the current runner has said that it ends
 	predecessorEnded  string            // id of the runner before the current one; empty if this process has known none
 }
@@ -35,8 +36,8 @@
 // noteConnectionEnd records that the connection of a call to the current runner has ended. The
 // process of the runner may have ended, too. The caller holds c.mu.
 func (c *Controller) noteConnectionEnd(id string, err error) {
-	if c.info != nil && c.info.ID == id && c.connectionEndedAt == 0 && connectionEnded(err) {
-		c.connectionEndedAt = bootclock.Now()
+	if c.info != nil && c.info.ID == id && c.endSeenAt == 0 && connectionEnded(err) {
+		c.endSeenAt, c.endSeenUnixMs = bootclock.Now(), time.Now().UnixMilli()
 	}
 }
 
@@ -46,26 +47,35 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// noteSignOfLife takes back the end of a connection if the current runner has announced itself
-// after it, by its own clock. The caller holds c.mu.
+// noteDeregistration records that the current runner has said that it ends. The caller holds c.mu.
+func (c *Controller) noteDeregistration(id string) {
+	if c.info != nil && c.info.ID == id {
+		c.deregistered, c.endSeenAt, c.endSeenUnixMs = true, bootclock.Now(), time.Now().UnixMilli()
+	}
+}
+
+// noteSignOfLife takes back the sign of an end if the current runner has announced itself after
+// it, by its own clock. The caller holds c.mu.
 func (c *Controller) noteSignOfLife(clock ClockTime) {
-	if c.connectionEndedAt == 0 {
+	if c.endSeenAt == 0 {
 		return
 	}
-	atEnd := c.runnerClock + ClockTime(c.connectionEndedAt.Sub(c.clockReadAt).Milliseconds())
+	atEnd := c.runnerClock + ClockTime(c.endSeenAt.Sub(c.clockReadAt).Milliseconds())
 	if clock > atEnd+clockTolerance {
-		c.connectionEndedAt = 0
+		c.endSeenAt = 0
 	}
 }
 
 // mayHoldRuns reports whether runs of the current runner may go on when another one answers at
-// its address. A runner that does not drain, or has deregistered, does not go on after its
-// connections have ended. The caller holds c.mu.
+// its address. A runner that does not drain does not go on after its connections have ended, and
+// one that drains does not go on after it has deregistered. Whoever takes the address over from a
+// runner that works has started before that one's connections end. The caller holds c.mu.
 func (c *Controller) mayHoldRuns(now bootclock.Instant) bool {
 	knownEmpty := c.listed && len(c.runs) == 0 // lists of runs are never cut, only those of ends
-	leaves := !c.info.Draining || c.deregistered
-	gone := leaves && c.connectionEndedAt != 0 && now.Sub(c.connectionEndedAt) > goneAfter
-	return !knownEmpty && !gone && (c.isStarting() || !c.endLeases(now))
+	startedLater := c.candidate != nil && c.candidate.StartedUnixMs > c.endSeenUnixMs
+	crashed := c.endSeenAt != 0 && !c.info.Draining && (startedLater || now.Sub(c.endSeenAt) > goneAfter)
+	left := c.deregistered && c.endSeenAt != 0 && now.Sub(c.endSeenAt) > goneAfter
+	return !knownEmpty && !crashed && !left && (c.isStarting() || !c.endLeases(now))
 }
 
 // awaitsPredecessor reports whether the candidate has answered and takes the place of the
@@ -80,7 +90,7 @@
 	}
 	if !c.candidateAnswered {
 		klog.InfoS("another runner has answered beside runs of the one before", "runner", c.candidate.ID, "born", c.candidate.StartedUnixMs,
-			"current", c.info.ID, "draining", c.info.Draining, "deregistered", c.deregistered, "runs", len(c.runs), "connectionEnded", c.connectionEndedAt != 0)
+			"current", c.info.ID, "draining", c.info.Draining, "deregistered", c.deregistered, "runs", len(c.runs), "endSeen", c.endSeenAt != 0)
 	}
 	c.candidateAnswered, c.pollCurrent = true, true
 	return true
--- a/internal/runner/succession_test.go
+++ b/internal/runner/succession_test.go
@@ -19,7 +19,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.noteConnectionEnd(c.info.ID, resetByRunner())
-	c.connectionEndedAt, c.clockReadAt = c.connectionEndedAt.Add(-2*goneAfter), c.clockReadAt.Add(-2*goneAfter)
+	c.endSeenAt, c.clockReadAt = c.endSeenAt.Add(-2*goneAfter), c.clockReadAt.Add(-2*goneAfter)
 	c.unresponsive = true
 }
 
@@ -43,6 +43,12 @@
 		"connections have just ended": func(c *Controller) {
 			c.handlePollError(t.Context(), "r", resetByRunner())
 		},
+		"drains, connections ended before the successor has started": func(c *Controller) {
+			c.info.Draining = true
+			c.handlePollError(t.Context(), "r", resetByRunner())
+			c.endSeenUnixMs = 8
+		},
+		"drains, has just deregistered": func(c *Controller) { c.info.Draining = true; c.MarkDraining("r") },
 		"announces itself after its connections have ended": func(c *Controller) {
 			crash(c)
 			c.HandleAnnouncement(Info{Incarnation: c.info.Incarnation, Sequence: 2}, c.runnerClock+ClockTime(goneAfter.Milliseconds()))
@@ -64,12 +70,20 @@
 func TestSuccessorFollowsAPredecessorWithoutRuns(t *testing.T) {
 	for name, before := range map[string]func(*Controller){
 		"has no runs": func(c *Controller) { clear(c.runs) },
+		"has crashed before the successor has started": func(c *Controller) {
+			c.handlePollError(t.Context(), "r", resetByRunner())
+			c.endSeenUnixMs = 8
+		},
 		"has crashed": crash,
 		"crashed, late message": func(c *Controller) {
 			crash(c)
 			c.HandleAnnouncement(Info{Incarnation: c.info.Incarnation, Sequence: 2}, 1)
 		},
-		"has deregistered": func(c *Controller) { c.info.Draining = true; c.MarkDraining("r"); crash(c) },
+		"has deregistered": func(c *Controller) {
+			c.info.Draining = true
+			c.MarkDraining("r")
+			c.endSeenAt = c.endSeenAt.Add(-2 * goneAfter)
+		},
 		"has no lease left": func(c *Controller) {
 			c.unresponsive, c.clockReadAt = true, bootclock.Now().Add(-time.Minute)
 		},
