Build the occasions of real machines and networks into the soak

cause: the faults of the soak break one link at a time and end before a lease does; processes have whole cores, and the next one starts when the one before is gone. Schedules of the standard catalog are unchanged.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,7 +12,6 @@
 // Relay forwards TCP connections to one address and injects network faults into
 // them. The faults apply to open connections and to new ones.
 type Relay struct {
-	target         string
 	listener       net.Listener
 	refusing       atomic.Bool
 	forwardedBytes atomic.Int64 // bytes forwarded in both directions
@@ -20,6 +19,8 @@
 	fromTarget     direction
 
 	mu      sync.Mutex
+	target  string
+	path    func(client net.Addr) Path // nil if no gates are passed
 	conns   map[net.Conn]struct{}
 	refused map[string]struct{} // addresses of clients whose last connection did not reach the target
 }
@@ -48,7 +49,18 @@
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
 // Target returns the address to which the relay forwards.
-func (r *Relay) Target() string { return r.target }
+func (r *Relay) Target() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+// SetTarget sets the address to which new connections are forwarded.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
 
 // ForwardedBytes returns the number of bytes that the relay has forwarded.
 func (r *Relay) ForwardedBytes() int64 { return r.forwardedBytes.Load() }
@@ -127,7 +139,13 @@
 // forwardConnection forwards between client and a new connection to the target
 // until both directions have ended.
 func (r *Relay) forwardConnection(client net.Conn) {
-	target, err := net.DialTimeout("tcp", r.target, 2*time.Second)
+	path := r.pathOf(client)
+	if !path.awaitConnection(client) {
+		r.setRefused(client.RemoteAddr().String(), true)
+		client.Close()
+		return
+	}
+	target, err := net.DialTimeout("tcp", r.Target(), 2*time.Second)
 	r.setRefused(client.RemoteAddr().String(), err != nil)
 	if err != nil {
 		client.Close()
@@ -136,8 +154,8 @@
 	r.track(client, target)
 	defer r.closeAndUntrack(client, target)
 	var wait sync.WaitGroup
-	wait.Go(func() { r.forwardBytes(&r.toTarget, target, client) })
-	wait.Go(func() { r.forwardBytes(&r.fromTarget, client, target) })
+	wait.Go(func() { r.forwardBytes(&r.toTarget, path.ToTarget, target, client) })
+	wait.Go(func() { r.forwardBytes(&r.fromTarget, path.FromTarget, client, target) })
 	wait.Wait()
 }
 
@@ -180,13 +198,14 @@
 // forwardBytes forwards bytes until either side closes. If the direction is a
 // blackhole, the end of the stream is not forwarded either, because a FIN would not
 // cross a broken link.
-func (r *Relay) forwardBytes(d *direction, to, from net.Conn) {
+func (r *Relay) forwardBytes(d *direction, gates []*Gate, to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if delay := d.delay.Load(); delay > 0 {
 			time.Sleep(time.Duration(delay))
 		}
+		pass(gates, firstRetransmission)
 		if n > 0 && !d.blackhole.Load() {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				from.Close()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -33,6 +33,7 @@
 	quickSpec   = "quick"
 	slowSpec    = "slow"
 	failingSpec = "hopeless"
+	longSpec    = "long"
 	watchSpec   = "watch"
 )
 
@@ -98,8 +99,9 @@
 
 // loadGenerator contains the callers of a run and the jobs that they submitted.
 type loadGenerator struct {
-	fleet   *fleet
-	callers []*caller
+	fleet     *fleet
+	callers   []*caller
+	templates []jobTemplate
 
 	mu                  sync.Mutex // guards the fields below
 	jobs                map[string]*job
@@ -120,8 +122,8 @@
 	accepted   []*job
 }
 
-func newLoadGenerator(f *fleet, seed uint64) *loadGenerator {
-	g := &loadGenerator{fleet: f, jobs: make(map[string]*job)}
+func newLoadGenerator(f *fleet, seed uint64, templates []jobTemplate) *loadGenerator {
+	g := &loadGenerator{fleet: f, jobs: make(map[string]*job), templates: templates}
 	for i := range callerCount {
 		c := &caller{generator: g, random: rand.New(rand.NewPCG(seed, uint64(i)+2)), nextClient: i}
 		for _, h := range f.entries {
@@ -166,14 +168,15 @@
 }
 
 func (c *caller) newJob() *job {
+	templates := c.generator.templates
 	total := 0
-	for _, s := range jobTemplates {
+	for _, s := range templates {
 		total += s.weight
 	}
 	n := c.random.IntN(total)
 	index := 0
-	for n >= jobTemplates[index].weight {
-		n -= jobTemplates[index].weight
+	for n >= templates[index].weight {
+		n -= templates[index].weight
 		index++
 	}
 	g := c.generator
@@ -181,12 +184,12 @@
 	defer g.mu.Unlock()
 	// Watchers never end by themselves, so their number is limited to that of the
 	// agents to leave capacity for other jobs.
-	if jobTemplates[index].job.Spec == watchSpec {
+	if templates[index].job.Spec == watchSpec {
 		if g.watcherJobs++; g.watcherJobs > len(g.fleet.agents) {
 			index = 0
 		}
 	}
-	j := &job{id: fmt.Sprintf("%016x", c.random.Uint64()), template: &jobTemplates[index]}
+	j := &job{id: fmt.Sprintf("%016x", c.random.Uint64()), template: &templates[index]}
 	j.path = "/" + j.template.queue + "/" + j.id
 	g.jobs[j.id] = j
 	g.jobsInOrder = append(g.jobsInOrder, j)
--- a/internal/soak/catalog.go
+++ b/internal/soak/catalog.go
@@ -1,6 +1,10 @@
 package soak
 
-import "slices"
+import (
+	"slices"
+
+	"wasabihill.example/wasabihill/internal/standin/callers"
+)
 
 // Catalog names the kinds of faults from which a schedule is drawn. The schedule of a seed
 // depends on the kinds and on their order, so new kinds go into a catalog of their own.
@@ -22,5 +26,10 @@
 	return faultKinds
 }
 
-// networkFaultKinds are the faults of a machine's network, processors and processes.
-var networkFaultKinds = []faultKind{}
+// templates returns the kinds of jobs. Most runs that end with their lease are long ones.
+func (c Catalog) templates() []jobTemplate {
+	if c != MachineFaults {
+		return jobTemplates
+	}
+	return append(slices.Clone(jobTemplates), jobTemplate{"runs", 2, callers.Job{Spec: longSpec, Steps: []callers.Step{{Tasks: 4}}}})
+}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -52,7 +52,9 @@
 			&cli.IntFlag{Name: "entries", Usage: "entry processes of a run, if another number than a third of them"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "maximum number of concurrent runs"},
 			&cli.StringFlag{Name: "catalog", Usage: "kinds of faults to choose from: machine adds those of real machines and networks to the standard ones"},
-			&cli.StringFlag{Name: "only", Usage: "inject only this kind of fault"},
+			&cli.StringFlag{Name: "only", Usage: "inject only these kinds of faults, separated by commas"},
+			&cli.FloatFlag{Name: "rate", Value: faultsPerSecond, Usage: "faults per second; fewer leave time for work between long ones"},
+			&cli.FloatFlag{Name: "shares", Usage: "limit each process to this multiple of the share of a core that it has in a deployment; less than 1 stands for a higher load"},
 			&cli.StringFlag{Name: "node", Value: "bin/wasabihill-node", Usage: "path of the wasabihill-node program"},
 			&cli.StringFlag{Name: "dir", Usage: "directory for settings and logs; a temporary one when omitted"},
 			&cli.StringFlag{Name: "report", Usage: "write a timeline of faults and task runs to this HTML file, and the results as JSON to the same path with .json appended"},
@@ -93,6 +95,9 @@
 	if err := p.runSeeds(ctx); err != nil {
 		return err
 	}
+	if Catalog(c.String("catalog")) == MachineFaults {
+		writeMargins(c.Root().Writer, p.results)
+	}
 	fmt.Fprintf(c.Root().Writer, "%d seeds, %d with a broken promise; logs in %s\n", len(p.results), p.broken, dir)
 	if path := c.String("report"); path != "" {
 		if err := p.writeReport(path); err != nil {
@@ -131,7 +136,7 @@
 	run := &Run{
 		Seed: seed, Faults: p.command.Duration("faults"), Entries: p.entries, Agents: p.agents,
 		Binary: p.command.String("node"), Dir: filepath.Join(p.dir, fmt.Sprint("seed-", seed)),
-		Catalog: Catalog(p.command.String("catalog")), Only: p.command.String("only"),
+		Catalog: Catalog(p.command.String("catalog")), Only: p.command.String("only"), Rate: p.command.Float("rate"), Shares: p.command.Float("shares"),
 	}
 	result, err := run.Run(ctx)
 	if err != nil {
@@ -143,6 +148,11 @@
 	if len(result.Broken) > 0 {
 		p.broken++
 	}
+	if run.Catalog == MachineFaults {
+		if err := result.writeRuns(); err != nil {
+			return err
+		}
+	}
 	return result.Write(p.command.Root().Writer, p.reproduceCommand(seed))
 }
 
@@ -158,6 +168,12 @@
 	if only := p.command.String("only"); only != "" {
 		command += " --only " + only
 	}
+	if p.command.IsSet("rate") {
+		command += fmt.Sprint(" --rate ", p.command.Float("rate"))
+	}
+	if p.command.IsSet("shares") {
+		command += fmt.Sprint(" --shares ", p.command.Float("shares"))
+	}
 	return command
 }
 
--- a/internal/soak/command_test.go
+++ b/internal/soak/command_test.go
@@ -17,6 +17,7 @@
 		{nil, "wasabihill-soak --seed 7 --processes 9 --faults 20s"},
 		{[]string{"--only", "pause", "--faults", "5s"}, "wasabihill-soak --seed 7 --processes 9 --faults 5s --only pause"},
 		{[]string{"--entries", "3", "--catalog", "machine"}, "wasabihill-soak --seed 7 --processes 9 --faults 20s --entries 3 --catalog machine"},
+		{[]string{"--only", "hostCut,pause", "--rate", "0.25", "--shares", "0.5"}, "wasabihill-soak --seed 7 --processes 9 --faults 20s --only hostCut,pause --rate 0.25 --shares 0.5"},
 	} {
 		var got string
 		command := Command()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,10 +18,14 @@
 type faultTarget int
 
 const (
-	entries  faultTarget = iota // one entry process
-	agents                      // one agent, its runner or its links
-	anyHost                     // one process of either role
-	allHosts                    // every process
+	entries    faultTarget = iota // one entry process
+	agents                        // one agent, its runner or its links
+	anyHost                       // one process of either role
+	allHosts                      // every process
+	oneHost                       // one host, for long
+	twoHosts                      // two hosts
+	zone                          // the hosts of a failure domain
+	leaderHost                    // the host of the leader
 )
 
 // faultKind is a kind of fault.
@@ -43,7 +47,7 @@
 var faultKinds = []faultKind{
 	{"kill", anyHost, true, false, 3 * time.Second, (*Run).kill, (*Run).restart},
 	{terminateKind, anyHost, true, true, 3 * time.Second, (*Run).terminate, (*Run).restart},
-	{"pause", anyHost, true, false, 9 * time.Second, sendSignal(syscall.SIGSTOP), sendSignal(syscall.SIGCONT)},
+	{"pause", anyHost, true, false, 9 * time.Second, (*Run).suspend, (*Run).resume},
 	{"killAll", allHosts, true, false, time.Second, (*Run).kill, (*Run).restart},
 	{"hangup", anyHost, false, true, time.Millisecond, (*Run).changeSettings, nil},
 	{"settingsChange", anyHost, false, true, time.Millisecond, (*Run).rewriteSettings, nil},
@@ -122,10 +126,6 @@
 	}
 }
 
-func sendSignal(s syscall.Signal) func(*Run, *host) {
-	return func(_ *Run, h *host) { h.process.Signal(s) }
-}
-
 // rewriteSettings changes the settings file without sending a signal to the
 // process.
 func (r *Run) rewriteSettings(h *host) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -50,6 +50,7 @@
 	machine  *machine     // of the runner; nil for an entry process
 	toRunner *relay.Relay
 	toAgent  *relay.Relay // announcements of the runner
+	hostFaults
 }
 
 // deploymentCount gives each deployment of this process its own addresses.
@@ -77,7 +78,7 @@
 func workOf(_, spec string) taskrunner.Work {
 	return map[string]taskrunner.Work{
 		quickSpec: {Duration: 60 * time.Millisecond}, slowSpec: {Duration: 700 * time.Millisecond},
-		failingSpec: {Duration: 30 * time.Millisecond, Fails: true}, watchSpec: {},
+		failingSpec: {Duration: 30 * time.Millisecond, Fails: true}, watchSpec: {}, longSpec: {Duration: 8 * time.Second},
 	}[spec]
 }
 
@@ -111,6 +112,9 @@
 			return nil, err
 		}
 	}
+	if r.Catalog == MachineFaults {
+		f.connectNetworks()
+	}
 	return f, f.configure()
 }
 
@@ -256,6 +260,7 @@
 	for _, h := range f.hosts() {
 		h.process.Signal(syscall.SIGCONT)
 		h.process.Kill()
+		h.killPredecessor()
 	}
 	f.stop()
 	for _, h := range f.hosts() {
--- a/internal/soak/runnerfaults.go
+++ b/internal/soak/runnerfaults.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"syscall"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/pause"
@@ -11,7 +10,7 @@
 // runnerFaultKinds are the faults of runners that take turns on a machine, that call the
 // agents of other machines, and whose calls and heartbeats come late.
 var runnerFaultKinds = []faultKind{
-	{"agentFrozen", agents, true, false, 9 * time.Second, sendSignal(syscall.SIGSTOP), sendSignal(syscall.SIGCONT)},
+	{"agentFrozen", agents, true, false, 9 * time.Second, (*Run).suspend, (*Run).resume},
 	{"agentKilled", agents, true, false, 6 * time.Second, (*Run).kill, (*Run).restart},
 	{"foreignHeartbeats", agents, false, false, time.Second, (*Run).sendForeignHeartbeats, nil},
 	{"lateHeartbeats", agents, false, false, 4 * time.Second, onRunner(lateHeartbeats), onRunner(taskrunner.Fault{})},
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -12,7 +13,7 @@
 // scheduledFault is one fault of a schedule. Equal seeds give equal schedules.
 type scheduledFault struct {
 	kind     *faultKind
-	host     int // index in the fleet's hosts; -1 for all hosts
+	host     int // index in the fleet's hosts; everyHost or currentLeader
 	at       time.Duration
 	duration time.Duration
 }
@@ -40,13 +41,13 @@
 func schedule(r *Run) []scheduledFault {
 	random := rand.New(rand.NewPCG(r.Seed, 1))
 	var list []scheduledFault
-	chosen := slices.DeleteFunc(slices.Clone(r.Catalog.kinds()), func(k faultKind) bool { return r.Only != "" && k.name != r.Only })
+	chosen := slices.DeleteFunc(slices.Clone(r.Catalog.kinds()), func(k faultKind) bool { return !r.chooses(k.name) })
 	if len(chosen) == 0 {
 		return nil
 	}
-	for range int(faultsPerSecond * r.Faults.Seconds()) {
+	for range int(cmp.Or(r.Rate, faultsPerSecond) * r.Faults.Seconds()) {
 		k := &chosen[random.IntN(len(chosen))]
-		p := scheduledFault{kind: k, host: -1, at: time.Duration(random.Int64N(int64(r.Faults)))}
+		p := scheduledFault{kind: k, host: everyHost, at: time.Duration(random.Int64N(int64(r.Faults)))}
 		p.duration = minFaultDuration + time.Duration(random.Int64N(int64(k.maxDuration)))
 		p.duration = min(p.duration, r.Faults-p.at)
 		switch k.target {
@@ -57,7 +58,11 @@
 		case anyHost:
 			p.host = random.IntN(r.Entries + r.Agents)
 		}
-		list = append(list, p)
+		if k.target < oneHost {
+			list = append(list, p)
+		} else {
+			list = append(list, r.onMachines(p, random)...)
+		}
 	}
 	slices.SortFunc(list, func(a, b scheduledFault) int { return int(a.at - b.at) })
 	return dropOverlapping(list)
@@ -70,8 +75,9 @@
 	var kept []scheduledFault
 	for _, p := range list {
 		if p.kind.stopsProcess {
-			busy := max(recoveredAt[p.host], recoveredAt[-1])
-			if p.host == -1 {
+			affected := max(p.host, everyHost) // it is not known yet which host is the leader's
+			busy := max(recoveredAt[affected], recoveredAt[everyHost])
+			if affected == everyHost {
 				for _, until := range recoveredAt {
 					busy = max(busy, until)
 				}
@@ -79,9 +85,9 @@
 			if p.at < busy {
 				continue
 			}
-			recoveredAt[p.host] = p.at + p.duration + processRecoveryTime
-			if p.kind.name == terminateKind {
-				recoveredAt[p.host] += gracePeriod // the latest time at which it has stopped
+			recoveredAt[affected] = p.at + p.duration + processRecoveryTime
+			if p.kind.name == terminateKind || p.kind.name == successorKind || p.kind.target >= oneHost {
+				recoveredAt[affected] += gracePeriod // the latest time at which it, or the one before, has stopped
 			}
 		}
 		kept = append(kept, p)
@@ -93,7 +99,10 @@
 func (r *Run) inject(ctx context.Context, p scheduledFault) {
 	var targets []*host
 	name := ""
-	if p.host >= 0 {
+	if p.host == currentLeader {
+		h := r.fleet.leader()
+		targets, name = []*host{h}, h.name
+	} else if p.host >= 0 {
 		h := r.fleet.hosts()[p.host]
 		targets, name = []*host{h}, h.name
 	} else {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 const (
 	NotStarted Kind = "notStarted" // the deployment did not start
 	Invalid    Kind = "invalid"    // the settings of the run are invalid
+	Late       Kind = "late"       // a process has not stopped in time
 )
 
 const (
@@ -53,7 +55,9 @@
 	Binary  string  // path of wasabihill-node
 	Dir     string  // directory of settings and logs
 	Catalog Catalog // kinds of faults to choose from; the standard ones when empty
-	Only    string  // the only kind of fault to inject; empty for all kinds of the catalog
+	Only    string  // the only kinds of faults to inject, separated by commas; empty for all kinds of the catalog
+	Rate    float64 // faults per second; faultsPerSecond when 0
+	Shares  float64 // multiple of the deployments' shares of a core that each process has; 0 means whole cores
 
 	began     time.Time // start of the fault-free time before the first fault
 	fleet     *fleet
@@ -100,7 +104,7 @@
 	if !slices.Contains(catalogs, r.Catalog) {
 		return nil, fault.New("soak", Invalid, "unknown catalog of faults %q", r.Catalog)
 	}
-	if r.Only != "" && !slices.ContainsFunc(r.Catalog.kinds(), func(k faultKind) bool { return k.name == r.Only }) {
+	if !slices.ContainsFunc(r.Catalog.kinds(), func(k faultKind) bool { return r.chooses(k.name) }) {
 		return nil, fault.New("soak", Invalid, "unknown kind of fault %q", r.Only)
 	}
 	if err := os.MkdirAll(r.Dir, 0o755); err != nil {
@@ -117,10 +121,13 @@
 	if err := f.start(); err != nil {
 		return nil, err
 	}
+	if r.Shares > 0 {
+		defer f.limitShares(r.Shares)()
+	}
 	if err := f.awaitReady(ctx, readyTimeout); err != nil {
 		return nil, err
 	}
-	r.generator = newLoadGenerator(f, r.Seed)
+	r.generator = newLoadGenerator(f, r.Seed, r.Catalog.templates())
 	defer r.generator.close()
 	r.execute(ctx)
 	result := r.evaluate()
@@ -128,6 +135,11 @@
 	return result, ctx.Err()
 }
 
+// chooses reports whether faults of the kind are injected.
+func (r *Run) chooses(kind string) bool {
+	return r.Only == "" || slices.Contains(strings.Split(r.Only, ","), kind)
+}
+
 // execute generates load, injects the faults, clears them and waits until all
 // accepted jobs have ended.
 func (r *Run) execute(ctx context.Context) {
