Keep the room of a run whose job an earlier run has completed

cause: a run that ends unseen, behind a cut, is started again. When its end is reported, the task is done and its occurrence leaves the job, and with it the tasks whose second run goes on.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -203,7 +203,7 @@
 			klog.ErrorS(err, "ended run in a worker report is ignored", "worker", w.id)
 			continue
 		}
-		if t := s.reportedTask(id); t != nil {
+		if t := s.reportedTask(w, id); t != nil {
 			s.applyEnd(w, t, row, now)
 		}
 	}
@@ -328,7 +328,7 @@
 			continue
 		}
 		attempt := workflow.Attempt(row.GetAttempt())
-		t := s.reportedTask(id)
+		t := s.reportedTask(w, id)
 		if t == nil || !s.adopt(w, t, attempt, now) {
 			s.orderStop(w, id, attempt)
 			continue
@@ -380,9 +380,13 @@
 	return true
 }
 
-// reportedTask returns the task of a run that an agent has reported, or nil if it does not
-// exist. The run's occurrence was due by the clock of the leader that ordered it.
-func (s *Scheduler) reportedTask(id workflow.TaskID) *task {
+// reportedTask returns the task of a run that the agent of w has reported, or nil if it does
+// not exist. The run's occurrence was due by the clock of the leader that ordered it. A task on
+// w exists until its run has ended, also when an earlier run has completed its occurrence.
+func (s *Scheduler) reportedTask(w *worker, id workflow.TaskID) *task {
+	if t := w.tasks[id]; t != nil {
+		return t
+	}
 	if j := s.jobs[id.Job]; j != nil && !j.state.Final() {
 		j.openUntil(id.Occurrence)
 	}
