--- /dev/null
+++ b/internal/runner/gone_test.go
@@ -0,0 +1,54 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/bootclock"
+)
+
+// answerBorn lets the runner "other", started at the given time of day, announce itself and answer a
+// poll that was sent at the given instant, and returns the id of the runner that is then reported.
+func answerBorn(c *Controller, bornUnixMs int64, clock ClockTime, sent bootclock.Instant) string {
+	c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "other", StartedUnixMs: bornUnixMs}, Sequence: 1}, clock)
+	c.mergeListing("other", Listing{StartedUnixMs: bornUnixMs, Clock: clock}, sent)
+	report, _ := c.Report()
+	return report.GetRunner().GetId()
+}
+
+// Guards against a successor that has started before the connections of its predecessor ended, and
+// that a step of the time of day lets seem to have started after it: the predecessor works on.
+func TestStepOfTheTimeOfDayEndsNoPredecessor(t *testing.T) {
+	c, _ := newBusyController()
+	c.handlePollError(t.Context(), "r", resetByRunner())
+	born := time.Now().Add(2*time.Second - 500*time.Millisecond) // 500 ms ago, and then a step back by 2 s
+	if got := answerBorn(c, born.UnixMilli(), 500, bootclock.Now()); got != "r" {
+		t.Errorf("runner after the answer of one that has run for 500 ms: got %s, want r", got)
+	}
+}
+
+// Guards against an agent that was frozen for longer than goneAfter and takes the announcements
+// which it has not read for missing ones: the predecessor works on.
+func TestFrozenAgentHasNotSeenThatAPredecessorIsGone(t *testing.T) {
+	c, _ := newBusyController()
+	c.handlePollError(t.Context(), "r", resetByRunner())
+	sent := bootclock.Now()
+	frozen := goneAfter + time.Second
+	for _, at := range []*bootclock.Instant{&c.endSeenAt, &c.clockReadAt, &sent} {
+		*at = at.Add(-frozen)
+	}
+	if got := answerBorn(c, 9, ClockTime(frozen.Milliseconds())+500, sent); got != "r" {
+		t.Errorf("runner after an answer that has waited for %v: got %s, want r", frozen, got)
+	}
+}
+
+// Guards against silence that is taken for the end of a runner which announces itself at another
+// agent ("otherwise, the next node is called"), since this one gave it no answer for a while.
+func TestSilenceOfARunnerThatAnnouncesItselfElsewhereTellsNothing(t *testing.T) {
+	c, _ := newBusyController()
+	c.info.Sequence = 2 // its last announcement here, which this test does not make: it is long past
+	crash(c)
+	if got := answerBorn(c, 9, 10_000, bootclock.Now()); got != "r" {
+		t.Errorf("runner after the answer of another one: got %s, want r", got)
+	}
+}
