Keep the runs of an unknown predecessor when its successor ends too

The agent's word on the successor released all tasks of the worker, also those of the runner before it, which may go on until its lease ends. TestEndOfASuccessorReleasesNoRunOfTheRunnerBefore failed before and passes now.

--- a/internal/scheduler/succession.go
+++ b/internal/scheduler/succession.go
@@ -22,13 +22,13 @@
 		"tasks", len(w.tasks), "silent", in.GetSilent(), "predecessorEnded", ended, "leaseLeft", leaseEnd.Sub(now.Boot))
 	switch {
 	case w.runner.ID == in.GetId():
-	case ended || !now.Boot.Before(leaseEnd):
+	case ended && !w.hasPredecessor(now) || !now.Boot.Before(leaseEnd):
 		w.predecessorUntil = 0
 		s.releaseTasks(w, now, runnerReplaced, func(t *task) bool { return true })
 	default:
 		w.withdrawStarts()
-		if len(w.tasks) == 0 && !w.mayHaveUnknownRuns {
-			return
+		if ended || len(w.tasks) == 0 && !w.mayHaveUnknownRuns {
+			return // only the runner before the one that has ended may go on, until w.predecessorUntil
 		}
 		w.predecessorUntil = max(w.predecessorUntil, leaseEnd)
 	}
