Take only what the agent has seen itself for the end of a predecessor

cause: three signs proved no end. The time of day decided whether the next runner had started after the end of the connections: a step of it let a predecessor that works on count as crashed at once. The time in which the agent was frozen counted as silence. And a runner that had been announcing itself to another agent, since this one gave no answer, counted as gone, also while it drained. change: the runner's own clock, which starts with it, tells its earliest start. Silence, and that a runner does not drain, count only if it has announced itself here within 2.5 s before the end of its connections, and the process has run without a gap of 0.9 s since 0.9 s before that; a watch every 0.4 s tells. Otherwise the leases decide, as for a silent runner. tests: answerSuccessor now gives the successor's clock, which takes the part of the time of day: the case "connections have just ended" is one of a successor that has started before.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -155,6 +155,9 @@
 		c.candidateAppeared = make(chan struct{})
 	}
 	c.mu.Unlock()
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go c.watch(watchCtx)
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		call, mayWait, ok := c.nextPoll()
@@ -225,7 +228,9 @@
 func (c *Controller) nextPoll() (call PollCall, mayWait, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waits := c.awaitsPredecessor() && c.mayHoldRuns(bootclock.Now())
+	now := bootclock.Now()
+	c.noteWatch(now)
+	waits := c.awaitsPredecessor() && c.mayHoldRuns(now)
 	if c.candidate != nil && !waits && (c.info == nil || !c.pollCurrent) {
 		return PollCall{Runner: c.candidate.ID, Token: c.fencingToken()}, false, true
 	}
@@ -233,7 +238,6 @@
 		return PollCall{}, false, false
 	}
 	c.pollCurrent = false
-	now := bootclock.Now()
 	call = PollCall{Runner: c.info.ID, Wait: pollWait}
 	if !c.outOfTouch(now) { // the next incarnation counts its ended runs anew
 		call.Recorded = c.recordedEnd
--- a/internal/runner/gone_test.go
+++ b/internal/runner/gone_test.go
@@ -34,7 +34,7 @@
 	c.handlePollError(t.Context(), "r", resetByRunner())
 	sent := bootclock.Now()
 	frozen := goneAfter + time.Second
-	for _, at := range []*bootclock.Instant{&c.endSeenAt, &c.clockReadAt, &sent} {
+	for _, at := range []*bootclock.Instant{&c.endSeenAt, &c.clockReadAt, &c.heardAt, &sent} {
 		*at = at.Add(-frozen)
 	}
 	if got := answerBorn(c, 9, ClockTime(frozen.Milliseconds())+500, sent); got != "r" {
@@ -46,9 +46,34 @@
 // agent ("otherwise, the next node is called"), since this one gave it no answer for a while.
 func TestSilenceOfARunnerThatAnnouncesItselfElsewhereTellsNothing(t *testing.T) {
 	c, _ := newBusyController()
-	c.info.Sequence = 2 // its last announcement here, which this test does not make: it is long past
+	c.heardAt = c.heardAt.Add(-2 * goneAfter)
 	crash(c)
 	if got := answerBorn(c, 9, 10_000, bootclock.Now()); got != "r" {
 		t.Errorf("runner after the answer of another one: got %s, want r", got)
 	}
 }
+
+// Guards against the same after a freeze between two polls, once the agent has polled again.
+func TestAgentThatWasFrozenBetweenPollsHasNotSeenThatAPredecessorIsGone(t *testing.T) {
+	for name, shifted := range map[string]func(*Controller) []*bootclock.Instant{
+		"before the end was seen": func(c *Controller) []*bootclock.Instant {
+			return []*bootclock.Instant{&c.clockReadAt, &c.heardAt, &c.watchedAt}
+		},
+		"after it": func(c *Controller) []*bootclock.Instant {
+			return []*bootclock.Instant{&c.clockReadAt, &c.heardAt, &c.watchedAt, &c.endSeenAt}
+		},
+	} {
+		c, _ := newBusyController()
+		c.nextPoll()
+		c.handlePollError(t.Context(), "r", resetByRunner())
+		for _, at := range shifted(c) {
+			*at = at.Add(-goneAfter)
+		}
+		c.nextPoll()
+		crash(c) // from now on without a gap, and the announcement that lay unread is read
+		c.heardAt, c.stalledAt = c.endSeenAt, c.stalledAt.Add(-2*goneAfter)
+		if got := answerBorn(c, 9, 10_000, bootclock.Now()); got != "r" {
+			t.Errorf("frozen %s: got runner %s, want r", name, got)
+		}
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -31,6 +31,9 @@
 		c.noteSignOfLife(clock)
 	}
 	changed := c.update(info)
+	if c.info.Incarnation == info.Incarnation && c.info.Sequence == info.Sequence { // not a late one
+		c.heardAt = bootclock.Now()
+	}
 	if clock > c.runnerClock {
 		c.setClock(clock)
 	}
@@ -117,6 +120,9 @@
 	}
 	klog.InfoS("runner has answered for the first time", "runner", info.ID, "born", info.StartedUnixMs, "running", len(l.Running), "ended", len(l.Ended))
 	c.replaceIncarnation(info)
+	if !info.Unknown {
+		c.heardAt = c.announcedAt
+	}
 }
 
 // nextIncarnation returns what is known of an incarnation under the same id that has not
@@ -145,7 +151,7 @@
 	c.listed, c.unresponsive = false, false
 	c.truncated, c.complete = false, false
 	c.restartedAt, c.lateCallsUntil = 0, 0
-	c.endSeenAt, c.deregistered = 0, false
+	c.endSeenAt, c.heardAt, c.deregistered = 0, 0, false
 	if sameID {
 		c.restartedAt = bootclock.Now()
 		for _, r := range c.runs {
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -55,7 +55,7 @@
 // current incarnation and was requested with its token. The caller holds c.mu.
 func (c *Controller) identify(id string, l Listing, sent bootclock.Instant) (restarted, decides bool) {
 	if c.candidate != nil && c.candidate.ID == id {
-		if c.deferCandidate() {
+		if c.deferCandidate(l, sent) {
 			return false, false
 		}
 		c.confirmCandidate(l)
--- a/internal/runner/start_test.go
+++ b/internal/runner/start_test.go
@@ -54,6 +54,7 @@
 	c.info, c.listed, c.listedAt = &Info{Incarnation: Incarnation{ID: "r"}}, true, bootclock.Now()
 	c.runs = make(map[workflow.TaskID]*run)
 	c.setClock(1000)
+	c.heardAt = bootclock.Now()
 	c.ExtendGrant(bootclock.Now().Add(time.Minute))
 	return c
 }
--- a/internal/runner/succession_test.go
+++ b/internal/runner/succession_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,15 +20,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.noteConnectionEnd(c.info.ID, resetByRunner())
-	c.endSeenAt, c.clockReadAt = c.endSeenAt.Add(-2*goneAfter), c.clockReadAt.Add(-2*goneAfter)
+	for _, at := range []*bootclock.Instant{&c.endSeenAt, &c.clockReadAt, &c.heardAt} {
+		*at = at.Add(-2 * goneAfter)
+	}
 	c.unresponsive = true
 }
 
-// answerSuccessor lets the runner "other" announce itself and answer a poll, and returns the id of
-// the runner that is then reported, and the number of its runs.
-func answerSuccessor(c *Controller) (id string, runs int) {
+// The clock of a successor that has started before the connections of its predecessor end, and of
+// one that has just started.
+const startedBefore, justStarted = ClockTime(60_000), ClockTime(1)
+
+// answerSuccessor lets the runner "other", whose clock is given, announce itself and answer a poll,
+// and returns the id of the runner that is then reported, and the number of its runs.
+func answerSuccessor(c *Controller, clock ClockTime) (id string, runs int) {
 	announceOther(c, 1, false)
-	c.mergeListing("other", Listing{StartedUnixMs: 9, Clock: 1}, bootclock.Now())
+	c.mergeListing("other", Listing{StartedUnixMs: 9, Clock: clock}, bootclock.Now())
 	report, _ := c.Report()
 	return report.GetRunner().GetId(), len(report.GetRunning())
 }
@@ -46,7 +53,7 @@
 		"drains, connections ended before the successor has started": func(c *Controller) {
 			c.info.Draining = true
 			c.handlePollError(t.Context(), "r", resetByRunner())
-			c.endSeenUnixMs = 8
+			c.endSeenAt, c.heardAt = c.endSeenAt.Add(-time.Second), c.heardAt.Add(-time.Second)
 		},
 		"drains, has just deregistered": func(c *Controller) { c.info.Draining = true; c.MarkDraining("r") },
 		"announces itself after its connections have ended": func(c *Controller) {
@@ -56,7 +63,11 @@
 	} {
 		c, _ := newBusyController()
 		before(c)
-		if id, runs := answerSuccessor(c); id != "r" || runs != 1 {
+		clock := startedBefore
+		if strings.Contains(name, "before the successor has started") {
+			clock = justStarted
+		}
+		if id, runs := answerSuccessor(c, clock); id != "r" || runs != 1 {
 			t.Errorf("%s: got runner %s with %d runs, want r with its run", name, id, runs)
 		}
 		if call, _, _ := c.nextPoll(); call.Runner != "r" {
@@ -72,7 +83,7 @@
 		"has no runs": func(c *Controller) { clear(c.runs) },
 		"has crashed before the successor has started": func(c *Controller) {
 			c.handlePollError(t.Context(), "r", resetByRunner())
-			c.endSeenUnixMs = 8
+			c.endSeenAt, c.heardAt = c.endSeenAt.Add(-time.Second), c.heardAt.Add(-time.Second)
 		},
 		"has crashed": crash,
 		"crashed, late message": func(c *Controller) {
@@ -82,7 +93,7 @@
 		"has deregistered": func(c *Controller) {
 			c.info.Draining = true
 			c.MarkDraining("r")
-			c.endSeenAt = c.endSeenAt.Add(-2 * goneAfter)
+			c.endSeenAt, c.heardAt = c.endSeenAt.Add(-2*goneAfter), c.heardAt.Add(-2*goneAfter)
 		},
 		"has no lease left": func(c *Controller) {
 			c.unresponsive, c.clockReadAt = true, bootclock.Now().Add(-time.Minute)
@@ -90,7 +101,11 @@
 	} {
 		c, _ := newBusyController()
 		before(c)
-		if id, runs := answerSuccessor(c); id != "other" || runs != 0 {
+		clock := startedBefore
+		if strings.Contains(name, "before the successor has started") {
+			clock = justStarted
+		}
+		if id, runs := answerSuccessor(c, clock); id != "other" || runs != 0 {
 			t.Errorf("%s: got runner %s with %d runs, want other without runs", name, id, runs)
 		}
 		if report, _ := c.Report(); report.GetRunner().GetPredecessorEnded() != "r" {
@@ -102,7 +117,7 @@
 // Guards against a successor that is forgotten, or that is never polled again, while it waits.
 func TestWaitingSuccessorIsPolledOnceThePredecessorHasNoRuns(t *testing.T) {
 	c, task := newBusyController()
-	answerSuccessor(c)
+	answerSuccessor(c, startedBefore)
 	c.mergeListing("r", Listing{StartedUnixMs: 5, Clock: 1100, Running: []RunStatus{{Task: task, Attempt: 1}}}, c.announcedAt+1)
 	if call, mayWait, _ := c.nextPoll(); call.Runner != "r" || call.Until == 0 || !mayWait {
 		t.Errorf("while the run goes on: got poll %+v, may wait %t, want one that renews the lease and may wait", call, mayWait)
@@ -114,7 +129,7 @@
 	if call, _, _ := c.nextPoll(); call.Runner != "other" {
 		t.Errorf("after the end of the run: got a poll of %s, want one of other", call.Runner)
 	}
-	if id, _ := answerSuccessor(c); id != "other" {
+	if id, _ := answerSuccessor(c, startedBefore); id != "other" {
 		t.Errorf("after its answer: got runner %s, want other", id)
 	}
 }
