--- a/internal/runner/gone_test.go
+++ b/internal/runner/gone_test.go
@@ -77,3 +77,18 @@
 		}
 	}
 }
+
+// Guards against long-running tasks that are down for longer than a lease, because late heartbeats of a
+// crashed runner, one after the other, count as its signs of life.
+func TestLateHeartbeatsAreNoSignOfLife(t *testing.T) {
+	c, _ := newBusyController()
+	c.clockReadAt = c.clockReadAt.Add(-time.Second) // the last poll waited; the clock was at 2000 at the end
+	crash(c)
+	for _, late := range []Info{{Sequence: 9}, {Sequence: 8}, {Sequence: 10}} {
+		late.Incarnation = c.info.Incarnation
+		c.HandleAnnouncement(late, ClockTime(100*late.Sequence)+900)
+	}
+	if got := answerBorn(c, 9, 60_000, bootclock.Now()); got != "other" {
+		t.Errorf("runner after the answer of the next one: got %s, want other", got)
+	}
+}
