Judge announcements by the runner's clock when they were made, not when they arrive

cause: the clock at the end of the connections was computed anew from the newest reading, and the reading of a late heartbeat was taken for one of its arrival, so the next late heartbeat seemed to be made after the end.

--- a/internal/runner/gone_test.go
+++ b/internal/runner/gone_test.go
@@ -92,3 +92,17 @@
 		t.Errorf("runner after the answer of the next one: got %s, want other", got)
 	}
 }
+
+// Guards against a late heartbeat that is taken for a sign that the runner announces itself here.
+func TestLateHeartbeatDoesNotShowThatARunnerAnnouncesItselfHere(t *testing.T) {
+	c, _ := newBusyController()
+	const age = 2 * goneAfter
+	c.heardAt = c.heardAt.Add(-2 * goneAfter)
+	c.setClock(60_000)
+	c.leaseUntil = 67_000
+	c.HandleAnnouncement(Info{Incarnation: c.info.Incarnation, Sequence: 2}, 60_000-ClockTime(age.Milliseconds()))
+	crash(c)
+	if got := answerBorn(c, 9, 60_000, bootclock.Now()); got != "r" {
+		t.Errorf("runner after the answer of another one: got %s, want r", got)
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -31,9 +31,6 @@
 		c.noteSignOfLife(clock)
 	}
 	changed := c.update(info)
-	if c.info.Incarnation == info.Incarnation && c.info.Sequence == info.Sequence { // not a late one
-		c.heardAt = bootclock.Now()
-	}
 	if clock > c.runnerClock {
 		c.setClock(clock)
 	}
--- a/internal/runner/succession.go
+++ b/internal/runner/succession.go
@@ -37,6 +37,7 @@
 type succession struct {
 	candidateAnswered bool              // the candidate has answered, and waits until the current runner has no runs left
 	endSeenAt         bootclock.Instant // when a connection to the current runner ended, or it deregistered, without a later sign of life; 0 if neither
+	endSeenClock      ClockTime         // a lower estimate of the runner's clock at endSeenAt
 	watchedAt         bootclock.Instant // when this process last made sure that it runs; 0 before Run
 	stalledAt         bootclock.Instant // when it last noticed that it had not run for a while
 	heardAt           bootclock.Instant // when the current runner last announced itself here
@@ -49,10 +50,22 @@
 // process of the runner may have ended, too. The caller holds c.mu.
 func (c *Controller) noteConnectionEnd(id string, err error) {
 	if c.info != nil && c.info.ID == id && c.endSeenAt == 0 && connectionEnded(err) {
-		c.endSeenAt = bootclock.Now()
+		c.noteEnd()
 	}
 }
 
+// noteEnd records a sign that the current runner has ended. The caller holds c.mu.
+func (c *Controller) noteEnd() {
+	c.endSeenAt = bootclock.Now()
+	c.endSeenClock = c.estimateClock(c.endSeenAt)
+}
+
+// estimateClock returns a lower estimate of the runner's clock, unless that runs slow. The caller
+// holds c.mu.
+func (c *Controller) estimateClock(now bootclock.Instant) ClockTime {
+	return c.runnerClock + ClockTime(now.Sub(c.clockReadAt).Milliseconds())
+}
+
 // connectionEnded reports whether a call has failed since the runner has closed the connection
 // or does not listen.
 func connectionEnded(err error) bool {
@@ -62,18 +75,21 @@
 // noteDeregistration records that the current runner has said that it ends. The caller holds c.mu.
 func (c *Controller) noteDeregistration(id string) {
 	if c.info != nil && c.info.ID == id {
-		c.deregistered, c.endSeenAt = true, bootclock.Now()
+		c.deregistered = true
+		c.noteEnd()
 	}
 }
 
-// noteSignOfLife takes back the sign of an end if the current runner has announced itself after
-// it, by its own clock. The caller holds c.mu.
+// noteSignOfLife records that the current runner has announced itself, when by its own clock, and
+// takes back the sign of an end if that was after it. The caller holds c.mu.
 func (c *Controller) noteSignOfLife(clock ClockTime) {
-	if c.endSeenAt == 0 {
-		return
+	now := bootclock.Now()
+	age := ClockTime(0)
+	if c.runnerClock != 0 { // else it is the first reading of this incarnation's clock
+		age = max(0, c.estimateClock(now)-clock) // it may have been held up
 	}
-	atEnd := c.runnerClock + ClockTime(c.endSeenAt.Sub(c.clockReadAt).Milliseconds())
-	if clock > atEnd+clockTolerance {
+	c.heardAt = max(c.heardAt, now.Add(-time.Duration(min(age, math.MaxInt32))*time.Millisecond))
+	if c.endSeenAt != 0 && clock > c.endSeenClock+clockTolerance {
 		c.endSeenAt = 0
 	}
 }
