--- a/internal/soak/runnerfaults.go
+++ b/internal/soak/runnerfaults.go
@@ -45,7 +45,7 @@
 const (
 	keepConnections  takeOver = iota // open connections stay with the runner before
 	closeConnections                 // open connections are closed
-	otherAddress                     // the next one answers at another address than the agent calls
+	otherAddress                     // the next one answers at another address until the one before has left
 )
 
 // The time for which a runner works on beside its successor: drainMs and a little longer, at
@@ -65,6 +65,9 @@
 			r.recordDrainOf(h, previous)
 			previous.Deregister(h.machine.agents[0])
 			previous.Crash() // what runs on it ends with it
+			if how == otherAddress {
+				h.machine.address.Assign(h.runner(), true)
+			}
 		})
 	}
 }
