Let tests replace the clock of leases

Cause: testing/synctest does not control CLOCK_BOOTTIME, so no test could drive the instants of agents and leader together. Change: bootclock.Replace sets the clock that Now reads; nothing but tests calls it.

--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -13,8 +13,17 @@
 // Instant is a point in time on this machine, as the time since boot.
 type Instant time.Duration
 
+// source reads the clock.
+var source = boottime
+
 // Now returns the current instant.
-func Now() Instant {
+func Now() Instant { return source() }
+
+// Replace makes Now return the instants of another clock. It is for tests in simulated time
+// and must be called before anything else that reads the clock.
+func Replace(clock func() Instant) { source = clock }
+
+func boottime() Instant {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		panic("bootclock: " + err.Error()) // Linux has had this clock since 2.6.39
