Let two processes of an agent overlap in the generated schedules

Cause: a restart may begin before the process of before is gone; the schedules had none. Change: a fifth of the kills happen up to 4 s after the next process has begun.

--- a/internal/onerun/agent_test.go
+++ b/internal/onerun/agent_test.go
@@ -35,6 +35,9 @@
 	session    *session
 }
 
+// maxOverlap is the longest time for which two processes of an agent are there.
+const maxOverlap = 4 * time.Second
+
 // startAgent begins an agent's process.
 func (m *machine) startAgent() {
 	m.world.mu.Lock()
@@ -50,7 +53,8 @@
 	go a.runReports()
 }
 
-// restartAgent kills the agent's process and begins the next one after the given time.
+// restartAgent kills the agent's process and begins the next one after the given time. Some
+// processes are still there for a while when the next one begins.
 func (m *machine) restartAgent(after time.Duration) {
 	m.world.mu.Lock()
 	a := m.agent
@@ -60,6 +64,12 @@
 		return // another restart is under way
 	}
 	klog.InfoS("WORLD agent is killed", "machine", m.name)
+	if m.world.rand.chance(m.world.faults.overlap) {
+		m.startAgent()
+		time.Sleep(min(after, maxOverlap))
+		a.kill()
+		return
+	}
 	a.kill()
 	time.Sleep(after)
 	m.startAgent()
--- a/internal/onerun/faults_test.go
+++ b/internal/onerun/faults_test.go
@@ -8,7 +8,7 @@
 
 // usual are the faults of calls and messages that all schedules have.
 var usual = faults{machines: 4, lateCall: 0.03, lostCall: 0.4, lostReply: 0.03, slowReply: 0.2, noRoom: 0.05, endsPerList: 500,
-	lateBeat: 0.2, foreignBeat: 0.1, slowMessage: 0.05, outages: 0.001}
+	lateBeat: 0.2, foreignBeat: 0.1, slowMessage: 0.05, outages: 0.001, overlap: 0.2}
 
 // kinds are the kinds of schedules.
 var kinds = map[string]func(*faults){
--- a/internal/onerun/world_test.go
+++ b/internal/onerun/world_test.go
@@ -26,6 +26,7 @@
 	sameID      float64       // share of the crashes after which the runner keeps its id
 	earlierID   float64       // share of the other crashes after which the runner has the id of the one before that
 	agentEvery  time.Duration // between kills of an agent
+	overlap     float64       // share of the kills before which the next process begins
 	freezeEvery time.Duration // between freezes of an agent
 	cutEvery    time.Duration // between cuts between an agent and the leader
 	leaderEvery time.Duration // between changes of the leader
