Count a stray lease of a runner that returns to an earlier id

Cause: a stray lease was counted only if both lives under the id follow each other. After another runner had been there, the agent counted none and took a silent runner for empty at once. Change: the agent keeps the ids of runners that have listed their runs; the first listing of one of them counts as that of a restart. The test now lets each of the runners list its runs, instead of setting the first one as current, and asks also that a new id has no stray lease. A new process of the agent still does not know the ids of the one before, but for the runner that it finds.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -89,6 +89,7 @@
 	pollCurrent       bool              // the last poll of the candidate has failed, so the next one is for the current runner
 	ordinal           FencingToken      // counts the incarnations and the ends of all leases; later calls have a higher one
 	incarnations      int               // number of incarnations seen by this process
+	knownIDs          map[string]bool   // ids of the runners that have listed their runs, to which calls may be under way
 	incarnationSeenAt bootclock.Instant // when the current incarnation was first seen
 	listed            bool              // a listing of this incarnation has been received
 	listedAt          bootclock.Instant // when the last listing was requested
--- a/internal/runner/listing.go
+++ b/internal/runner/listing.go
@@ -83,17 +83,22 @@
 
 // noteFirstListing records until when a call for an earlier incarnation with this id could give
 // the runner a lease: until its first answer. A runner that this process finds may have restarted
-// after a call of an earlier process, which may have arrived until maxCallDelay after the restart.
-// The caller holds c.mu.
+// after a call of an earlier process, which may have arrived until maxCallDelay after the restart,
+// and one that has an id of before may have done so while another runner was there. The caller
+// holds c.mu.
 func (c *Controller) noteFirstListing(l Listing) {
 	now := bootclock.Now()
 	switch {
-	case c.restartedAt != 0:
+	case c.restartedAt != 0 || c.knownIDs[c.info.ID]:
 		c.lateCallsUntil = now
 	case c.incarnations == 1 && l.Clock < ClockTime((maxCallDelay+c.longestLease()).Milliseconds()):
 		age := time.Duration(l.Clock) * time.Millisecond
 		c.lateCallsUntil = now.Add(-max(0, age-maxCallDelay))
 	}
+	if c.knownIDs == nil {
+		c.knownIDs = make(map[string]bool)
+	}
+	c.knownIDs[c.info.ID] = true
 }
 
 // noteCompleteness records whether the listing lacks ended runs, and reports whether it is
--- a/internal/runner/returnedid_test.go
+++ b/internal/runner/returnedid_test.go
@@ -12,14 +12,19 @@
 // Guards against an agent that counts such a lease only if both lives follow each other: it
 // would take the runs for ended, or not tell the leader how long they may go on.
 func TestReturnToAnEarlierIDReportsAStrayLease(t *testing.T) {
-	c := newReadyController(&fakeAPI{})
-	c.startedAt = bootclock.Now().Add(-time.Minute)
-	for i, id := range []string{"s", "r"} {
-		born := int64(2 + i)
-		c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: id, StartedUnixMs: born}}, 1)
-		c.mergeListing(id, Listing{StartedUnixMs: born, Clock: 100}, bootclock.Now())
+	c := &Controller{API: &fakeAPI{}, MaxLease: 10 * time.Second, startedAt: bootclock.Now().Add(-time.Minute)}
+	answer := func(id string, born int64, clock ClockTime) {
+		c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: id, StartedUnixMs: born}}, clock)
+		c.mergeListing(id, Listing{StartedUnixMs: born, Clock: clock}, bootclock.Now())
 	}
+	answer("r", 1, 60_000)
+	answer("s", 2, 100)
 	report, _ := c.Report()
+	if got := report.GetRunner().GetStrayLeaseMs(); got != 0 {
+		t.Errorf("stray lease of a runner with a new id: got %d ms, want none", got)
+	}
+	answer("r", 3, 100)
+	report, _ = c.Report()
 	if got, want := report.GetRunner().GetId(), "r"; got != want {
 		t.Fatalf("runner: got %q, want %q", got, want)
 	}
