Acknowledge the recorded ends of a runner once

Cause: each poll repeated the number up to which ends are recorded. A runner that restarts under its id counts its ends anew, so the first such poll that reaches the next life, because the restart is not noticed yet or because the poll is late, lets it forget ends that nobody has seen: tasks that are done run again. Change: an acknowledgement is repeated until a poll with it is answered, and then no more. A late poll that has one can still do that; the window is smaller, not closed.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -100,6 +100,7 @@
 	ended             []unrecordedEnd // ordered by number
 	rejections        []Rejection
 	recordedEnd       uint64            // ended runs up to this number are durably recorded
+	acknowledgements  acknowledgements  // of ended runs, in polls
 	grantedUntil      bootclock.Instant // when the scheduler's permission to run tasks ends
 	runnerClock       ClockTime         // last reading of the runner's clock
 	clockReadAt       bootclock.Instant // when runnerClock was received
@@ -176,6 +177,7 @@
 			c.handlePollError(ctx, call.Runner, err)
 			continue
 		}
+		c.noteAcknowledged(call)
 		if c.mergeListing(call.Runner, listing, sent) {
 			c.notifyChange()
 		}
@@ -241,7 +243,7 @@
 	c.pollCurrent = false
 	call = PollCall{Runner: c.info.ID, Wait: pollWait}
 	if !c.outOfTouch(now) { // the next incarnation counts its ended runs anew
-		call.Recorded = c.recordedEnd
+		call.Recorded = c.nextAcknowledgement()
 	}
 	if latencyCritical, bestEffort := c.activeTasks(); len(latencyCritical) > 0 && len(bestEffort) > 0 {
 		call.Wait = protectedPollWait
