--- a/internal/runner/candidatestate_test.go
+++ b/internal/runner/candidatestate_test.go
@@ -31,7 +31,7 @@
 func TestDeregisteredCandidateDrains(t *testing.T) {
 	c, _ := newBusyController()
 	announceOther(c, 7, false)
-	c.MarkDraining("other")
+	c.HandleDeregistration(Incarnation{ID: "other"})
 	if !answerOther(t, c, 9) {
 		t.Error("after the deregistration: got a runner that takes tasks, want a draining one")
 	}
@@ -41,7 +41,7 @@
 func TestDeregisteredCandidateDrainsAfterAHeartbeat(t *testing.T) {
 	c, _ := newBusyController()
 	announceOther(c, 7, false)
-	c.MarkDraining("other")
+	c.HandleDeregistration(Incarnation{ID: "other"})
 	announceOther(c, 8, false)
 	if !answerOther(t, c, 9) {
 		t.Error("after the deregistration and a heartbeat: got a runner that takes tasks, want a draining one")
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -160,15 +160,21 @@
 	c.ended, c.recordedEnd, c.runnerClock, c.leaseUntil, c.leaseSent = nil, 0, 0, 0, false
 }
 
-// MarkDraining marks the runner as draining after it has deregistered, as it does before it ends.
-func (c *Controller) MarkDraining(id string) {
+// HandleDeregistration marks the runner as draining after it has deregistered, as it does before it
+// ends. A start of 0 is of any incarnation under the id.
+func (c *Controller) HandleDeregistration(incarnation Incarnation) {
 	c.mu.Lock()
 	for _, info := range []*Info{c.info, c.candidate} {
-		if info != nil && info.ID == id {
+		if info != nil && info.mayBe(incarnation) {
 			info.Draining = true
 		}
 	}
-	c.noteDeregistration(id)
+	c.noteDeregistration(incarnation)
 	c.mu.Unlock()
 	c.notifyChange()
 }
+
+// mayBe reports whether the runner is of the given incarnation, as far as both starts are known.
+func (i *Info) mayBe(other Incarnation) bool {
+	return i.ID == other.ID && (i.StartedUnixMs == other.StartedUnixMs || i.StartedUnixMs == 0 || other.StartedUnixMs == 0)
+}
--- a/internal/runner/succession.go
+++ b/internal/runner/succession.go
@@ -73,8 +73,8 @@
 }
 
 // noteDeregistration records that the current runner has said that it ends. The caller holds c.mu.
-func (c *Controller) noteDeregistration(id string) {
-	if c.info != nil && c.info.ID == id {
+func (c *Controller) noteDeregistration(incarnation Incarnation) {
+	if c.info != nil && c.info.mayBe(incarnation) {
 		c.deregistered = true
 		c.noteEnd()
 	}
--- a/internal/runner/succession_test.go
+++ b/internal/runner/succession_test.go
@@ -55,7 +55,7 @@
 			c.handlePollError(t.Context(), "r", resetByRunner())
 			c.endSeenAt, c.heardAt = c.endSeenAt.Add(-time.Second), c.heardAt.Add(-time.Second)
 		},
-		"drains, has just deregistered": func(c *Controller) { c.info.Draining = true; c.MarkDraining("r") },
+		"drains, has just deregistered": func(c *Controller) { c.info.Draining = true; c.HandleDeregistration(Incarnation{ID: "r"}) },
 		"announces itself after its connections have ended": func(c *Controller) {
 			crash(c)
 			c.HandleAnnouncement(Info{Incarnation: c.info.Incarnation, Sequence: 2}, c.runnerClock+ClockTime(goneAfter.Milliseconds()))
@@ -92,7 +92,7 @@
 		},
 		"has deregistered": func(c *Controller) {
 			c.info.Draining = true
-			c.MarkDraining("r")
+			c.HandleDeregistration(Incarnation{ID: "r"})
 			c.endSeenAt, c.heardAt = c.endSeenAt.Add(-2*goneAfter), c.heardAt.Add(-2*goneAfter)
 		},
 		"has no lease left": func(c *Controller) {
