--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -247,6 +247,7 @@
 		}
 		if h.machine != nil {
 			h.runner().Set(taskrunner.Fault{})
+			h.machine.endOverlaps()
 		}
 		h.process.Signal(syscall.SIGCONT)
 	}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -27,7 +27,8 @@
 
 	mu     sync.Mutex // guards the fields below
 	runner *taskrunner.Runner
-	lives  int // runners so far
+	lives  int      // runners so far
+	leaves []func() // let runners leave that work on beside their successors; without effect once they have
 }
 
 // runner returns the runner of the host that has started last.
--- a/internal/soak/runnerfaults.go
+++ b/internal/soak/runnerfaults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"sync"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/pause"
@@ -61,7 +62,7 @@
 	return func(r *Run, h *host) {
 		previous := h.runner()
 		n := h.startSuccessor(how)
-		time.AfterFunc(minOverlap+time.Duration(n%overlaps)*overlapStep, func() {
+		leave := sync.OnceFunc(func() {
 			r.recordDrainOf(h, previous)
 			previous.Deregister(h.machine.agents[0])
 			previous.Crash() // what runs on it ends with it
@@ -69,6 +70,20 @@
 				h.machine.address.Assign(h.runner(), true)
 			}
 		})
+		h.machine.mu.Lock()
+		h.machine.leaves = append(h.machine.leaves, leave)
+		h.machine.mu.Unlock()
+		time.AfterFunc(minOverlap+time.Duration(n%overlaps)*overlapStep, leave)
+	}
+}
+
+// endOverlaps lets the runners leave that work on beside their successors.
+func (m *machine) endOverlaps() {
+	m.mu.Lock()
+	leaves := m.leaves
+	m.mu.Unlock()
+	for _, leave := range leaves {
+		leave()
 	}
 }
 
