--- a/internal/soak/catalog.go
+++ b/internal/soak/catalog.go
@@ -31,5 +31,5 @@
 	if c != MachineFaults {
 		return jobTemplates
 	}
-	return append(slices.Clone(jobTemplates), jobTemplate{"runs", 2, callers.Job{Spec: longSpec, Steps: []callers.Step{{Tasks: 4}}}})
+	return append(slices.Clone(jobTemplates), jobTemplate{"runs", 1, callers.Job{Spec: longSpec, Steps: []callers.Step{{Tasks: 2}}}})
 }
