--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,7 +3,7 @@
 // passes it submissions, cancellations, worker reports and the operators' state,
 // collects its orders, and writes its records to the store.
 //
-// Start reading at scheduler.go (tables), then submit.go, session.go, report.go, tick.go,
+// Start reading at scheduler.go (tables), then submit.go, session.go, report.go, ends.go, tick.go,
 // backlog.go, place.go and records.go.
 package scheduler
 
