--- a/internal/relay/inode.go
+++ b/internal/relay/inode.go
@@ -8,8 +8,8 @@
 )
 
 // SocketInode asks the kernel for the inode of the socket that has connected from one address
-// to the other. Its table in /proc
-// is long where many connections have just been closed.
+// to the other. The table of sockets in /proc is long where many connections have just been
+// closed, so it is not read.
 func SocketInode(from, to netip.AddrPort) (uint32, error) {
 	const (
 		byFamily      = 20 // SOCK_DIAG_BY_FAMILY
--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -81,11 +81,11 @@
 	MaxLease  time.Duration // upper limit of the duration of a lease
 	OnChange  func()        // called without locks after a change that the scheduler must receive promptly
 
-	mu          sync.Mutex
-	info        *Info             // last runner that has answered a call; nil before the first one
-	candidate   *Info             // has announced itself under another id and has not answered yet; nil if there is none
-	announcedAt bootclock.Instant // when the candidate last announced itself
-	succession
+	mu                sync.Mutex
+	info              *Info             // last runner that has answered a call; nil before the first one
+	candidate         *Info             // has announced itself under another id and has not answered yet; nil if there is none
+	announcedAt       bootclock.Instant // when the candidate last announced itself
+	succession                          // of the current runner by the candidate
 	pollCurrent       bool              // the last poll of the candidate has failed, so the next one is for the current runner
 	ordinal           FencingToken      // counts the incarnations and the ends of all leases; later calls have a higher one
 	incarnations      int               // number of incarnations seen by this process
--- a/internal/soak/throttle.go
+++ b/internal/soak/throttle.go
@@ -24,7 +24,7 @@
 	maxDebt = time.Duration(maxStall / sharePeriod)
 )
 
-// stop stops the process until continueProcess was called as often.
+// stopProcess stops the process until continueProcess was called as often.
 func (h *host) stopProcess() {
 	h.hostFaults.mu.Lock()
 	defer h.hostFaults.mu.Unlock()
