--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -16,9 +16,13 @@
 // first.
 const lifeSeparator = "."
 
+// machineHeartbeatInterval is the interval of the heartbeats of runners on real machines.
+const machineHeartbeatInterval = 1100 * time.Millisecond
+
 // machine is the machine of an agent, on which runners take turns.
 type machine struct {
 	index    int
+	interval time.Duration // of heartbeats; 0 for that of the stand-in
 	recorder *taskrunner.Recorder
 	context  context.Context // until the end of the run
 	address  *taskrunner.Address
@@ -47,6 +51,9 @@
 func (f *fleet) startRunner(ctx context.Context, r *Run, n int) error {
 	h := f.agents[n]
 	h.machine = &machine{index: n, recorder: f.runRecorder, context: ctx}
+	if r.Catalog == MachineFaults {
+		h.machine.interval = machineHeartbeatInterval
+	}
 	callsOthers := r.Catalog == MachineFaults && slices.Contains(kindsWithOtherAgents, r.Only)
 	for i := range f.agents {
 		if i == 0 || callsOthers {
@@ -80,6 +87,7 @@
 		ID: id, Service: service, Domain: h.domain, Labels: []string{"a", fmt.Sprint("rack-", m.index/2)},
 		Cores: runnerCores, MemoryMb: 64_000, Recorder: m.recorder, MaxLease: 10 * time.Second, StopDelay: 20 * time.Millisecond,
 		IgnoreCapacity: true, ClockRate: 1 - 0.005*float64(m.index%5), Work: workOf,
+		HeartbeatInterval: m.interval,
 	})
 	return m.runner
 }
--- a/internal/standin/taskrunner/heartbeat.go
+++ b/internal/standin/taskrunner/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -9,7 +10,7 @@
 )
 
 const (
-	// heartbeatInterval is the interval of heartbeats.
+	// heartbeatInterval is the interval of heartbeats unless the settings give another one.
 	heartbeatInterval = 100 * time.Millisecond
 	// heartbeatTimeout is the time within which a heartbeat must be acknowledged.
 	heartbeatTimeout = time.Second
@@ -43,7 +44,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(heartbeatInterval):
+		case <-time.After(cmp.Or(r.HeartbeatInterval, heartbeatInterval)):
 		}
 	}
 }
--- a/internal/standin/taskrunner/runner.go
+++ b/internal/standin/taskrunner/runner.go
@@ -34,6 +34,8 @@
 	IgnoreCapacity bool
 	// ClockRate is the speed of the runner's clock relative to real time; 0 means 1.
 	ClockRate float64
+	// HeartbeatInterval is the interval of heartbeats; 0 means a short one.
+	HeartbeatInterval time.Duration
 }
 
 // run is a run that has not ended.
