Let only the first successor show by its start that a runner has crashed

cause: a successor that has started after the end of its predecessor's connections was taken for a sign that the predecessor has crashed, as whoever takes the address over from one that works has started before.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -264,6 +264,7 @@
 	c.mu.Lock()
 	if Is(err, WrongIncarnation) && c.candidate != nil && c.candidate.ID == id {
 		klog.InfoS("runner that has announced itself is not there", "runner", id, "born", c.candidate.StartedUnixMs)
+		c.otherSuccessor = c.otherSuccessor || c.candidateAnswered
 		c.candidate, c.candidateAnswered = nil, false
 		c.mu.Unlock()
 		return
--- a/internal/runner/gone_test.go
+++ b/internal/runner/gone_test.go
@@ -106,3 +106,22 @@
 		t.Errorf("runner after the answer of another one: got %s, want r", got)
 	}
 }
+
+// Guards against a second successor that counts as a sign that the runner has crashed, as it has
+// started after the end of the connections: the first one has taken the address over.
+func TestSecondSuccessorDoesNotShowThatARunnerHasCrashed(t *testing.T) {
+	for name, leave := range map[string]func(*Controller){
+		"replaced":  func(*Controller) {},
+		"not there": func(c *Controller) { rejectPoll(t, c, "first") },
+	} {
+		c, _ := newBusyController()
+		c.handlePollError(t.Context(), "r", resetByRunner())
+		c.HandleAnnouncement(Info{Incarnation: Incarnation{ID: "first", StartedUnixMs: 8}, Sequence: 1}, startedBefore)
+		c.mergeListing("first", Listing{StartedUnixMs: 8, Clock: startedBefore}, bootclock.Now())
+		leave(c)
+		c.endSeenAt, c.heardAt = c.endSeenAt.Add(-time.Second), c.heardAt.Add(-time.Second)
+		if id, runs := answerSuccessor(c, justStarted); id != "r" || runs != 1 {
+			t.Errorf("first successor is %s: got runner %s with %d runs, want r with its run", name, id, runs)
+		}
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -74,6 +74,7 @@
 	if old := c.candidate; old != nil && old.Incarnation == info.Incarnation {
 		info.Draining = info.Draining || old.Draining // as in update
 	} else {
+		c.otherSuccessor = c.otherSuccessor || old != nil
 		c.candidateAnswered = false
 		klog.InfoS("another runner announces itself", "runner", info.ID, "address", info.Address, "born", info.StartedUnixMs, "sequence", info.Sequence, "draining", info.Draining)
 	}
@@ -148,7 +149,7 @@
 	c.listed, c.unresponsive = false, false
 	c.truncated, c.complete = false, false
 	c.restartedAt, c.lateCallsUntil = 0, 0
-	c.endSeenAt, c.heardAt, c.deregistered = 0, 0, false
+	c.endSeenAt, c.heardAt, c.deregistered, c.otherSuccessor = 0, 0, false, false
 	if sameID {
 		c.restartedAt = bootclock.Now()
 		for _, r := range c.runs {
--- a/internal/runner/succession.go
+++ b/internal/runner/succession.go
@@ -42,6 +42,7 @@
 	stalledAt         bootclock.Instant // when it last noticed that it had not run for a while
 	heardAt           bootclock.Instant // when the current runner last announced itself here
 	candidateStart    bootclock.Instant // the candidate that has answered has not started before
+	otherSuccessor    bool              // a runner before the candidate may have taken the address over from the current one
 	deregistered      bool              // the current runner has said that it ends
 	predecessorEnded  string            // id of the runner before the current one; empty if this process has known none
 }
@@ -127,12 +128,13 @@
 // mayHoldRuns reports whether runs of the current runner may go on when another one answers at
 // its address. A runner that does not drain does not go on after its connections have ended, and
 // one that drains does not go on after it has deregistered. Whoever takes the address over from a
-// runner that works has started before that one's connections end. Of a runner that has announced
+// runner that works has started before that one's connections end; of several successors only the
+// first can have done so. Of a runner that has announced
 // itself elsewhere this process knows neither whether it drains nor whether it goes on. The caller
 // holds c.mu.
 func (c *Controller) mayHoldRuns(now bootclock.Instant) bool {
 	knownEmpty := c.listed && len(c.runs) == 0 // lists of runs are never cut, only those of ends
-	startedLater := c.candidate != nil && c.candidateStart.After(c.endSeenAt)
+	startedLater := c.candidate != nil && !c.otherSuccessor && c.candidateStart.After(c.endSeenAt)
 	announcesHere := c.heardAt.Sub(c.stalledAt) > maxWatchGap && c.endSeenAt.Sub(c.heardAt) <= goneAfter
 	ended := c.endSeenAt != 0 && announcesHere
 	silent := now.Sub(c.endSeenAt) > goneAfter
