--- a/internal/onerun/leader_test.go
+++ b/internal/onerun/leader_test.go
@@ -37,6 +37,10 @@
 		return false
 	}
 	for _, record := range list {
+		if record.Value == nil {
+			delete(r.items, record.Key)
+			continue
+		}
 		r.items[record.Key] = record.Value
 	}
 	return true
