--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -182,7 +182,7 @@
 	}{
 		{
 			"an end is acknowledged before it is durable, and forgotten",
-			sourceEdit{"internal/scheduler/report.go", "	s.markDirty(t.job)\n	if t.step.tasksLeft == 0 {", "	if t.step.tasksLeft == 0 {"},
+			sourceEdit{"internal/scheduler/ends.go", "	s.markDirty(t.job)\n	if t.step.tasksLeft == 0 {", "	if t.step.tasksLeft == 0 {"},
 			"killAll", "a task runs once at a time and not after its end",
 		},
 		{
