--- /dev/null
+++ b/review/.driver2/cases.go
@@ -0,0 +1,517 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"wasabihill.example/wasabihill/internal/standin/metastore"
+)
+
+var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised}
+
+func jobID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
+
+// serveAdvice serves the advice service: of the workers named, two thirds may run a step.
+func (w *world) serveAdvice(valid time.Duration) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.advice = listener.Addr().String()
+	var turn sync.Mutex
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/advise", func(rw http.ResponseWriter, q *http.Request) {
+		var in struct {
+			Step    string   `json:"step"`
+			Workers []string `json:"workers"`
+		}
+		if json.NewDecoder(q.Body).Decode(&in) != nil {
+			rw.WriteHeader(400)
+			return
+		}
+		turn.Lock()
+		time.Sleep(20*time.Millisecond + time.Duration(len(in.Workers))*2*time.Millisecond)
+		turn.Unlock()
+		good := [][]string{}
+		for _, r := range w.runners {
+			r.mu.Lock()
+			for _, id := range in.Workers {
+				if id == r.id && r.up && (w.allGood || (len(in.Step)+int(id[len(id)-3]))%3 != 0) {
+					t := fmt.Sprintf("t-%x-%s", time.Now().UnixNano(), id)
+					w.mu.Lock()
+					w.tickets[t] = ticket{runner: id + " " + in.Step, born: r.born, until: time.Now().Add(valid)}
+					w.mu.Unlock()
+					good = append(good, []string{id, t})
+				}
+			}
+			r.mu.Unlock()
+		}
+		w.record("advice %s for %d workers: %v", in.Step, len(in.Workers), good)
+		reply(rw, 200, map[string]any{"good": good, "validMs": valid.Milliseconds()})
+	})
+	go http.Serve(listener, mux)
+	return nil
+}
+
+func randomJob(rng *rand.Rand) *job {
+	j := &job{id: jobID(rng), queue: "/runs/"}
+	work := 100 + rng.Intn(1500)
+	gang := rng.Intn(2) == 0
+	spec := fmt.Sprintf("work=%d", work)
+	if rng.Intn(6) == 0 {
+		spec += ",fail=1"
+	}
+	if rng.Intn(15) == 0 {
+		spec += ",hopeless=1"
+	}
+	steps := 1 + rng.Intn(3)
+	for i := range steps {
+		st := step{Count: 1 + rng.Intn(5), CPU: int64(500 + rng.Intn(6000)), MemMb: int64(500 + rng.Intn(4000)), EstimateMs: int64(work), Gang: gang && rng.Intn(3) > 0, Checkpointing: rng.Intn(2) == 0}
+		if i > 0 {
+			st.After = []int{i - 1}
+		}
+		if rng.Intn(4) == 0 {
+			st.Requirements = []string{"a", "b"}[rng.Intn(2)]
+		}
+		if rng.Intn(4) == 0 {
+			st.AntiAffinity = 2
+			if st.Gang {
+				st.Requirements = ""
+			}
+		}
+		if rng.Intn(4) == 0 {
+			st.SameRack = true
+		}
+		j.body.Steps = append(j.body.Steps, st)
+	}
+	if rng.Intn(4) == 0 {
+		j.body.Repetitions, j.body.FirstMs, j.body.IntervalMs = 2+rng.Intn(6), time.Now().UnixMilli()+int64(rng.Intn(4000)), int64(300+rng.Intn(3000))
+	} else if rng.Intn(8) == 0 {
+		j.body.Steps = []step{{Count: 2 + rng.Intn(4), CPU: 3000, MemMb: 4000, EstimateMs: 500, LongRunning: true, AntiAffinity: rng.Intn(3)}}
+	}
+	if rng.Intn(4) == 0 {
+		j.queue = "/advised/"
+	}
+	j.body.Spec = spec + fmt.Sprintf(",n=%d", rng.Intn(1000000))
+	return j
+}
+
+// mix plays random jobs with random disruptions. It is for looking around, not a case.
+func mix(w *world, program string, trouble bool) error {
+	if err := w.serveAdvice(3 * time.Second); err != nil {
+		return err
+	}
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, []route{{"runs", "/runs/", 1, maxAttempts, nil}, {"advised", "/advised/", 1, maxAttempts, map[string]int{"decideMs": 20, "eachMs": 2, "validMs": 3000}}})
+	time.Sleep(4 * time.Second)
+	rng := rand.New(rand.NewSource(w.rng.Int63()))
+	end := time.Now().Add(45 * time.Second)
+	var wait sync.WaitGroup
+	go func() {
+		for trouble && time.Now().Before(end.Add(-3*time.Second)) {
+			time.Sleep(time.Duration(500+rng.Intn(3000)) * time.Millisecond)
+			w.disrupt(rng)
+		}
+	}()
+	jrng := rand.New(rand.NewSource(w.rng.Int63()))
+	var jobs []*job
+	for time.Now().Before(end) {
+		j := randomJob(jrng)
+		cancelAfter := time.Duration(-1)
+		if jrng.Intn(6) == 0 || j.body.Steps[0].LongRunning {
+			cancelAfter = time.Duration(jrng.Intn(12000)) * time.Millisecond
+		}
+		jobs = append(jobs, j)
+		wait.Go(func() {
+			if !w.submit(j, 5) {
+				return
+			}
+			if cancelAfter >= 0 {
+				time.Sleep(cancelAfter)
+				w.cancel(j, 8)
+			}
+		})
+		time.Sleep(time.Duration(100+jrng.Intn(300)) * time.Millisecond)
+	}
+	wait.Wait()
+	for _, r := range w.runners {
+		r.start(true)
+	}
+	deadline := time.Now().Add(34 * time.Second)
+	for time.Now().Before(deadline) {
+		left := 0
+		for _, j := range jobs {
+			if j.accepted.IsZero() || j.state == "completed" || j.state == "failed" || j.state == "cancelled" {
+				continue
+			}
+			status, state := w.state(j, 3)
+			j.state = state
+			if status == 410 {
+				w.mu.Lock()
+				w.fail("LOST: %s is not known", j.id)
+				w.mu.Unlock()
+				j.state = "failed"
+			}
+			if state != "completed" && state != "failed" && state != "cancelled" {
+				left++
+			}
+		}
+		if left == 0 {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range jobs {
+		if j.accepted.IsZero() {
+			all := true
+			for _, s := range j.attempts {
+				all = all && (s == 429 || s == 503 || s == 404 || s == 400)
+			}
+			for task := range w.tasks {
+				if all && strings.HasPrefix(task, j.id) {
+					w.fail("REFUSED: %s ran, attempts %v", task, j.attempts)
+				}
+			}
+			continue
+		}
+		hopeless := strings.Contains(j.body.Spec, "hopeless")
+		switch {
+		case j.state == "failed" && !hopeless:
+			w.fail("LOST: %s is shown as failed", j.id)
+		case j.state == "cancelled" && j.cancelAcked.IsZero():
+			w.fail("LOST: %s is shown as cancelled", j.id)
+		case j.state == "completed":
+			for k := range max(1, j.body.Repetitions) {
+				for n, st := range j.body.Steps {
+					for i := range st.Count {
+						task := fmt.Sprintf("%s.%d.%d.%d", j.id, k, n, i)
+						if !w.taskState(task).done {
+							w.fail("MIXED: %s is shown as completed and %s has not ended so", j.id, task)
+						}
+					}
+				}
+			}
+		case j.state != "cancelled" && j.state != "failed":
+			w.fail("LOST: %s is %q at the end: %+v", j.id, j.state, j.body)
+		}
+		if !j.cancelAcked.IsZero() {
+			for task, t := range w.tasks {
+				if strings.HasPrefix(task, j.id) && len(t.running) > 0 {
+					w.fail("UNASKED: %s runs on after its cancel", task)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// disrupt applies one random disruption.
+func (w *world) disrupt(rng *rand.Rand) {
+	pause := time.Duration(500+rng.Intn(3500)) * time.Millisecond
+	e := w.entries[rng.Intn(len(w.entries))]
+	n := rng.Intn(len(w.agents))
+	a, r := w.agents[n], w.runners[n]
+	switch k := rng.Intn(13); k {
+	case 0, 1:
+		w.record("disrupt: kill %s for %v", e.name, pause)
+		e.child.Kill()
+		time.Sleep(pause / 4)
+		_ = e.child.Start()
+	case 2:
+		w.record("disrupt: stop %s for %v", e.name, pause)
+		e.child.Signal(syscall.SIGSTOP)
+		time.Sleep(pause)
+		e.child.Signal(syscall.SIGCONT)
+	case 3:
+		w.record("disrupt: kill %s", a.name)
+		a.child.Kill()
+		time.Sleep(pause / 4)
+		_ = a.child.Start()
+	case 4, 5:
+		w.record("disrupt: crash the runner of %s", a.name)
+		r.crash()
+		time.Sleep(pause)
+		r.start(k == 4)
+	case 6:
+		w.record("disrupt: orders late at %s", a.name)
+		r.mu.Lock()
+		r.late, r.lateEach = time.Duration(2000+rng.Intn(8000))*time.Millisecond, 1+rng.Intn(3)
+		r.mu.Unlock()
+		time.Sleep(pause)
+		r.mu.Lock()
+		r.late = 0
+		r.mu.Unlock()
+	case 7:
+		w.record("disrupt: kill all entries")
+		for _, e := range w.entries {
+			e.child.Kill()
+		}
+		time.Sleep(pause / 4)
+		for _, e := range w.entries {
+			_ = e.child.Start()
+		}
+	case 9:
+		w.record("disrupt: stop %s for %v", a.name, pause)
+		a.child.Signal(syscall.SIGSTOP)
+		time.Sleep(pause)
+		a.child.Signal(syscall.SIGCONT)
+	case 10:
+		w.record("disrupt: no answers of the store for %s for %v", e.name, pause)
+		e.store.Set(metastore.Fault{NoReply: true})
+		time.Sleep(pause)
+		e.store.Set(metastore.Fault{})
+	case 11:
+		w.record("disrupt: appends without answers, late, for %v", pause)
+		for _, e := range w.entries {
+			e.store.Set(metastore.Fault{DropReply: true, OnlyAppends: true, ApplyDelay: 1500 * time.Millisecond})
+		}
+		time.Sleep(pause)
+		for _, e := range w.entries {
+			e.store.Set(metastore.Fault{})
+		}
+	case 12:
+		w.record("disrupt: kill %s and crash its runner", a.name)
+		a.child.Kill()
+		r.crash()
+		time.Sleep(pause / 4)
+		r.start(rng.Intn(2) == 0)
+		_ = a.child.Start()
+	case 8:
+		w.record("disrupt: terminate %s", e.name)
+		e.child.Terminate(6 * time.Second)
+		_ = e.child.Start()
+	}
+	w.record("disrupt: over")
+}
+
+var _ = os.Getenv
+
+// notRunning returns for how long each of the jobs has had nothing running, up to now, although a
+// task's turn has come, its service has room for it twice over and under half of the capacity is in
+// use. It samples until every job is final or the time is over.
+func (w *world) watchJobs(jobs []*job, d time.Duration) map[*job]time.Duration {
+	longest, since := map[*job]time.Duration{}, map[*job]time.Time{}
+	deadline := time.Now().Add(d)
+	for time.Now().Before(deadline) {
+		used, capacity := int64(0), int64(0)
+		room := map[int64]int{}
+		for _, r := range w.runners {
+			r.mu.Lock()
+			free := r.cpu
+			for _, x := range r.runs {
+				used += x.cpu
+				free -= x.cpu
+			}
+			capacity += r.cpu
+			for _, j := range jobs {
+				room[j.body.Steps[0].CPU] += int(free / j.body.Steps[0].CPU)
+			}
+			r.mu.Unlock()
+		}
+		w.mu.Lock()
+		for _, j := range jobs {
+			running, due := 0, 0
+			for n, st := range j.body.Steps {
+				ready := true
+				for _, dependency := range st.After {
+					for i := range j.body.Steps[dependency].Count {
+						ready = ready && w.taskState(fmt.Sprintf("%s.0.%d.%d", j.id, dependency, i)).done
+					}
+				}
+				for i := range st.Count {
+					t := w.taskState(fmt.Sprintf("%s.0.%d.%d", j.id, n, i))
+					running += len(t.running)
+					if ready && !t.done {
+						due++
+					}
+				}
+			}
+			if j.accepted.IsZero() || running > 0 || due == 0 || room[j.body.Steps[0].CPU] < 2*due*len(jobs) || used*2 >= capacity {
+				delete(since, j)
+				continue
+			}
+			if since[j].IsZero() {
+				since[j] = time.Now()
+			}
+			longest[j] = max(longest[j], time.Since(since[j]))
+		}
+		w.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return longest
+}
+
+var plainRoutes = []route{{"runs", "/runs/", 1, maxAttempts, nil}}
+
+func plainJob(rng *rand.Rand) *job {
+	return &job{id: jobID(rng), queue: "/runs/", body: jobBody{Spec: "work=300", Steps: []step{
+		{Count: 3, CPU: 500, MemMb: 500, EstimateMs: 300}, {Count: 3, CPU: 500, MemMb: 500, EstimateMs: 300, After: []int{0}}}}}
+}
+
+// backlog hands in a schedule of which many occurrences are due already.
+func backlog(w *world, program string, trouble bool) error {
+	w.limited = true
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	due := 500
+	if trouble {
+		due = 50_000
+	}
+	const interval = 1000 // a second
+	schedule := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "work=200", Repetitions: due + 30,
+		FirstMs: time.Now().UnixMilli() - int64(due*interval), IntervalMs: interval, Steps: []step{{Count: 1, CPU: 1000, MemMb: 100, EstimateMs: 200}}}}
+	if !w.submit(schedule, 5) {
+		w.record("note: the schedule is not accepted")
+	}
+	var jobs []*job
+	for range 12 {
+		j := plainJob(w.rng)
+		if w.submit(j, 5) {
+			jobs = append(jobs, j)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	w.finish(jobs, 14*time.Second, 40*time.Second)
+	return nil
+}
+
+// finish checks that the jobs end: after the given time none may have nothing running for 3 s.
+func (w *world) finish(jobs []*job, after, d time.Duration) {
+	time.Sleep(after)
+	longest := w.watchJobs(jobs, d-after)
+	for _, j := range jobs {
+		status, state := w.state(j, 5)
+		w.mu.Lock()
+		switch {
+		case status == 410 || status == 0:
+			w.fail("LOST: %s is asked for: status %d", j.id, status)
+		case longest[j] >= 3*time.Second:
+			w.fail("LOST: %s is %q and had nothing running for %v, with room for it", j.id, state, longest[j].Round(time.Millisecond))
+		}
+		w.mu.Unlock()
+	}
+}
+
+// wide hands in a job with many small tasks and a long spec that only two runners may run.
+func wide(w *world, program string, trouble bool) error {
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	spec := "work=1000,text="
+	if trouble {
+		spec += strings.Repeat("x", 4000-len(spec))
+	}
+	j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: spec, Steps: []step{{Count: 2200, CPU: 20, MemMb: 1, EstimateMs: 1000, Requirements: "b"}}}}
+	jobs := []*job{j}
+	w.submit(j, 5)
+	time.Sleep(15 * time.Second)
+	longest := w.watchJobs(jobs, 10*time.Second)
+	w.record("note: nothing running for %v", longest[j])
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if longest[j] >= 3*time.Second {
+		w.fail("LOST: %s had nothing running for %v", j.id, longest[j])
+	}
+	return nil
+}
+
+func unadvised(w *world, program string, trouble bool) error {
+	return lasting(w, program, trouble, "/runs/")
+}
+
+func advised(w *world, program string, trouble bool) error {
+	return lasting(w, program, trouble, "/advised/")
+}
+
+// lasting hands in jobs that last and lets their tasks fail at once on the only runner with their label.
+func lasting(w *world, program string, trouble bool, queue string) error {
+	w.allGood = true
+	if err := w.serveAdvice(4 * time.Second); err != nil {
+		return err
+	}
+	if err := w.open(program, 3, 10); err != nil {
+		return err
+	}
+	for i, r := range w.runners {
+		r.labels[0] = "a"
+		if i == 0 {
+			r.labels[0] = "b"
+		}
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, []route{{"runs", "/runs/", 1, maxAttempts, nil}, {"advised", "/advised/", 1, maxAttempts, map[string]int{"decideMs": 20, "eachMs": 2, "validMs": 3000}}})
+	time.Sleep(4 * time.Second)
+	var jobs []*job
+	for range 2 {
+		j := &job{id: jobID(w.rng), queue: queue, body: jobBody{Spec: "lasts=1", Steps: []step{{Count: 4, CPU: 1000, MemMb: 1000, EstimateMs: 500, LongRunning: true, Requirements: "b"}}}}
+		if w.submit(j, 5) {
+			jobs = append(jobs, j)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	if trouble {
+		w.record("disrupt: the tasks on %s fail", w.runners[0].id)
+		w.runners[0].failAll()
+	}
+	calm := time.Now()
+	w.watchLasting(jobs, calm, 20*time.Second)
+	return nil
+}
+
+// watchLasting checks that each task that lasts runs: from 6 s after its last run on it may not be
+// down for 3 s, if these and the 4 s before them are calm.
+func (w *world) watchLasting(jobs []*job, calm time.Time, d time.Duration) {
+	failed := map[string]bool{}
+	deadline := time.Now().Add(d)
+	for time.Now().Before(deadline) {
+		w.mu.Lock()
+		for _, j := range jobs {
+			for i := range j.body.Steps[0].Count {
+				task := fmt.Sprintf("%s.0.0.%d", j.id, i)
+				t := w.taskState(task)
+				last := t.lastChange
+				if last.IsZero() {
+					last = j.accepted
+				}
+				from := last.Add(6 * time.Second)
+				if start := calm.Add(4 * time.Second); start.After(from) {
+					from = start
+				}
+				if len(t.running) == 0 && !failed[task] && time.Since(from) >= 3*time.Second {
+					failed[task] = true
+					w.fail("LOST: %s is to last and doesn't run, %v after its last run and %v after the disruption", task, time.Since(last).Round(time.Millisecond), time.Since(calm).Round(time.Millisecond))
+				}
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
