--- a/review/.driver2/cases.go
+++ b/review/.driver2/cases.go
@@ -14,7 +14,7 @@
 	"wasabihill.example/wasabihill/internal/standin/metastore"
 )
 
-var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised}
+var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised, "silent": silent}
 
 func jobID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
 
@@ -517,3 +517,38 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// silent lets the open connections between the agents and their runners go silent after a burst.
+func silent(w *world, program string, trouble bool) error {
+	w.relayed = true
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	var watched []*job
+	for range 3 {
+		j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "lasts=1", Steps: []step{{Count: 4, CPU: 1000, MemMb: 1000, EstimateMs: 500, LongRunning: true}}}}
+		if w.submit(j, 5) {
+			watched = append(watched, j)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	var wait sync.WaitGroup
+	for range 4 {
+		j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "work=600", Steps: []step{{Count: 36, CPU: 500, MemMb: 500, EstimateMs: 600}}}}
+		wait.Go(func() { w.submit(j, 5) })
+	}
+	wait.Wait()
+	time.Sleep(4 * time.Second)
+	if trouble {
+		for i, r := range w.relays {
+			w.record("disrupt: %d connections of %s to its runner go silent", r.silence(), w.agents[i].name)
+		}
+	}
+	w.watchLasting(watched, time.Now(), 30*time.Second)
+	return nil
+}
--- a/review/.driver2/world.go
+++ b/review/.driver2/world.go
@@ -95,7 +95,9 @@
 	entries []*process
 	agents  []*process
 	runners []*runnerNode
-	allGood bool   // the policy of the queue with advice allows all runners
+	allGood bool     // the policy of the queue with advice allows all runners
+	relays  []*relay // to the runners, if relayed
+	relayed bool
 	limited bool   // the store rejects records above its limits
 	advice  string // address of the advice service
 	rng     *rand.Rand
@@ -226,13 +228,22 @@
 		if n%3 == 2 {
 			label = "b"
 		}
-		w.runners = append(w.runners, newRunner(w, p, p.ip+":8165", []string{label, fmt.Sprintf("r1-%d", n/3)}))
+		address := p.ip + ":8165"
+		if w.relayed {
+			address = p.ip + ":8175"
+			r, err := newRelay(p.ip+":8165", address)
+			if err != nil {
+				return err
+			}
+			w.relays = append(w.relays, r)
+		}
+		w.runners = append(w.runners, newRunner(w, p, address, []string{label, fmt.Sprintf("r1-%d", n/3)}))
 	}
 	return nil
 }
 
 // ports are those that the processes and the runners listen on, each at its own loopback address.
-var ports = []int{7720, 8161, 8165, 8166, 8167, 9464}
+var ports = []int{7720, 8161, 8165, 8166, 8167, 8175, 9464}
 
 // freeSubnet returns the first three numbers of n loopback addresses at which all ports are free.
 func freeSubnet(n int) (string, error) {
