--- a/review/.driver2/cases.go
+++ b/review/.driver2/cases.go
@@ -14,7 +14,7 @@
 	"wasabihill.example/wasabihill/internal/standin/metastore"
 )
 
-var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised, "silent": silent}
+var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised, "silent": silent, "silentstore": silentStore, "describe": describe}
 
 func jobID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
 
@@ -552,3 +552,95 @@
 	w.watchLasting(watched, time.Now(), 30*time.Second)
 	return nil
 }
+
+// silentStore lets the open connections to the store go silent. It is for looking around, not a case.
+func silentStore(w *world, program string, trouble bool) error {
+	w.storeRelayed = true
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "lasts=1", Steps: []step{{Count: 12, CPU: 1000, MemMb: 1000, EstimateMs: 500, LongRunning: true}}}}
+	w.submit(j, 5)
+	victim := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "lasts=1", Steps: []step{{Count: 2, CPU: 1000, MemMb: 1000, EstimateMs: 500, LongRunning: true}}}}
+	w.submit(victim, 5)
+	var wait sync.WaitGroup
+	for range 60 {
+		j := plainJob(w.rng)
+		wait.Go(func() { w.submit(j, 5) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	wait.Wait()
+	time.Sleep(time.Second)
+	if trouble {
+		for i, r := range w.storeRelays {
+			w.record("disrupt: %d connections of process %d to the store go silent", r.silence(), i)
+		}
+	}
+	begin := time.Now()
+	wait.Go(func() { w.cancel(victim, 20); w.record("note: cancelled after %v", time.Since(begin)) })
+	for i := range 20 {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * 700 * time.Millisecond)
+			j := plainJob(rand.New(rand.NewSource(int64(i) + 77)))
+			at := time.Now()
+			ok := w.submit(j, 5)
+			w.record("note: submitted %t at %v after %v", ok, at.Sub(begin), time.Since(at))
+		})
+	}
+	w.watchLasting([]*job{j}, begin, 25*time.Second)
+	wait.Wait()
+	return nil
+}
+
+// describe kills and restarts the agent of a runner with many runs, and cancels their jobs later.
+func describe(w *world, program string, trouble bool) error {
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	spec := "lasts=1,text="
+	spec += strings.Repeat("x", 4000-len(spec))
+	var jobs []*job
+	for range 40 {
+		j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: spec, Steps: []step{{Count: 80, CPU: 10, MemMb: 1, EstimateMs: 1000, LongRunning: true, Requirements: "b"}}}}
+		if w.submit(j, 5) {
+			jobs = append(jobs, j)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	agent, r := w.agents[2], w.runners[2]
+	w.record("note: %s runs %d tasks", r.id, len(r.runningTasks()))
+	if trouble {
+		w.record("disrupt: kill %s", agent.name)
+		agent.child.Kill()
+		time.Sleep(500 * time.Millisecond)
+		if err := agent.child.Start(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(10 * time.Second)
+	for _, j := range jobs {
+		w.cancel(j, 10)
+	}
+	time.Sleep(3*time.Second + 200*time.Millisecond + 3*time.Second)
+	for _, r := range w.runners {
+		tasks := r.runningTasks()
+		w.record("note: %s runs %d tasks at the end", r.id, len(tasks))
+		w.mu.Lock()
+		for _, task := range tasks[:min(3, len(tasks))] {
+			w.fail("UNASKED: %s runs on %s, over 6 s after the cancelling of its job was acknowledged", task, r.id)
+		}
+		w.mu.Unlock()
+	}
+	return nil
+}
--- a/review/.driver2/world.go
+++ b/review/.driver2/world.go
@@ -88,19 +88,21 @@
 }
 
 type world struct {
-	dir     string
-	log     *metastore.Log
-	file    *os.File
-	begin   time.Time
-	entries []*process
-	agents  []*process
-	runners []*runnerNode
-	allGood bool     // the policy of the queue with advice allows all runners
-	relays  []*relay // to the runners, if relayed
-	relayed bool
-	limited bool   // the store rejects records above its limits
-	advice  string // address of the advice service
-	rng     *rand.Rand
+	dir          string
+	log          *metastore.Log
+	file         *os.File
+	begin        time.Time
+	entries      []*process
+	agents       []*process
+	runners      []*runnerNode
+	allGood      bool     // the policy of the queue with advice allows all runners
+	relays       []*relay // to the runners, if relayed
+	relayed      bool
+	storeRelays  []*relay // to the store, if storeRelayed
+	storeRelayed bool
+	limited      bool   // the store rejects records above its limits
+	advice       string // address of the advice service
+	rng          *rand.Rand
 
 	mu         sync.Mutex
 	jobs       map[string]*job
@@ -214,6 +216,15 @@
 			}
 			p.storeAddress = address
 		}
+		if w.storeRelayed {
+			address := p.ip + ":8170"
+			r, err := newRelay(address, p.storeAddress)
+			if err != nil {
+				return err
+			}
+			p.storeAddress = address
+			w.storeRelays = append(w.storeRelays, r)
+		}
 		p.settings = filepath.Join(w.dir, p.name+".toml")
 		p.child = &childprocess.Process{Name: p.name, Args: []string{program, role}, Env: []string{"WASABIHILL_SETTINGS=" + p.settings}, LogPath: filepath.Join(w.dir, p.name+".log")}
 		if err := os.WriteFile(p.settings, []byte(w.settingsOf(p, true)), 0o644); err != nil {
