--- a/review/.driver2/cases.go
+++ b/review/.driver2/cases.go
@@ -113,6 +113,7 @@
 // mix plays random jobs with random disruptions. It is for looking around, not a case.
 func mix(w *world, program string, trouble bool) error {
 	times := adviceTimes{decide: 20 * time.Millisecond, each: 2 * time.Millisecond, valid: 3 * time.Second}
+	w.relayed, w.storeRelayed = true, true
 	if err := w.serveAdvice(times); err != nil {
 		return err
 	}
@@ -154,6 +155,7 @@
 		time.Sleep(time.Duration(100+jrng.Intn(300)) * time.Millisecond)
 	}
 	wait.Wait()
+	time.Sleep(4 * time.Second) // the tasks of the last cancelled jobs have to end
 	for _, r := range w.runners {
 		r.start(true)
 	}
@@ -233,7 +235,7 @@
 	e := w.entries[rng.Intn(len(w.entries))]
 	n := rng.Intn(len(w.agents))
 	a, r := w.agents[n], w.runners[n]
-	switch k := rng.Intn(13); k {
+	switch k := rng.Intn(15); k {
 	case 0, 1:
 		w.record("disrupt: kill %s for %v", e.name, pause)
 		e.child.Kill()
@@ -291,6 +293,13 @@
 		for _, e := range w.entries {
 			e.store.Set(metastore.Fault{})
 		}
+	case 13:
+		w.record("disrupt: %d connections of %s to its runner go silent", w.relays[n].silence(), a.name)
+	case 14:
+		for _, r := range w.storeRelays {
+			r.silence()
+		}
+		w.record("disrupt: the connections to the store go silent")
 	case 12:
 		w.record("disrupt: kill %s and crash its runner", a.name)
 		a.child.Kill()
