--- a/review/.driver2/cases.go
+++ b/review/.driver2/cases.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,7 +15,7 @@
 	"wasabihill.example/wasabihill/internal/standin/metastore"
 )
 
-var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised, "silent": silent, "silentstore": silentStore, "describe": describe}
+var cases = map[string]func(w *world, program string, trouble bool) error{"mix": mix, "backlog": backlog, "wide": wide, "advised": advised, "unadvised": unadvised, "silent": silent, "silentstore": silentStore, "describe": describe, "successor": successor, "gang": starvedGang}
 
 func jobID(rng *rand.Rand) string { return fmt.Sprintf("%016x", rng.Uint64()) }
 
@@ -653,3 +654,84 @@
 	}
 	return nil
 }
+
+// successor lets the next runner of a machine take over the address of one that drains, and kills
+// all processes of the system soon afterwards.
+func successor(w *world, program string, trouble bool) error {
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "work=15000", Steps: []step{{Count: 12, CPU: 4000, MemMb: 4000, EstimateMs: 15000}}}}
+	if !w.submit(j, 5) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	time.Sleep(2 * time.Second)
+	only := os.Getenv("ONLY")
+	if trouble && only != "kill" {
+		r := w.runners[0]
+		r.drain()
+		for acked := false; !acked; time.Sleep(50 * time.Millisecond) {
+			r.mu.Lock()
+			acked = !r.drainAcked.IsZero()
+			r.mu.Unlock()
+		}
+		time.Sleep(drainTime + 300*time.Millisecond)
+		w.runners = append(w.runners, r.handOver())
+		time.Sleep(time.Second)
+	}
+	if trouble && only != "successor" {
+		w.record("disrupt: all processes of the system are killed")
+		all := append(append([]*process(nil), w.entries...), w.agents...)
+		for _, p := range all {
+			p.child.Signal(syscall.SIGKILL)
+		}
+		for _, p := range all {
+			p.child.Kill()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, p := range all {
+			if err := p.child.Start(); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(20 * time.Second)
+	_, state := w.state(j, 5)
+	w.record("note: the job is %s", state)
+	return nil
+}
+
+// drainTime is drainMs.
+const drainTime = 2 * time.Second
+
+// starvedGang hands in a job that lasts and whose tasks fail, and a gang that needs the same runners.
+func starvedGang(w *world, program string, trouble bool) error {
+	if err := w.open(program, 3, 6); err != nil {
+		return err
+	}
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	w.configure(7, plainRoutes)
+	time.Sleep(4 * time.Second)
+	spec := "work=500"
+	if trouble {
+		spec += ",hopeless=1"
+	}
+	lasts := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: spec, Steps: []step{{Count: 6, CPU: 1000, MemMb: 1000, EstimateMs: 500, LongRunning: true, Requirements: "b"}}}}
+	if !w.submit(lasts, 5) {
+		return fmt.Errorf("the job that lasts was not accepted")
+	}
+	time.Sleep(2 * time.Second)
+	gang := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "work=500", Steps: []step{{Count: 4, CPU: 1000, MemMb: 1000, EstimateMs: 500, Gang: true, Requirements: "b"}}}}
+	if !w.submit(gang, 5) {
+		return fmt.Errorf("the gang was not accepted")
+	}
+	w.finish([]*job{gang}, 14*time.Second, 60*time.Second)
+	return nil
+}
--- a/review/.driver2/runner.go
+++ b/review/.driver2/runner.go
@@ -71,25 +71,27 @@
 	mem     int64
 	slow    float64 // rate of its clock
 
-	mu       sync.Mutex
-	id       string
-	lives    int
-	born     time.Time
-	up       bool
-	draining bool
-	token    uint64
-	lease    time.Time
-	runs     map[string]*taskRun
-	highest  map[string]int64
-	ends     []endRow
-	lastEnd  uint64
-	seq      int64
-	changed  chan struct{}
-	server   *http.Server
-	late     time.Duration // orders get no answer and are carried out so much later
-	lateEach int           // every so many orders
-	orders   int
-	failing  bool // all that it starts fails
+	mu         sync.Mutex
+	id         string
+	lives      int
+	born       time.Time
+	up         bool
+	draining   bool
+	drainAcked time.Time
+	hidden     bool // another runner has its address; it works on and says nothing any more
+	token      uint64
+	lease      time.Time
+	runs       map[string]*taskRun
+	highest    map[string]int64
+	ends       []endRow
+	lastEnd    uint64
+	seq        int64
+	changed    chan struct{}
+	server     *http.Server
+	late       time.Duration // orders get no answer and are carried out so much later
+	lateEach   int           // every so many orders
+	orders     int
+	failing    bool // all that it starts fails
 }
 
 func newRunner(w *world, agent *process, address string, labels []string) *runnerNode {
@@ -169,7 +171,7 @@
 	defer client.CloseIdleConnections()
 	for {
 		r.mu.Lock()
-		if !r.up || r.born != born {
+		if !r.up || r.born != born || r.hidden {
 			r.mu.Unlock()
 			return
 		}
@@ -178,12 +180,22 @@
 		if r.draining {
 			state = "draining"
 		}
-		body, _ := json.Marshal(map[string]any{"service": serviceName, "address": r.address, "zone": r.agent.zone, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
-			"capacity": map[string]any{"cpu": r.cpu, "memMb": r.mem, "gpu": 0}, "labels": r.labels, "clockMs": r.clock(), "seq": r.seq, "born": born.UnixMilli()})
+		message := map[string]any{"service": serviceName, "address": r.address, "zone": r.agent.zone, "version": "v1", "slots": 8, "state": state, "coldMs": 0,
+			"capacity": map[string]any{"cpu": r.cpu, "memMb": r.mem, "gpu": 0}, "labels": r.labels, "clockMs": r.clock(), "seq": r.seq, "born": born.UnixMilli()}
+		if r.draining {
+			message["remainingMs"] = 1000
+		}
+		body, _ := json.Marshal(message)
 		url := "http://" + r.agent.ip + ":8166/api/instances/" + r.id + "/heartbeat"
 		r.mu.Unlock()
 		if response, err := client.Post(url, "application/json", strings.NewReader(string(body))); err == nil {
 			response.Body.Close()
+			r.mu.Lock()
+			if state == "draining" && response.StatusCode/100 == 2 && r.drainAcked.IsZero() {
+				r.drainAcked = time.Now()
+				r.w.record("runner %s: draining is acknowledged", r.id)
+			}
+			r.mu.Unlock()
 		}
 		time.Sleep(1100 * time.Millisecond)
 	}
@@ -489,3 +501,25 @@
 		r.end(x, "failed")
 	}
 }
+
+// drain lets the runner report that it leaves.
+func (r *runnerNode) drain() {
+	r.mu.Lock()
+	r.draining = true
+	r.w.record("runner %s drains with %d runs", r.id, len(r.runs))
+	r.mu.Unlock()
+}
+
+// handOver lets the next runner of the machine take the address, while this one works on until its
+// runs have ended.
+func (r *runnerNode) handOver() *runnerNode {
+	r.mu.Lock()
+	r.hidden = true
+	r.server.Close()
+	r.w.record("runner %s gives its address to the next one and works on with %d runs", r.id, len(r.runs))
+	next := newRunner(r.w, r.agent, r.address, r.labels)
+	next.lives = r.lives
+	r.mu.Unlock()
+	next.start(false)
+	return next
+}
