--- a/review/.driver2/cases.go
+++ b/review/.driver2/cases.go
@@ -658,7 +658,7 @@
 // successor lets the next runner of a machine take over the address of one that drains, and kills
 // all processes of the system soon afterwards.
 func successor(w *world, program string, trouble bool) error {
-	if err := w.open(program, 3, 6); err != nil {
+	if err := w.open(program, 3, successorAgents); err != nil {
 		return err
 	}
 	if err := w.startAll(); err != nil {
@@ -666,7 +666,7 @@
 	}
 	w.configure(7, plainRoutes)
 	time.Sleep(4 * time.Second)
-	j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "work=15000", Steps: []step{{Count: 12, CPU: 4000, MemMb: 4000, EstimateMs: 15000}}}}
+	j := &job{id: jobID(w.rng), queue: "/runs/", body: jobBody{Spec: "work=15000", Steps: []step{{Count: 2 * successorAgents, CPU: 4000, MemMb: 4000, EstimateMs: 15000}}}}
 	if !w.submit(j, 5) {
 		return fmt.Errorf("the job was not accepted")
 	}
@@ -693,7 +693,7 @@
 		for _, p := range all {
 			p.child.Kill()
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(killedFor)
 		for _, p := range all {
 			if err := p.child.Start(); err != nil {
 				return err
@@ -706,6 +706,12 @@
 	return nil
 }
 
+// successorAgents is such that one runner of them is within the site's share for scale_in, 0.065.
+const successorAgents = 16
+
+// killedFor is how long all processes are down, as in the site's kill_all.
+const killedFor = time.Second
+
 // drainTime is drainMs.
 const drainTime = 2 * time.Second
 
@@ -719,6 +725,14 @@
 	}
 	w.configure(7, plainRoutes)
 	time.Sleep(4 * time.Second)
+	// The failing job is one of 22, within the site's share for poison, 0.05.
+	for range 20 {
+		if !w.submit(plainJob(w.rng), 5) {
+			return fmt.Errorf("a plain job was not accepted")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
 	spec := "work=500"
 	if trouble {
 		spec += ",hopeless=1"
