Stand-in of the store: limits of records, calls and pages

The stand-in took records and calls of any size, so no test could show one that the platform's store rejects.

--- a/internal/standin/metastore/log.go
+++ b/internal/standin/metastore/log.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"sync"
 )
@@ -47,8 +48,21 @@
 
 func (t *topic) end() uint64 { return t.first + uint64(len(t.records)) }
 
+// Limits are the largest records and calls that the store accepts. They must be set before the
+// first call.
+type Limits struct {
+	RecordBytes int // of a record, with its key
+	CallBytes   int // of all records of a call, with the bytes that frame them
+	Status      int // HTTP status of a call that exceeds a limit
+}
+
+// defaultLimits are those of the platform's store. The status is not documented there.
+var defaultLimits = Limits{RecordBytes: 256 << 10, CallBytes: 2 << 20, Status: http.StatusBadRequest}
+
 // Log is the content of the store. It is safe for concurrent use.
 type Log struct {
+	Limits Limits
+
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{} // closed and replaced at each append
@@ -56,7 +70,7 @@
 
 // NewLog returns an empty log.
 func NewLog() *Log {
-	return &Log{topics: make(map[string]*topic), changed: make(chan struct{})}
+	return &Log{Limits: defaultLimits, topics: make(map[string]*topic), changed: make(chan struct{})}
 }
 
 // topic returns the topic of that name, which it creates if necessary. l.mu must
@@ -187,8 +201,9 @@
 }
 
 // newestItems returns a page of the newest records of the keys greater than after,
-// in the order of the keys, and whether there are more.
-func (l *Log) newestItems(name, after string, limit int) (page []item, more bool, end uint64) {
+// in the order of the keys, and whether there are more. A page has at most limit items, and
+// ends with the item that makes it as large as maxBytes.
+func (l *Log) newestItems(name, after string, limit, maxBytes int) (page []item, more bool, end uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.topic(name)
@@ -199,11 +214,15 @@
 		}
 	}
 	slices.Sort(keys)
-	more = len(keys) > limit
+	size := 0
 	for _, key := range keys[:min(limit, len(keys))] {
+		if size >= maxBytes {
+			break
+		}
 		page = append(page, item{key, t.newestValues[key], t.newestOffsets[key]})
+		size += len(key) + len(t.newestValues[key])
 	}
-	return page, more, t.end()
+	return page, len(page) < len(keys), t.end()
 }
 
 // Put appends a record unconditionally, as the operator does.
--- a/internal/standin/metastore/server.go
+++ b/internal/standin/metastore/server.go
@@ -175,6 +175,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.log.Limits.exceededBy(in.records, body) {
+		w.WriteHeader(s.log.Limits.Status)
+		return
+	}
 	reply, expected, err := s.log.append(in)
 	switch {
 	case errors.Is(err, errConflict):
@@ -208,12 +212,15 @@
 	_, _ = w.Write(out)
 }
 
-// pageSize is the maximum number of items in a reply.
-const pageSize = 500
+// A reply contains at most pageSize items, of about pageBytes.
+const (
+	pageSize  = 500
+	pageBytes = 1 << 20
+)
 
 func (s *Server) serveNewest(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	page, more, end := s.log.newestItems(q.Get("topic"), q.Get("after"), pageSize)
+	page, more, end := s.log.newestItems(q.Get("topic"), q.Get("after"), pageSize, pageBytes)
 	items := make([]map[string]any, len(page))
 	for i, it := range page {
 		items[i] = map[string]any{"key": it.key, "value": it.value, "offset": it.offset}
@@ -251,6 +258,24 @@
 	return append(out, r.value...)
 }
 
+// exceededBy reports whether a call with the given body, which consists of the records, exceeds
+// a limit.
+func (l Limits) exceededBy(records []record, body []byte) bool {
+	if len(body) > l.CallBytes {
+		return true
+	}
+	for _, r := range records {
+		size := len(r.value)
+		if r.key != "" {
+			size += 1 + len(r.key)
+		}
+		if size > l.RecordBytes {
+			return true
+		}
+	}
+	return false
+}
+
 var errMalformed = errors.New("malformed records")
 
 // decodeRecords decodes the records in the body of an append. In a keyed topic a
