Progress of a job: in records that each fit the store

Cause: the progress of a job was one record without a bound. It named every open occurrence (6 bytes or more each, up to 100,000), every occurrence that had ended early, every task that had failed and every checkpoint. Above recordBytes (262,144) the store rejects the append, with the records of all other jobs in it, the term ends, and the next leader recovers the same state.

Change, for the class: - Open occurrences: only as many as can soon run (1,000 of which no task is placed); the rest is a number. All below that number which are not open have ended, so the record lists either the ended or the open ones, the latter as gaps, at most about 2 bytes each. - Progress above 32 KB is spread over parts. A task is always in the same part, only changed parts are written, and their order loses nothing if a leader is lost between two appends. - recordBytes and callBytes are read from the platform's settings. A job whose progress doesn't fit even so fails alone, and GET names the reason.

--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -4,6 +4,7 @@
 package durable
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -22,6 +23,7 @@
 	Fenced      Kind = "fenced"      // a producer with a higher epoch exists; nothing was appended
 	OutOfOrder  Kind = "outOfOrder"  // a different sequence number was expected; nothing was appended
 	Expired     Kind = "expired"     // the records are no longer retained
+	Rejected    Kind = "rejected"    // the store does not accept the records; nothing was appended
 	Invalid     Kind = "invalid"     // the request or the response is malformed
 )
 
@@ -37,6 +39,29 @@
 	Value []byte // nil in a topic with keys if the key was deleted
 }
 
+// KeyedSize returns the size of the record in a topic with keys, as the store counts it.
+func (r Record) KeyedSize() int { return 1 + len(r.Key) + len(r.Value) }
+
+// Limits are what the store accepts. A limit of 0 stands for that of DefaultLimits.
+type Limits struct {
+	RecordBytes int // of a record, with its key
+	CallBytes   int // of the records of an append and what frames them
+}
+
+// DefaultLimits are those of a store that states none.
+var DefaultLimits = Limits{RecordBytes: 256 << 10, CallBytes: 2 << 20}
+
+// FrameBytes is what the store's format adds to a record.
+const FrameBytes = 4
+
+// WithDefaults returns the limits with those of DefaultLimits in place of 0. A record that fits
+// them fits an append, too.
+func (l Limits) WithDefaults() Limits {
+	l.CallBytes = cmp.Or(l.CallBytes, DefaultLimits.CallBytes)
+	l.RecordBytes = min(cmp.Or(l.RecordBytes, DefaultLimits.RecordBytes), l.CallBytes-FrameBytes)
+	return l
+}
+
 // Batch is the result of a read.
 type Batch struct {
 	Records []Record
@@ -79,7 +104,7 @@
 // of type *Error.
 type Store interface {
 	// Append appends records and returns the offset of the first one. Error kinds:
-	// Unavailable, Unknown, Conflict, Fenced, OutOfOrder, Invalid.
+	// Unavailable, Unknown, Conflict, Fenced, OutOfOrder, Rejected, Invalid.
 	Append(ctx context.Context, a AppendRequest) (units.Offset, error)
 	// Read returns records from offset from on. If there are none, it waits for at most
 	// wait. Error kinds: Unavailable, Expired, Invalid. With Expired, Batch.Next is the
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -117,6 +117,7 @@
 	}
 	l.scheduler = scheduler.New(grantDuration+grantMargin, l.settings.FinishedJobRetention)
 	l.scheduler.Term = uint64(l.term)
+	l.scheduler.MaxRecordBytes = l.settings.StoreLimits.WithDefaults().RecordBytes
 	l.scheduler.MaxStrayLeaseDuration = runner.LongestLease(l.settings.MaxLease)
 	l.scheduler.SetOperatorState(l.operations.State())
 	l.metrics.countMalformed(l.scheduler.Recover(items, now()))
@@ -259,7 +260,7 @@
 
 // writeRecords writes the scheduler's changed records and those of absent agents.
 func (l *leader) writeRecords(at scheduler.Timestamp) error {
-	records, flush, err := l.scheduler.Flush()
+	records, flush, err := l.scheduler.Flush(at)
 	if err != nil {
 		return err
 	}
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -167,7 +167,7 @@
 		at := scheduler.Timestamp{Boot: bootclock.Instant(time.Hour), Wall: time.Now()}
 		s.Accept(r.Job, r.Policy, at)
 		s.Tick(at, true)
-		if _, _, err := s.Flush(); err != nil {
+		if _, _, err := s.Flush(at); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -56,7 +56,7 @@
 			replyTo <- l.replyUnknownJob(r.ID)
 			return
 		}
-		replyTo <- Reply{Outcome: Found, State: state}
+		replyTo <- Reply{Outcome: Found, State: state, Reason: l.scheduler.JobFailure(r.ID)}
 	case Cancel:
 		l.cancel(r, replyTo)
 	case Count:
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"wasabihill.example/wasabihill/internal/durable"
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
@@ -22,6 +23,7 @@
 	RunnerAddress        string // address of the runner on this machine; empty for an entry process
 	Service              units.ServiceName
 	StoreAddress         string // address of the platform's store
+	StoreLimits          durable.Limits
 	AdviceServiceAddress string // address of the service that decides which workers may run a step
 	FirstStart           bool   // the whole deployment starts for the first time
 	Memory               units.Bytes
--- a/internal/onerun/leader_test.go
+++ b/internal/onerun/leader_test.go
@@ -148,7 +148,7 @@
 
 func (l *leader) tick() {
 	l.scheduler.Tick(timestamp(), l.isLeading())
-	list, flush, err := l.scheduler.Flush()
+	list, flush, err := l.scheduler.Flush(timestamp())
 	if err != nil {
 		panic(err)
 	}
--- a/internal/scheduler/cancel_test.go
+++ b/internal/scheduler/cancel_test.go
@@ -19,7 +19,7 @@
 		t.Errorf("flush of the second cancel: got %d, want that of the first, %d", second, first)
 	}
 	f.scheduler.Tick(f.now, true)
-	_, flush, err := f.scheduler.Flush()
+	_, flush, err := f.scheduler.Flush(f.now)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -89,33 +89,14 @@
 }
 
 func (s *Scheduler) stepDone(j *job, number int, now Timestamp) {
-	for i, o := range j.occurrences {
-		if o.number != number {
-			continue
-		}
-		o.stepsLeft--
-		o.openSteps()
-		if o.stepsLeft == 0 {
-			j.occurrences = append(j.occurrences[:i], j.occurrences[i+1:]...)
-			s.occurrenceDone(j, number, now)
-		}
+	o, _ := j.occurrence(number)
+	if o == nil {
 		return
 	}
-}
-
-// occurrenceDone records that an occurrence is complete. Those that end before one below
-// them are recorded one by one, so that the next leader does not run them again.
-func (s *Scheduler) occurrenceDone(j *job, number int, now Timestamp) {
-	if j.endedEarly == nil {
-		j.endedEarly = make(map[int]bool)
-	}
-	j.endedEarly[number] = true
-	for j.endedEarly[j.completed] {
-		delete(j.endedEarly, j.completed)
-		j.completed++
-	}
-	if j.completed == j.Occurrences() {
-		s.finishJob(j, workflow.Completed, now)
+	o.stepsLeft--
+	o.openSteps()
+	if o.stepsLeft == 0 {
+		s.endOccurrence(j, number, now)
 	}
 }
 
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -101,7 +101,7 @@
 
 // flush stores every change.
 func (f *fixture) flush() {
-	records, flush, err := f.scheduler.Flush()
+	records, flush, err := f.scheduler.Flush(f.now)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/scheduler/malformed_test.go
+++ b/internal/scheduler/malformed_test.go
@@ -144,7 +144,7 @@
 		at := Timestamp{Boot: 1, Wall: time.UnixMilli(1_700_000_000_000)}
 		s.Recover([]durable.Item{{Key: JobKey("j"), Value: job}, {Key: progressPrefix + "j", Value: progress}}, at)
 		s.Tick(at, true)
-		if _, _, err := s.Flush(); err != nil {
+		if _, _, err := s.Flush(at); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -263,7 +263,7 @@
 		return t
 	}
 	if j := s.jobs[id.Job]; j != nil && !j.state.Final() {
-		j.openUntil(id.Occurrence)
+		s.openUntil(j, id.Occurrence)
 	}
 	return s.task(id)
 }
@@ -274,10 +274,9 @@
 	if j == nil || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
 		return nil
 	}
-	for _, o := range j.occurrences {
-		if o.number == id.Occurrence {
-			return o.steps[id.Step].tasks[id.Index]
-		}
+	o, _ := j.occurrence(id.Occurrence)
+	if o == nil {
+		return nil
 	}
-	return nil
+	return o.steps[id.Step].tasks[id.Index]
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,8 +3,8 @@
 // passes it submissions, cancellations, worker reports and the operators' state,
 // collects its orders, and writes its records to the store.
 //
-// Start reading at scheduler.go (tables), then submit.go, session.go, report.go, ends.go, tick.go,
-// backlog.go, place.go and records.go.
+// Start reading at scheduler.go (tables), then submit.go, occurrences.go, session.go, report.go, ends.go,
+// tick.go, backlog.go, place.go, records.go, progress.go and recovery.go.
 package scheduler
 
 import (
@@ -12,6 +12,7 @@
 	"time"
 
 	"wasabihill.example/wasabihill/internal/bootclock"
+	"wasabihill.example/wasabihill/internal/durable"
 	"wasabihill.example/wasabihill/internal/interference"
 	"wasabihill.example/wasabihill/internal/operations"
 	"wasabihill.example/wasabihill/internal/runner"
@@ -36,6 +37,8 @@
 	MaxStrayLeaseDuration time.Duration
 	// Term is the term of the leader, which is higher than that of all its predecessors.
 	Term uint64
+	// MaxRecordBytes is the size of the largest record that the store accepts, with its key.
+	MaxRecordBytes int
 	// FinishedRetention is how long the state of a finished job is kept.
 	FinishedRetention time.Duration
 
@@ -66,7 +69,7 @@
 // New returns a scheduler without jobs and workers.
 func New(maxLeaseDuration, finishedRetention time.Duration) *Scheduler {
 	return &Scheduler{
-		MaxLeaseDuration: maxLeaseDuration, FinishedRetention: finishedRetention,
+		MaxLeaseDuration: maxLeaseDuration, FinishedRetention: finishedRetention, MaxRecordBytes: durable.DefaultLimits.RecordBytes,
 		jobs: make(map[workflow.JobID]*job), activeJobs: make(map[workflow.JobID]*job), meanJobWork: make(map[workflow.QueueName]float64), queueSpeed: make(map[workflow.QueueName]float64), workers: make(map[units.WorkerID]*worker), dirty: make(map[workflow.JobID]*job),
 		strayLeases: make(map[units.WorkerID]*strayLease), dirtyStrayLeases: make(map[units.WorkerID]bool),
 	}
@@ -93,10 +96,10 @@
 	stateFlush      uint64         // number of the flush that makes state durable
 	finishedAt      time.Time      // when the state became final
 	submittedAt     bootclock.Instant
-	occurrences     []*occurrence // due and not complete
-	completed       int           // all occurrences below this number are complete
-	endedEarly      map[int]bool  // occurrences above completed that are complete
-	opened          int           // all occurrences below this number have become due
+	failure         string        // why the job has failed, if that is not a failure of its tasks
+	occurrences     []*occurrence // the open ones, in the order of their numbers
+	opened          int           // all occurrences below this number are open or have ended
+	parts           progressParts // the parts of its progress in the store
 	started         bool          // a run of at least one task has started
 	recovered       bool          // accepted by an earlier leader
 	placedTasks     int           // tasks assigned to a worker
--- a/internal/scheduler/strayrecord_test.go
+++ b/internal/scheduler/strayrecord_test.go
@@ -144,7 +144,7 @@
 	f.scheduler.ApplyReport("a", report, f.now)
 	f.scheduler.ExtendLease("a", report, f.now)
 	f.wantNoStart("before the record is written")
-	records, flush, err := f.scheduler.Flush()
+	records, flush, err := f.scheduler.Flush(f.now)
 	if err != nil || len(records) == 0 {
 		t.Fatalf("flush after the report: got %d records and error %v, want a record", len(records), err)
 	}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -25,76 +25,6 @@
 	return row
 }
 
-// maxOpenTasks limits the tasks of a job's open occurrences, so that a schedule whose
-// occurrences come faster than they are done can't exhaust the leader's memory.
-const maxOpenTasks = 100_000
-
-// openDueOccurrences adds the occurrences of the job that have become due. While the open
-// ones have maxOpenTasks tasks, the others wait.
-func (s *Scheduler) openDueOccurrences(j *job, now Timestamp) {
-	for j.opened < j.Occurrences() && j.mayOpen() && !now.Wall.Before(j.Due(j.opened)) {
-		j.openNext()
-	}
-}
-
-// mayOpen reports whether another occurrence may be open besides those that are.
-func (j *job) mayOpen() bool {
-	tasks := 0
-	for i := range j.Steps {
-		tasks += j.Steps[i].Count
-	}
-	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxOpenTasks
-}
-
-// openUntil adds the occurrences up to number, which were due by the clock of an earlier
-// leader.
-func (j *job) openUntil(number int) {
-	for j.opened < j.Occurrences() && j.opened <= number && j.mayOpen() {
-		j.openNext()
-	}
-}
-
-// openNext adds the next occurrence, unless it has ended under an earlier leader.
-func (j *job) openNext() {
-	if !j.endedEarly[j.opened] {
-		j.occurrences = append(j.occurrences, newOccurrence(j, j.opened))
-	}
-	j.opened++
-}
-
-func newOccurrence(j *job, number int) *occurrence {
-	o := &occurrence{number: number, stepsLeft: len(j.Steps)}
-	for i := range j.Steps {
-		st := &step{Step: &j.Steps[i], number: i, tasksLeft: j.Steps[i].Count, unplaced: j.Steps[i].Count}
-		st.tasks = make([]*task, st.Count)
-		for index := range st.tasks {
-			st.tasks[index] = &task{id: workflow.TaskID{Job: j.ID, Occurrence: number, Step: i, Index: index}, job: j, step: st}
-		}
-		o.steps = append(o.steps, st)
-	}
-	o.openSteps()
-	return o
-}
-
-// openSteps marks the steps whose dependencies are done as open.
-func (o *occurrence) openSteps() {
-	for _, st := range o.steps {
-		if !st.open {
-			st.open = o.dependenciesDone(st)
-		}
-	}
-}
-
-// dependenciesDone reports whether all steps that st depends on are done.
-func (o *occurrence) dependenciesDone(st *step) bool {
-	for _, dependency := range st.After {
-		if o.steps[dependency].tasksLeft > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // HasJob reports whether the job exists.
 func (s *Scheduler) HasJob(id workflow.JobID) bool { return s.jobs[id] != nil }
 
@@ -142,6 +72,20 @@
 	return j.stateFlush
 }
 
+// failJob lets a job fail for a reason that is not a failure of its tasks.
+func (s *Scheduler) failJob(j *job, reason string, now Timestamp) {
+	j.failure = reason
+	s.finishJob(j, workflow.Failed, now)
+}
+
+// JobFailure returns why a job has failed, if that is not a failure of its tasks.
+func (s *Scheduler) JobFailure(id workflow.JobID) string {
+	if j := s.jobs[id]; j != nil && j.durableState.Final() {
+		return j.failure
+	}
+	return ""
+}
+
 // finishJob sets the final state of a job and stops its remaining runs.
 func (s *Scheduler) finishJob(j *job, state workflow.State, now Timestamp) {
 	j.state, j.finishedAt = state, now.Wall
