Job records: one that the store rejects holds back no other

What callers saw: with one record that the store does not accept, no record of any job became durable: with status 400 each leader's term ended in turn, with 413 the append was repeated for ever. The same with a flush of more records than a call may have (callBytes).

Cause: the writer put a whole call of Write into one append, whatever its size, and knew only errors that end the term or are repeated.

Evidence: TestRecordsBeyondOneCallAreAppended and TestRejectedRecordHoldsBackNoOther failed on (status 400: the writer ended; 413: not accepted 5 s after).

Change: records are spread over appends of at most half a call. When the store rejects an append, its largest record is left out and it is sent again with the same sequence number, unless that record is smaller than 16 KB: then the store rejects everything, and the term ends as before. The job of a record that was left out fails alone, with a reason in GET; its submission is answered with 504, as the store might still accept it. Ends of runs count as durable only with the flush that contains that failure. Metric records_rejected.

Result: both tests pass, also that small records are never left out.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -3,6 +3,9 @@
 // are sent while the store takes long to answer. An append without a reply is repeated with
 // the same sequence number. So its records are in the topic exactly once, and its outcome is
 // certain before anything is acknowledged.
+//
+// A record that the store does not accept is left out of its append, so that it holds back no
+// other record.
 package jobstore
 
 import (
@@ -35,15 +38,20 @@
 	// maxStall is the same if it does: then the append may only be slow, but a submission that
 	// waits for longer can't be answered within its caller's deadline.
 	maxStall = 1700 * time.Millisecond
-	// maxBatchBytes limits the records of an append to half of what the store accepts
-	// in a call.
-	maxBatchBytes = 1 << 20
+	// minSuspectBytes is the size of a record from which on it may be the reason for which the
+	// store has not accepted an append.
+	minSuspectBytes = 16 << 10
 )
 
 // Writer appends records. The exported fields must be set before Fence is called.
 type Writer struct {
-	Store durable.Store
-	Epoch uint64 // the leader's term
+	Store  durable.Store
+	Epoch  uint64         // the leader's term
+	Limits durable.Limits // of the store
+	// OnRejected is called from the goroutine of Run with the key of a record that the store does
+	// not accept, before the function of the write that contains it is called. The record may
+	// nevertheless be stored if the store accepts what it has rejected before.
+	OnRejected func(key string)
 
 	mu           sync.Mutex
 	pending      []write
@@ -63,15 +71,16 @@
 	err  error
 }
 
-// write is one call of Write.
+// write is one call of Write, or a part of it that fits an append.
 type write struct {
 	records   []durable.Record
-	onDurable func()
+	bytes     int    // that the records take of an append
+	onDurable func() // may be nil
 }
 
 // New returns a writer for the term epoch.
 func New(store durable.Store, epoch uint64) *Writer {
-	return &Writer{Store: store, Epoch: epoch, wakeup: make(chan struct{}, 1), answers: make(chan appendAnswer)}
+	return &Writer{Store: store, Epoch: epoch, Limits: durable.DefaultLimits, wakeup: make(chan struct{}, 1), answers: make(chan appendAnswer)}
 }
 
 // Fence prevents any further appends by earlier terms, so that a later read of the topic
@@ -95,11 +104,13 @@
 	}
 }
 
-// Write queues records for the next append. Once they are durable, Run calls onDurable
-// from its goroutine, in the order of the calls of Write.
+// Write queues records for the next append, or for several if one can't take them all. Once they
+// are durable, Run calls onDurable from its goroutine, in the order of the calls of Write.
 func (w *Writer) Write(records []durable.Record, onDurable func()) {
+	parts := w.split(records)
+	parts[len(parts)-1].onDurable = onDurable
 	w.mu.Lock()
-	w.pending = append(w.pending, write{records, onDurable})
+	w.pending = append(w.pending, parts...)
 	w.mu.Unlock()
 	select {
 	case w.wakeup <- struct{}{}:
@@ -107,6 +118,26 @@
 	}
 }
 
+// split returns the records, in their order, in writes that each fit an append. There is at
+// least one.
+func (w *Writer) split(records []durable.Record) []write {
+	var parts []write
+	part := write{}
+	for _, r := range records {
+		size := durable.FrameBytes + r.KeyedSize()
+		if part.bytes > 0 && part.bytes+size > w.maxBatchBytes() {
+			parts = append(parts, part)
+			part = write{}
+		}
+		part.records = append(part.records, r)
+		part.bytes += size
+	}
+	return append(parts, part)
+}
+
+// maxBatchBytes limits the records of an append to half of what the store accepts in a call.
+func (w *Writer) maxBatchBytes() int { return w.Limits.CallBytes / 2 }
+
 // Stalled reports whether a new submission would wait too long for the store, which has
 // recently answered another call if reachable is true.
 func (w *Writer) Stalled(reachable bool) bool {
@@ -229,6 +260,9 @@
 // handle processes the answer to a call. It returns an error if the append can never succeed.
 func (w *Writer) handle(ctx context.Context, a appendAnswer) error {
 	now := bootclock.Now()
+	if ctx.Err() == nil && fault.Is(a.err, durable.Rejected) {
+		return w.handleRejection(a, now)
+	}
 	switch {
 	case a.err == nil:
 		finish(w.window.succeeded(a.call, now))
@@ -244,6 +278,22 @@
 	return nil
 }
 
+// handleRejection repeats an append that the store has rejected without its largest record. It
+// returns the error if that one is not the reason, because it is small.
+func (w *Writer) handleRejection(a appendAnswer, now bootclock.Instant) error {
+	key, ok := w.window.dropLargest(a.call, minSuspectBytes, now)
+	if !ok {
+		return a.err
+	}
+	if key != "" {
+		klog.ErrorS(a.err, "the store does not accept a record; it is left out", "key", key, "sequence", a.call.sequence)
+		if w.OnRejected != nil {
+			w.OnRejected(key)
+		}
+	}
+	return nil
+}
+
 // finish calls the functions of the writes, which are durable.
 func finish(writes []write) {
 	for _, q := range writes {
@@ -267,16 +317,14 @@
 	w.mu.Unlock()
 }
 
-// takeBatch removes and returns the oldest writes, about maxBatchBytes of records but at
-// least one write if there is one.
+// takeBatch removes and returns the oldest writes that fit an append together, at least one if
+// there is one.
 func (w *Writer) takeBatch() []write {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	size, n := 0, 0
-	for n < len(w.pending) && (n == 0 || size < maxBatchBytes) {
-		for _, r := range w.pending[n].records {
-			size += len(r.Key) + len(r.Value)
-		}
+	for n < len(w.pending) && (n == 0 || size+w.pending[n].bytes <= w.maxBatchBytes()) {
+		size += w.pending[n].bytes
 		n++
 	}
 	batch := w.pending[:n:n]
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -150,3 +152,64 @@
 		t.Errorf("records that the next leader reads: got %d, want %d", got, jobs)
 	}
 }
+
+// Guards against a flush of many records that the store rejects as a whole, because together they
+// exceed a call.
+func TestRecordsBeyondOneCallAreAppended(t *testing.T) {
+	log := metastore.NewLog()
+	w := newTerm(t, log, 1)
+	var records []durable.Record
+	for i := range 40 {
+		records = append(records, durable.Record{Key: fmt.Sprintf("progress/%d", i), Value: make([]byte, 200<<10)})
+	}
+	accepted := make(chan struct{})
+	w.Write(records, func() { close(accepted) })
+	w.checkAccepted(t, accepted, log, "progress/0")
+	if got := len(newTerm(t, log, 3).keys(t)); got != len(records) {
+		t.Errorf("got %d records, want %d", got, len(records))
+	}
+}
+
+// Guards against a record that the store does not accept and that rejects those of all other jobs
+// with it, by ending the term (status 400) or by being repeated for ever (413).
+func TestRejectedRecordHoldsBackNoOther(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			log := metastore.NewLog()
+			log.Limits.RecordBytes, log.Limits.Status = 100<<10, status // below what the writer knows
+			w := newTerm(t, log, 1)
+			rejected := make(chan string, 4)
+			w.OnRejected = func(key string) { rejected <- key }
+			accepted := make(chan struct{})
+			large := durable.Record{Key: "job/large", Value: make([]byte, 150<<10)}
+			allowed := durable.Record{Key: "job/allowed", Value: make([]byte, 90<<10)}
+			w.Write(append(record("job/1"), large, allowed), nil)
+			w.Write(record("job/2"), func() { close(accepted) })
+			w.checkAccepted(t, accepted, log, "job/2")
+			if got := newTerm(t, log, 3).keys(t); !got["job/1"] || !got["job/allowed"] || got["job/large"] {
+				t.Errorf("got keys %v, want job/1, job/allowed and job/2", got)
+			}
+			if got := len(rejected); got != 1 || <-rejected != "job/large" {
+				t.Errorf("got %d rejected records, want job/large alone", got)
+			}
+		})
+	}
+}
+
+// Guards against a store that rejects everything and is taken for one that rejects a record: small
+// records are never left out.
+func TestRejectedSmallRecordsEndTheTerm(t *testing.T) {
+	log := metastore.NewLog()
+	w := newTerm(t, log, 1)
+	w.OnRejected = func(key string) { t.Errorf("record %s was left out, want none", key) }
+	w.connection.Set(metastore.Fault{Status: http.StatusBadRequest, OnlyAppends: true})
+	w.Write(append(record("job/1"), record("job/2")...), func() { t.Error("accepted, want a rejection") })
+	select {
+	case err := <-w.failed:
+		if !fault.Is(err, durable.Rejected) {
+			t.Errorf("got %v, want kind %s", err, durable.Rejected)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("writer has not ended 5s after the store has rejected all")
+	}
+}
--- a/internal/jobstore/window.go
+++ b/internal/jobstore/window.go
@@ -39,6 +39,7 @@
 type appendCall struct {
 	sequence uint64
 	first    bool // no earlier append was pending when it was sent
+	records  int  // that it contains
 	sent     bootclock.Instant
 }
 
@@ -106,7 +107,7 @@
 		}
 		a.calls++
 		a.sentAt, w.lastSent = now, now
-		return a, appendCall{sequence: a.sequence, first: i == 0, sent: now}
+		return a, appendCall{sequence: a.sequence, first: i == 0, records: len(a.records), sent: now}
 	}
 	return nil, appendCall{}
 }
@@ -152,6 +153,37 @@
 	}
 }
 
+// dropLargest processes a call whose append the store has rejected: the largest record of the
+// append is left out, and it is sent again. It returns the key of that record, or an empty one if
+// one has been left out since the call was sent. ok is false if the largest record is smaller
+// than minBytes.
+//
+// The store has executed no later append meanwhile, as the sequence number of this one is missing.
+func (w *appendWindow) dropLargest(c appendCall, minBytes int, now bootclock.Instant) (key string, ok bool) {
+	i := slices.IndexFunc(w.appends, func(a *pendingAppend) bool { return a.sequence == c.sequence })
+	if i < 0 {
+		return "", true // a repeated call has succeeded
+	}
+	a := w.appends[i]
+	a.calls--
+	a.retryAt, a.overtook = now, false
+	if len(a.records) != c.records {
+		return "", true
+	}
+	largest := -1
+	for i, r := range a.records {
+		if r.KeyedSize() >= minBytes && (largest < 0 || r.KeyedSize() > a.records[largest].KeyedSize()) {
+			largest = i
+		}
+	}
+	if largest < 0 {
+		return "", false
+	}
+	key = a.records[largest].Key
+	a.records = slices.Delete(slices.Clone(a.records), largest, largest+1) // calls in flight use the slice
+	return key, true
+}
+
 // oldest returns when the oldest pending append was first sent, and false if there is none.
 func (w *appendWindow) oldest() (bootclock.Instant, bool) {
 	if len(w.appends) == 0 || w.appends[0].since == 0 {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -65,9 +65,12 @@
 	readyAt       bootclock.Instant       // end of the recovery
 	submissions   map[workflow.JobID]*submission
 	cancellations []cancellation
-	starvation    time.Duration // longest starvation of a task in this term
-	group         *errgroup.Group
-	ctx           context.Context
+	// commitFrom is the number of the first flush that may be committed. Earlier ones lack a
+	// record that the store does not accept; that flush contains what takes its place.
+	commitFrom uint64
+	starvation time.Duration // longest starvation of a task in this term
+	group      *errgroup.Group
+	ctx        context.Context
 }
 
 // submission is a job whose record is being written to the store.
@@ -89,6 +92,8 @@
 	l.knownAbsent = make(map[units.WorkerID]bool)
 	l.submissions = make(map[workflow.JobID]*submission)
 	l.writer = jobstore.New(l.store, uint64(l.term))
+	l.writer.Limits = l.settings.StoreLimits.WithDefaults()
+	l.writer.OnRejected = func(key string) { l.enqueue(func() { l.recordRejected(key) }) }
 	if err := contain(l.metrics, func() error { return l.recover(ctx) }); err != nil {
 		return err
 	}
@@ -117,7 +122,7 @@
 	}
 	l.scheduler = scheduler.New(grantDuration+grantMargin, l.settings.FinishedJobRetention)
 	l.scheduler.Term = uint64(l.term)
-	l.scheduler.MaxRecordBytes = l.settings.StoreLimits.WithDefaults().RecordBytes
+	l.scheduler.MaxRecordBytes = l.writer.Limits.RecordBytes
 	l.scheduler.MaxStrayLeaseDuration = runner.LongestLease(l.settings.MaxLease)
 	l.scheduler.SetOperatorState(l.operations.State())
 	l.metrics.countMalformed(l.scheduler.Recover(items, now()))
@@ -284,6 +289,9 @@
 // flushCommitted records that the flush is durable and answers the
 // cancellations that it covers.
 func (l *leader) flushCommitted(flush uint64) {
+	if flush < l.commitFrom {
+		return
+	}
 	l.scheduler.CommitFlush(flush)
 	for len(l.cancellations) > 0 && l.cancellations[0].flush <= flush {
 		l.cancellations[0].waiter <- Reply{Outcome: Found}
@@ -291,6 +299,15 @@
 	}
 }
 
+// recordRejected lets a job fail, alone, of which the store does not accept a record.
+func (l *leader) recordRejected(key string) {
+	l.metrics.countRejectedRecord()
+	if l.submissionRejected(key) {
+		return
+	}
+	l.commitFrom = max(l.commitFrom, l.scheduler.RecordRejected(key, now()))
+}
+
 // handleMember connects to an agent that has registered or changed its address.
 func (l *leader) handleMember(m member) {
 	if m.role != RoleAgent {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -62,6 +62,9 @@
 // countMalformed counts records that were skipped because they are malformed.
 func (m metrics) countMalformed(n int) { m.scope.Counter("records_malformed").Inc(int64(n)) }
 
+// countRejectedRecord counts records that the store did not accept.
+func (m metrics) countRejectedRecord() { m.scope.Counter("records_rejected").Inc(1) }
+
 // countPanic counts the panics of the scheduler, each of which ends a term, and of an agent.
 func (m metrics) countPanic() { m.scope.Counter("panics").Inc(1) }
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -98,13 +98,32 @@
 		replyTo <- Reply{Outcome: Rejected, Reason: err.Error()}
 		return
 	}
+	record := durable.Record{Key: scheduler.JobKey(id), Value: value}
 	s := &submission{waiters: []chan Reply{replyTo}}
 	l.submissions[id] = s
-	record := durable.Record{Key: scheduler.JobKey(id), Value: value}
 	l.writer.Write([]durable.Record{record}, func() { l.enqueue(func() { l.jobAccepted(r, s) }) })
 }
 
+// submissionRejected answers the clients of a job that is being accepted if the key is that of its
+// record, which the store does not accept.
+func (l *leader) submissionRejected(key string) bool {
+	for id, s := range l.submissions {
+		if scheduler.JobKey(id) != key {
+			continue
+		}
+		delete(l.submissions, id)
+		for _, waiter := range s.waiters {
+			waiter <- Reply{Outcome: Unknown, Reason: "the store does not accept the record of the job"}
+		}
+		return true
+	}
+	return false
+}
+
 func (l *leader) jobAccepted(r Request, s *submission) {
+	if l.submissions[r.ID] != s {
+		return // its record was rejected
+	}
 	delete(l.submissions, r.ID)
 	klog.InfoS("job accepted", "job", r.ID, "queue", r.Queue, "priority", r.Policy.Priority, "steps", r.Job.Summary())
 	l.scheduler.Accept(r.Job, r.Policy, now())
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -269,6 +269,27 @@
 	}
 }
 
+// Guards against ends of runs that count as durable although the store has rejected the record
+// that contains them: the job fails, and the flush before the one with its failure commits nothing.
+func TestRejectedProgressFailsTheJob(t *testing.T) {
+	f := newFixture(t)
+	id := f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})
+	other := f.submit("quick", workflow.Step{Count: 1, Size: cores(1)})
+	from := f.scheduler.RecordRejected(progressKey(id, 3), f.now)
+	_, flush, err := f.scheduler.Flush(f.now)
+	if err != nil || flush != from {
+		t.Fatalf("flush with the failure: got %d, %v, want %d", flush, err, from)
+	}
+	f.scheduler.CommitFlush(flush)
+	f.wantState(id, workflow.Failed)
+	f.wantState(other, workflow.Queued)
+	if got := f.scheduler.RecordRejected(absentKey, f.now); got != 0 {
+		t.Errorf("record of no job: got flush %d, want 0", got)
+	}
+}
+
+const absentKey = "absent/a"
+
 // Guards against a schedule that fills the leader's tables although few of its occurrences can run.
 func TestScheduleOpensWhatCanSoonRun(t *testing.T) {
 	f := newFixture(t)
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -78,6 +78,20 @@
 	s.finishJob(j, workflow.Failed, now)
 }
 
+// RecordRejected lets the job fail of whose progress the store does not accept the record with the
+// key. It returns the number of the flush that contains the final state, or 0 if no job fails: no
+// flush before may count as durable, as the ends of runs that it covers may stand in that record
+// alone.
+func (s *Scheduler) RecordRejected(key string, now Timestamp) uint64 {
+	id, _, ok := parseProgressKey(key)
+	j := s.jobs[id]
+	if !ok || j == nil || j.state.Final() {
+		return 0
+	}
+	s.failJob(j, "the store does not accept the record of its progress", now)
+	return s.lastFlush + 1
+}
+
 // JobFailure returns why a job has failed, if that is not a failure of its tasks.
 func (s *Scheduler) JobFailure(id workflow.JobID) string {
 	if j := s.jobs[id]; j != nil && j.durableState.Final() {
