Submission: a job whose record the store can't take is rejected at once

What callers saw: a body within maxBodyBytes (262,144, as large as recordBytes) whose record is larger, as bytes that are no UTF-8 take three each in it, ended the term of the leader. The client got no answer and sent the job to the next leader.

Change: the size of the record is checked before it is written; the answer is 413 at once, which says truly that the job never runs.

Evidence: TestJobBeyondARecordIsRejected failed on (no status 413 within 10 s) and passes.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -16,6 +16,7 @@
 	Found       Outcome = "found"       // the job or the queue exists
 	JobNotFound Outcome = "noJob"       // no such job exists
 	Rejected    Outcome = "refused"     // the request had no effect and never will
+	TooLarge    Outcome = "tooLarge"    // the job can't be stored; the request had no effect and never will
 	Unknown     Outcome = "undecided"   // the request may have taken effect, or may still do so
 	Unavailable Outcome = "unavailable" // the request cannot be processed now and had no effect
 )
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -99,6 +99,10 @@
 		return
 	}
 	record := durable.Record{Key: scheduler.JobKey(id), Value: value}
+	if size, limit := record.KeyedSize(), l.writer.Limits.RecordBytes; size > limit {
+		replyTo <- Reply{Outcome: TooLarge, Reason: fmt.Sprintf("the record of the job has %d bytes; the store accepts %d", size, limit)}
+		return
+	}
 	s := &submission{waiters: []chan Reply{replyTo}}
 	l.submissions[id] = s
 	l.writer.Write([]durable.Record{record}, func() { l.enqueue(func() { l.jobAccepted(r, s) }) })
