--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -35,7 +35,7 @@
 
 // Record is one record of a topic.
 type Record struct {
-	Key   string // empty in a topic without keys
+	Key   string // empty in a topic without keys; at most MaxKeyBytes
 	Value []byte // nil in a topic with keys if the key was deleted
 }
 
@@ -51,6 +51,9 @@
 // DefaultLimits are those of a store that states none.
 var DefaultLimits = Limits{RecordBytes: 256 << 10, CallBytes: 2 << 20}
 
+// MaxKeyBytes is the length of the longest key.
+const MaxKeyBytes = 255
+
 // FrameBytes is what the store's format adds to a record.
 const FrameBytes = 4
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -27,6 +27,9 @@
 	membersTopic durable.Topic = "members"
 	// storeRetryDelay is the pause after a failed call to the store.
 	storeRetryDelay = 150 * time.Millisecond
+	// MaxNameBytes is the length of the longest name of a machine. With it the keys of all records
+	// of a machine are valid.
+	MaxNameBytes = 200
 	// memberPollTimeout bounds one long poll for member records.
 	memberPollTimeout = 5 * time.Second
 )
@@ -78,8 +81,8 @@
 // for the runs of each agent, and the leader's lease by promises for each entry process.
 func decodeMember(key string, value []byte) (member, error) {
 	role, name, ok := strings.Cut(key, "/")
-	if !ok || Role(role) != RoleEntry && Role(role) != RoleAgent || name == "" || !utf8.ValidString(name) {
-		return member{}, fmt.Errorf("member %q has no known role or no name", key)
+	if !ok || Role(role) != RoleEntry && Role(role) != RoleAgent || name == "" || len(name) > MaxNameBytes || !utf8.ValidString(name) {
+		return member{}, fmt.Errorf("member %q has no known role or no valid name", key)
 	}
 	m := member{role: Role(role), name: name}
 	if value == nil {
--- a/internal/scheduler/recovery.go
+++ b/internal/scheduler/recovery.go
@@ -15,6 +15,10 @@
 	"wasabihill.example/wasabihill/pkg/units"
 )
 
+// maxJobIDBytes is the length of the longest job id. With it the keys of all records of a job are
+// valid.
+const maxJobIDBytes = 200
+
 // recordedProgress is the progress of a job as read from the store.
 type recordedProgress struct {
 	main  *wire.ProgressRecord // nil if the store has none
@@ -49,8 +53,8 @@
 			continue
 		}
 		j, policy, err := workflow.Decode(item.Value)
-		if err == nil && string(j.ID) != id {
-			err = fmt.Errorf("record is of job %q", j.ID)
+		if err == nil && (string(j.ID) != id || len(id) > maxJobIDBytes) {
+			err = fmt.Errorf("record is of job %q; want one of at most %d bytes", j.ID, maxJobIDBytes)
 		}
 		if err != nil {
 			klog.ErrorS(err, "malformed job record is skipped", "key", item.Key)
