Connection pools: silent connections cost one timeout, not one each

Cause: a call without an answer ended only the connection that it was sent on. The next call took another idle one, as old and as silent; with 24 of them, kept for 20 s, an agent was out of touch for 24 timeouts, and the leases of all runs ended.

Change: one rule for every pool (internal/connpool, used by link.Transport and the clients of the log service and of the workers): after a request that was sent and had no answer in time, no connection opened before is used again; those under way finish. A request that its caller has cancelled, or that has waited for a dial, changes nothing.

--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -10,21 +10,23 @@
 	"sync"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/connpool"
 	"wasabihill.example/wasabihill/internal/fault"
 )
 
 // Transport sends each request at most once and reports whether any byte of a
 // failed request may have left this process. It reuses idle connections.
 // net/http does that safely only for requests that it cannot replay, so
-// RoundTrip prevents the replay of every request.
+// RoundTrip prevents the replay of every request. After a request that had no answer in time, no
+// connection of before is used again; see connpool.Pool.
 type Transport struct {
-	http *http.Transport
+	pool *connpool.Pool
 }
 
 // Options configures a Transport.
 type Options struct {
 	Dial               func(ctx context.Context) (net.Conn, error)
-	MaxConnections     int           // concurrent connections; 0 means no limit
+	MaxConnections     int           // concurrent connections, without those that finish a request of before a timeout; 0 means no limit
 	MaxIdleConnections int           // idle connections kept; 0 opens a connection for each request
 	IdleTimeout        time.Duration // must be below the peer's, or a request may be sent on a connection that the peer is closing
 	MaxHeaderBytes     int64         // of a response header block
@@ -32,26 +34,28 @@
 
 // NewTransport returns a transport to the single peer that o.Dial connects to.
 func NewTransport(o Options) *Transport {
-	return &Transport{http: &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			conn, err := o.Dial(ctx)
-			if err != nil {
-				return nil, err
-			}
-			return &writeTrackingConn{Conn: conn}, nil
-		},
-		DisableKeepAlives:      o.MaxIdleConnections == 0,
-		MaxConnsPerHost:        o.MaxConnections,
-		MaxIdleConnsPerHost:    o.MaxIdleConnections,
-		IdleConnTimeout:        o.IdleTimeout,
-		MaxResponseHeaderBytes: o.MaxHeaderBytes,
-		DisableCompression:     true,
-	}}
+	return &Transport{pool: &connpool.Pool{New: func() *http.Transport {
+		return &http.Transport{
+			DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				conn, err := o.Dial(ctx)
+				if err != nil {
+					return nil, err
+				}
+				return &writeTrackingConn{Conn: conn}, nil
+			},
+			DisableKeepAlives:      o.MaxIdleConnections == 0,
+			MaxConnsPerHost:        o.MaxConnections,
+			MaxIdleConnsPerHost:    o.MaxIdleConnections,
+			IdleConnTimeout:        o.IdleTimeout,
+			MaxResponseHeaderBytes: o.MaxHeaderBytes,
+			DisableCompression:     true,
+		}
+	}}}
 }
 
 // CloseIdle closes the idle connections. Connections in use finish their
 // request.
-func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
+func (t *Transport) CloseIdle() { t.pool.CloseIdleConnections() }
 
 // connRecorder records the connection that carries a request.
 type connRecorder struct{ conn *writeTrackingConn }
@@ -75,7 +79,7 @@
 	var recorder connRecorder
 	trace := &httptrace.ClientTrace{GotConn: recorder.gotConn}
 	r = preventReplay(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	response, err := t.http.RoundTrip(r)
+	response, err := t.pool.RoundTrip(r)
 	if err == nil {
 		return response, nil
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"wasabihill.example/wasabihill/internal/connpool"
 	"wasabihill.example/wasabihill/internal/signals"
 )
 
@@ -53,7 +54,9 @@
 
 // newHTTPClient returns a client that keeps at most maxIdle unused connections open.
 func newHTTPClient(maxIdle int) *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleConnectionTimeout}}
+	return &http.Client{Transport: &connpool.Pool{New: func() *http.Transport {
+		return &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleConnectionTimeout}
+	}}}
 }
 
 // newIncarnationID returns a random ID for one incarnation of a process. It
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,13 +15,14 @@
 	listener       net.Listener
 	refusing       atomic.Bool
 	forwardedBytes atomic.Int64 // bytes forwarded in both directions
+	connections    atomic.Int64 // number of connections forwarded so far
 	toTarget       direction    // from the client to the target
 	fromTarget     direction
 
 	mu      sync.Mutex
 	target  string
 	path    func(client net.Addr) Path // nil if no gates are passed
-	conns   map[net.Conn]struct{}
+	conns   map[net.Conn]*forwarded
 	refused map[string]struct{} // addresses of clients whose last connection did not reach the target
 }
 
@@ -31,6 +32,11 @@
 	delay     atomic.Int64 // nanoseconds before each chunk is forwarded
 }
 
+// forwarded is a connection of a client that the relay forwards.
+type forwarded struct {
+	silent atomic.Bool // bytes of both directions are discarded, for good
+}
+
 // New returns a relay that listens on a free loopback port and forwards to target.
 func New(target string) (*Relay, error) { return NewAt("127.0.0.1:0", target) }
 
@@ -40,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: listener, conns: make(map[net.Conn]struct{}), refused: make(map[string]struct{})}
+	r := &Relay{target: target, listener: listener, conns: make(map[net.Conn]*forwarded), refused: make(map[string]struct{})}
 	go r.accept()
 	return r, nil
 }
@@ -65,6 +71,9 @@
 // ForwardedBytes returns the number of bytes that the relay has forwarded.
 func (r *Relay) ForwardedBytes() int64 { return r.forwardedBytes.Load() }
 
+// ForwardedConnections returns the number of connections that the relay has forwarded so far.
+func (r *Relay) ForwardedConnections() int64 { return r.connections.Load() }
+
 // SetBlackhole sets for each direction whether bytes are discarded while the
 // connections stay open. A connection that lost bytes cannot recover, so
 // ClearFaults closes it.
@@ -83,6 +92,21 @@
 // not affected.
 func (r *Relay) SetRefusing(refuse bool) { r.refusing.Store(refuse) }
 
+// SilenceConnections lets every open connection fall silent for good, without a reset: its bytes
+// are discarded in both directions, and its end is not forwarded. New connections work. It returns
+// the number of connections.
+func (r *Relay) SilenceConnections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	silenced := 0
+	for _, f := range r.conns {
+		if !f.silent.Swap(true) {
+			silenced++
+		}
+	}
+	return silenced
+}
+
 // ResetConnections closes every open connection with a TCP reset, as a host does
 // that has lost the state of its connections.
 func (r *Relay) ResetConnections() {
@@ -151,11 +175,13 @@
 		client.Close()
 		return
 	}
-	r.track(client, target)
+	r.connections.Add(1)
+	f := &forwarded{}
+	r.track(f, client, target)
 	defer r.closeAndUntrack(client, target)
 	var wait sync.WaitGroup
-	wait.Go(func() { r.forwardBytes(&r.toTarget, path.ToTarget, target, client) })
-	wait.Go(func() { r.forwardBytes(&r.fromTarget, path.FromTarget, client, target) })
+	wait.Go(func() { r.forwardBytes(f, &r.toTarget, path.ToTarget, target, client) })
+	wait.Go(func() { r.forwardBytes(f, &r.fromTarget, path.FromTarget, client, target) })
 	wait.Wait()
 }
 
@@ -178,11 +204,11 @@
 	return refused
 }
 
-func (r *Relay) track(conns ...net.Conn) {
+func (r *Relay) track(f *forwarded, conns ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
-		r.conns[c] = struct{}{}
+		r.conns[c] = f
 	}
 }
 
@@ -196,9 +222,9 @@
 }
 
 // forwardBytes forwards bytes until either side closes. If the direction is a
-// blackhole, the end of the stream is not forwarded either, because a FIN would not
-// cross a broken link.
-func (r *Relay) forwardBytes(d *direction, gates []*Gate, to, from net.Conn) {
+// blackhole or the connection is silent, the end of the stream is not forwarded either, because
+// a FIN would not cross a broken link.
+func (r *Relay) forwardBytes(f *forwarded, d *direction, gates []*Gate, to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -206,7 +232,8 @@
 			time.Sleep(time.Duration(delay))
 		}
 		pass(gates, firstRetransmission)
-		if n > 0 && !d.blackhole.Load() {
+		lost := d.blackhole.Load() || f.silent.Load()
+		if n > 0 && !lost {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				from.Close()
 				return
@@ -214,7 +241,7 @@
 			r.forwardedBytes.Add(int64(n))
 		}
 		if err != nil {
-			if !d.blackhole.Load() {
+			if !lost {
 				to.Close()
 			}
 			return
--- a/pkg/logservice/client.go
+++ b/pkg/logservice/client.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"wasabihill.example/wasabihill/internal/connpool"
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/pkg/units"
 )
@@ -37,11 +38,13 @@
 // defaultHTTP keeps enough idle connections for the streams that a process writes
 // and follows. It follows no redirects, because that could repeat an append.
 var defaultHTTP = &http.Client{
-	Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     30 * time.Second,
-	},
+	Transport: &connpool.Pool{New: func() *http.Transport {
+		return &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     30 * time.Second,
+		}
+	}},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
