Agent: polls of the runner wait for no other call

Cause: the calls that set paces were made one after the other between two polls, up to 250 ms each. Without answers (silent connections, a runner that hangs) the poll, which renews the lease of all runs, waited for all of them.

Evidence: TestPollsDoNotWaitForPaces on: 1 poll within 500 ms while 6 calls had no answer, of at least 10.

Change: paces are adjusted beside the polls, one adjustment at a time, so that no call for a task overtakes an earlier one. A panic there ends the controller as before.

Result: the test passes.

--- a/internal/runner/controller.go
+++ b/internal/runner/controller.go
@@ -149,7 +149,7 @@
 }
 
 // Run polls the runner, which renews the lease and returns the lists, until ctx
-// is done.
+// is done. A poll waits for no other call, as the lease runs out meanwhile.
 func (c *Controller) Run(ctx context.Context) error {
 	c.mu.Lock()
 	c.startedAt = bootclock.Now()
@@ -158,9 +158,12 @@
 	}
 	c.mu.Unlock()
 	watchCtx, stopWatch := context.WithCancel(ctx)
-	defer stopWatch()
 	go c.watch(watchCtx)
+	paces := startPacing(watchCtx, c.protectLatency)
+	defer paces.wait()
+	defer stopWatch()
 	for ctx.Err() == nil {
+		paces.repanic()
 		sent := bootclock.Now()
 		call, mayWait, ok := c.nextPoll()
 		if !ok {
@@ -181,7 +184,7 @@
 		if c.mergeListing(call.Runner, listing, sent) {
 			c.notifyChange()
 		}
-		c.protectLatency(ctx)
+		paces.adjust()
 		c.stopExpired(ctx)
 		c.awaitRecorded(ctx, listing)
 	}
