Soak: open connections that fall silent, as a catalog of its own

A check of its own finds runs that end with their lease although nothing else has happened. The edit of TestBrokenBuildsAreCaught follows the function that has moved to occurrences.go; the edit and what it must find are unchanged.

--- a/internal/soak/catalog.go
+++ b/internal/soak/catalog.go
@@ -14,14 +14,18 @@
 const (
 	StandardFaults Catalog = ""        // the kinds of faults.go
 	MachineFaults  Catalog = "machine" // those, and what only real machines and networks do
+	SilenceFaults  Catalog = "silence" // the standard ones, and connections that fall silent
 )
 
-var catalogs = []Catalog{StandardFaults, MachineFaults}
+var catalogs = []Catalog{StandardFaults, MachineFaults, SilenceFaults}
 
 // kinds returns the kinds of faults of the catalog.
 func (c Catalog) kinds() []faultKind {
-	if c == MachineFaults {
+	switch c {
+	case MachineFaults:
 		return slices.Concat(faultKinds, networkFaultKinds, runnerFaultKinds)
+	case SilenceFaults:
+		return slices.Concat(faultKinds, silenceFaultKinds)
 	}
 	return faultKinds
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -64,6 +64,7 @@
 	{"a completed job has done its work", (*observations).checkCompleted},
 	{"a job ends as its tasks do", (*observations).checkFinalStates},
 	{"a planned stop cuts no request off", (*observations).checkPlannedStops},
+	{"silent connections end no lease", (*observations).checkSilences},
 }
 
 // evaluate applies every check to the run and returns the result.
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -51,7 +51,7 @@
 			&cli.IntFlag{Name: "processes", Value: 9, Usage: "processes of a run; a third of them, but at least two, are entry processes"},
 			&cli.IntFlag{Name: "entries", Usage: "entry processes of a run, if another number than a third of them"},
 			&cli.IntFlag{Name: "parallel", Value: 1, Usage: "maximum number of concurrent runs"},
-			&cli.StringFlag{Name: "catalog", Usage: "kinds of faults to choose from: machine adds those of real machines and networks to the standard ones"},
+			&cli.StringFlag{Name: "catalog", Usage: "kinds of faults to choose from: machine adds those of real machines and networks to the standard ones, silence that open connections fall silent"},
 			&cli.StringFlag{Name: "only", Usage: "inject only these kinds of faults, separated by commas"},
 			&cli.FloatFlag{Name: "rate", Value: faultsPerSecond, Usage: "faults per second; fewer leave time for work between long ones"},
 			&cli.FloatFlag{Name: "shares", Usage: "limit each process to this multiple of the share of a core that it has in a deployment; less than 1 stands for a higher load"},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -187,7 +187,7 @@
 		},
 		{
 			"steps do not wait for each other",
-			sourceEdit{"internal/scheduler/submit.go", "		if o.steps[dependency].tasksLeft > 0 {\n			return false\n		}\n", "		_ = dependency\n"},
+			sourceEdit{"internal/scheduler/occurrences.go", "		if o.steps[dependency].tasksLeft > 0 {\n			return false\n		}\n", "		_ = dependency\n"},
 			"configuration", "steps run in their order",
 		},
 		{
@@ -270,6 +270,9 @@
 		{"end", "a job ends as its tasks do", observations{jobs: map[string]*job{"j": {id: "j", template: quick, states: []observedState{{at(1), failed}}}}}},
 		{"planned stop", "a planned stop cuts no request off", observations{abortedRequests: []abortedRequest{{host: "entry-0", sent: at(0.5), abortedAt: at(1)}},
 			faults: []injectedFault{{Kind: terminateKind, Host: "entry-0", Planned: true, Began: at(0), Ended: at(3)}}}},
+		{"silence", "silent connections end no lease", observations{jobs: map[string]*job{"j": {id: "j", template: quick}},
+			faults: []injectedFault{{Kind: "silentRunners", Began: at(1), Ended: at(1)}},
+			runs:   []taskrunner.Run{{Task: "j.0.0.0", Runner: "runner-a", StartTime: at(0), EndTime: at(7), End: "lapsed"}}}},
 		{"unknown job", "steps run in their order", observations{runs: []taskrunner.Run{{Task: "x.0.0.0", StartTime: at(0)}}}},
 	} {
 		found := false
