--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -209,7 +209,7 @@
 	}{
 		{"valid", bytes.NewReader(valid), int64(len(valid)), http.StatusOK},
 		{"truncated message", bytes.NewReader(valid[:500]), 500, http.StatusBadRequest},
-		{"oversized", bytes.NewReader(make([]byte, maxMessageBytes+1)), maxMessageBytes + 1, http.StatusRequestEntityTooLarge},
+		{"oversized", bytes.NewReader(make([]byte, MaxMessageBytes+1)), MaxMessageBytes + 1, http.StatusRequestEntityTooLarge},
 	} {
 		r := newRequest(t.Context(), "/stop")
 		r.Method, r.Body, r.ContentLength = http.MethodPost, io.NopCloser(c.body), c.length
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -36,9 +36,9 @@
 	// longer delay shows that this process did not run, so that the reply may
 	// still be unread in the socket.
 	maxTimerDelay = 200 * time.Millisecond
-	// maxMessageBytes bounds a control message. The largest part of one is the
-	// configuration document.
-	maxMessageBytes = 4 << 20
+	// MaxMessageBytes bounds a control message. A larger one is rejected, each time it is sent,
+	// so senders build theirs against it.
+	MaxMessageBytes = 4 << 20
 	// maxHeaderBytes bounds the header block of a request on a session.
 	maxHeaderBytes = 64 << 10
 	// maxStreams bounds the streams that one side opens on a session. It is
@@ -266,14 +266,14 @@
 		return err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes+1))
+	data, err := io.ReadAll(io.LimitReader(response.Body, MaxMessageBytes+1))
 	switch {
 	case err != nil:
 		return fault.Wrap("call "+path, Unknown, err)
 	case response.StatusCode != http.StatusOK:
 		return fault.New("call "+path, Rejected, "status %d: %s", response.StatusCode, bytes.TrimSpace(data))
-	case len(data) > maxMessageBytes:
-		return fault.New("call "+path, Invalid, "reply exceeds %d bytes", maxMessageBytes)
+	case len(data) > MaxMessageBytes:
+		return fault.New("call "+path, Invalid, "reply exceeds %d bytes", MaxMessageBytes)
 	}
 	if err := proto.Unmarshal(data, reply); err != nil {
 		return fault.Wrap("call "+path, Invalid, err)
@@ -289,7 +289,7 @@
 	proto.Message
 }, R proto.Message](fn func(ctx context.Context, q PQ) (R, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxMessageBytes))
 		if err != nil {
 			status := http.StatusBadRequest
 			var tooLarge *http.MaxBytesError
--- a/internal/node/agentconn.go
+++ b/internal/node/agentconn.go
@@ -8,10 +8,8 @@
 	"k8s.io/klog/v2"
 
 	"wasabihill.example/wasabihill/internal/fault"
-	"wasabihill.example/wasabihill/internal/interference"
 	"wasabihill.example/wasabihill/internal/link"
 	"wasabihill.example/wasabihill/internal/pause"
-	"wasabihill.example/wasabihill/internal/runner"
 	"wasabihill.example/wasabihill/internal/scheduler"
 	"wasabihill.example/wasabihill/internal/wire"
 	"wasabihill.example/wasabihill/pkg/units"
@@ -170,74 +168,3 @@
 }
 
 var errTermEnded = fault.New("report", link.Rejected, "the term has ended")
-
-// sendOrders sends orders to an agent in the background.
-func (l *leader) sendOrders(orders scheduler.Orders) {
-	a := l.agents[orders.Worker]
-	if a == nil || a.session == nil {
-		return
-	}
-	l.metrics.countOrders(len(orders.Starts), len(orders.Stops))
-	session, message := a.session, ordersToWire(orders)
-	message.Term, message.Attachment = uint64(l.term), a.attachment
-	go func() {
-		if !l.maySend(orders) {
-			klog.InfoS("orders are not sent: the permission for them has ended; replacing the session", "worker", orders.Worker, "starts", len(orders.Starts))
-			session.Close()
-			return
-		}
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		reply := &wire.OrdersReply{}
-		if err := session.Call(ctx, pathOrders, message, reply); err != nil {
-			l.metrics.countFailedCall()
-			klog.InfoS("sending orders to the agent failed; replacing the session", "worker", orders.Worker, "err", err)
-			session.Close() // the reports of a new attachment show which orders were applied
-			return
-		}
-		l.enqueue(func() {
-			if a.session == session {
-				l.scheduler.ConfirmStarts(orders.Worker, orders.Starts, reply.GetSequence(), now())
-			}
-		})
-	}()
-}
-
-// maySend reports whether the orders may still be sent. This process may have been suspended
-// since the rules decided on them.
-func (l *leader) maySend(orders scheduler.Orders) bool {
-	if len(orders.Starts) > 0 {
-		return l.mayStart(now())
-	}
-	return l.isLeading()
-}
-
-func ordersToWire(o scheduler.Orders) *wire.Orders {
-	message := &wire.Orders{Runner: o.RunnerID, Recorded: o.DurableEnds, RecordedBornUnixMs: o.RunnerStartUnixMs}
-	for _, s := range o.Starts {
-		message.Starts = append(message.Starts, startToWire(s))
-	}
-	message.Pairs = estimatesToWire(o.Estimates)
-	for _, s := range o.Descriptions {
-		message.Descriptions = append(message.Descriptions, startToWire(s))
-	}
-	for _, s := range o.Stops {
-		message.Stops = append(message.Stops, &wire.StopOrder{Task: s.Task.String(), Attempt: int64(s.Attempt)})
-	}
-	return message
-}
-
-func startToWire(s runner.StartOrder) *wire.StartOrder {
-	return &wire.StartOrder{
-		Task: s.Task.String(), Attempt: int64(s.Attempt), Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		Fills: s.BestEffort, LatencyTargetMs: s.LatencyTarget.Milliseconds(), Image: s.Image, Millicores: int64(s.Processors),
-	}
-}
-
-func estimatesToWire(estimates []interference.Estimate) []*wire.PairEstimate {
-	pairs := make([]*wire.PairEstimate, len(estimates))
-	for i, e := range estimates {
-		pairs[i] = &wire.PairEstimate{Serving: e.LatencyCriticalImage, Filling: e.BestEffortImage, LossPerCore: e.LossPerCore, Variance: e.Variance}
-	}
-	return pairs
-}
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -117,14 +117,14 @@
 func TestOrdersAreConfirmedWhenTheyAreSent(t *testing.T) {
 	l := startTerm(t, &slowStore{})
 	starts := scheduler.Orders{Worker: "w", Starts: make([]runner.StartOrder, 1)}
-	if l.maySend(starts) {
+	if l.maySend(len(starts.Starts)) {
 		t.Error("starts may be sent although the operators' records were never read, want not")
 	}
-	if !l.maySend(scheduler.Orders{Worker: "w"}) {
+	if !l.maySend(0) {
 		t.Error("stops may not be sent by the leader, want that they may")
 	}
 	l.isLeading = func() bool { return false }
-	if l.maySend(scheduler.Orders{Worker: "w"}) {
+	if l.maySend(0) {
 		t.Error("stops may be sent after the lease has ended, want not")
 	}
 }
