Checkpoints: bounded in records, orders and reports

A long one stood in the progress record, in the start order and in each report of the agent; a report above 4 MiB was rejected each time, without a grant, so that the leases of all runs of the worker would end (by reading; no case shows it).

Change: the leader keeps checkpoints of up to 128 KB (the one before otherwise); a report that is too large for a message goes without its longest checkpoints. Such a task repeats some work.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -223,6 +223,7 @@
 	}
 	report, rejections := a.Controller.Report()
 	report.Attachment = attachment
+	limitReport(report)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := bootclock.Now()
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -36,8 +36,8 @@
 	attempt := workflow.Attempt(row.GetAttempt())
 	t.highestAttempt = max(t.highestAttempt, attempt)
 	t.job.started = true
-	if row.GetCheckpoint() != "" && t.step.Checkpointing && !t.done && attempt >= t.highestAttempt {
-		t.checkpoint = row.GetCheckpoint()
+	if !t.done && attempt >= t.highestAttempt {
+		s.noteCheckpoint(t, row.GetCheckpoint())
 	}
 	current := t.worker == w && w.tasks[t.id] == t && t.attempt == attempt
 	switch {
@@ -60,6 +60,23 @@
 	}
 }
 
+// maxCheckpointBytes limits the checkpoints that are kept, so that each fits a record of the store
+// and a message to an agent.
+const maxCheckpointBytes = 128 << 10
+
+// noteCheckpoint keeps a reported checkpoint. Of a task with a longer one than can be kept, the one
+// before is kept.
+func (s *Scheduler) noteCheckpoint(t *task, checkpoint string) {
+	if checkpoint == "" || !t.step.Checkpointing || checkpoint == t.checkpoint {
+		return
+	}
+	if limit := min(maxCheckpointBytes, s.MaxRecordBytes/2); len(checkpoint) > limit {
+		klog.V(1).InfoS("checkpoint is too long to be kept", "task", t.id.String(), "bytes", len(checkpoint), "limit", limit)
+		return
+	}
+	t.checkpoint = checkpoint
+}
+
 // taskDone marks the task as done; in a gang, all tasks of the step.
 func (s *Scheduler) taskDone(t *task, now Timestamp) {
 	if t.done || t.step.LongRunning || t.job.state.Final() {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -127,7 +127,7 @@
 		return records, err
 	}
 	for _, o := range j.occurrences {
-		if p := o.progress(s.maxCheckpointBytes()); p != nil {
+		if p := o.progress(); p != nil {
 			main.Occurrences = append(main.Occurrences, p)
 		}
 	}
@@ -286,10 +286,10 @@
 }
 
 // progress returns nil if nothing is known of the occurrence but that it is open.
-func (o *occurrence) progress(maxCheckpointBytes int) *wire.OccurrenceProgress {
+func (o *occurrence) progress() *wire.OccurrenceProgress {
 	record := &wire.OccurrenceProgress{Number: int32(o.number)}
 	for _, st := range o.steps {
-		if p := st.progress(maxCheckpointBytes); p != nil {
+		if p := st.progress(); p != nil {
 			record.Steps = append(record.Steps, p)
 		}
 	}
@@ -300,7 +300,7 @@
 }
 
 // progress returns nil if no task of the step has been ordered or is done.
-func (st *step) progress(maxCheckpointBytes int) *wire.StepProgress {
+func (st *step) progress() *wire.StepProgress {
 	record := &wire.StepProgress{Step: int32(st.number), Done: make([]byte, (len(st.tasks)+7)/8)}
 	begun := false
 	for i, t := range st.tasks {
@@ -309,7 +309,7 @@
 		if t.done {
 			record.Done[i/8] |= 1 << (i % 8)
 		} else if len(t.failedAttempts) > 0 || t.checkpoint != "" {
-			record.Tasks = append(record.Tasks, t.progress(maxCheckpointBytes))
+			record.Tasks = append(record.Tasks, t.progress())
 		}
 	}
 	if !begun {
@@ -318,15 +318,8 @@
 	return record
 }
 
-// maxCheckpointBytes is the size of the longest checkpoint that is stored. A task with a longer
-// one begins anew under the next leader.
-func (s *Scheduler) maxCheckpointBytes() int { return s.MaxRecordBytes / 2 }
-
-func (t *task) progress(maxCheckpointBytes int) *wire.TaskProgress {
-	record := &wire.TaskProgress{Index: int32(t.id.Index)}
-	if len(t.checkpoint) <= maxCheckpointBytes {
-		record.Checkpoint = t.checkpoint
-	}
+func (t *task) progress() *wire.TaskProgress {
+	record := &wire.TaskProgress{Index: int32(t.id.Index), Checkpoint: t.checkpoint}
 	for _, attempt := range t.failedAttempts {
 		record.FailedAttempts = append(record.FailedAttempts, int64(attempt))
 	}
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -342,3 +342,19 @@
 		t.Error("occurrence 1500 is open after its only task is done")
 	}
 }
+
+// Guards against a checkpoint that fits no record and no message: the one before is kept.
+func TestOverlongCheckpointIsNotKept(t *testing.T) {
+	f := newFixture(t)
+	a := f.addWorker("a", 8)
+	id := f.submit("runs", workflow.Step{Count: 1, Size: cores(1), Checkpointing: true})
+	f.tick()
+	row := a.running[string(id)+".0.0.0"]
+	for _, bytes := range []int{10, maxCheckpointBytes + 1} {
+		row.Checkpoint = strings.Repeat("c", bytes)
+		f.report("a")
+	}
+	if got, want := len(f.scheduler.jobs[id].occurrences[0].steps[0].tasks[0].checkpoint), 10; got != want {
+		t.Errorf("got a checkpoint of %d bytes, want %d", got, want)
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -225,9 +225,7 @@
 		if row.GetUnknown() {
 			w.orders.descriptions = append(w.orders.descriptions, t)
 		}
-		if row.GetCheckpoint() != "" && t.step.Checkpointing {
-			t.checkpoint = row.GetCheckpoint()
-		}
+		s.noteCheckpoint(t, row.GetCheckpoint())
 		if (t.stopOrderedAt != 0 || t.done || t.job.state.Final()) && now.Boot.Sub(t.stopOrderedAt) > stopRetryInterval {
 			s.stopTask(t, now)
 		}
