--- a/internal/scheduler/malformed_test.go
+++ b/internal/scheduler/malformed_test.go
@@ -150,6 +150,33 @@
 	})
 }
 
+// FuzzRecoverPart guards against a part of a job's progress, or a list of open occurrences, that
+// another program wrote.
+func FuzzRecoverPart(f *testing.F) {
+	job, err := proto.Marshal(&wire.JobRecord{Id: "j", Queue: "quick", Repetitions: 30, Steps: []*wire.WorkflowStep{{Count: 2}, {Count: 1, After: []int32{0}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	part, err := proto.Marshal(&wire.ProgressRecord{Occurrences: []*wire.OccurrenceProgress{{Number: 4, Steps: []*wire.StepProgress{{Done: []byte{1}, HighestAttempt: 3}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	main, err := proto.Marshal(&wire.ProgressRecord{State: "running", Completed: 2, Opened: 9, OpenGaps: []uint32{0, 1, 3}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("j/1", main, part)
+	f.Fuzz(func(t *testing.T, key string, main, part []byte) {
+		s := New(testMaxLeaseDuration, time.Minute)
+		at := Timestamp{Boot: 1, Wall: time.UnixMilli(1_700_000_000_000)}
+		s.Recover([]durable.Item{{Key: JobKey("j"), Value: job}, {Key: progressPrefix + "j", Value: main}, {Key: progressPrefix + key, Value: part}}, at)
+		s.Tick(at, true)
+		if _, _, err := s.Flush(at); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func FuzzApplyReport(f *testing.F) {
 	report, err := proto.Marshal(&wire.WorkerReport{Sequence: 9, Runner: &wire.RunnerState{Id: "r", Service: "desk", Millicores: 4000, MemoryBytes: 1 << 36},
 		Running: []*wire.RunRow{{Task: "0000000000000001.0.0.0", Attempt: 1, Percent: 5}}, Ended: []*wire.EndRow{{Number: 1, Task: "0000000000000001.0.0.1", Attempt: 1, End: "done"}}})
