Store: a repeated append goes on a new connection

What callers saw: after the open connections to the store had fallen silent, a job was accepted, cancelled or shown as ended up to 8 s late.

Cause: an append without an answer is repeated after 200 ms, but the repetition took another idle connection, which was silent as well. Then both waited for their timeout of 2 s, and so on.

Evidence: TestSilentConnectionsDelayRecordsByOneRepetition on: durable after 8.0 s with 8 idle connections, of 0.5 s.

Change: a repeated append, also of the leadership's renewals, is sent on a connection of its own.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -26,8 +26,19 @@
 	current *http.Transport // nil before the first request
 }
 
+type newConnectionKey struct{}
+
+// OnNewConnection returns a context for a request that repeats one which has no answer yet: it is
+// sent on a connection of its own. If it is answered, the others are not used again.
+func OnNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
 // RoundTrip implements http.RoundTripper.
 func (p *Pool) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Context().Value(newConnectionKey{}) != nil {
+		return p.roundTripOnNewConnection(r)
+	}
 	transport := p.transport()
 	var sent atomic.Bool // on a connection, so that the timeout is not that of a dial
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
@@ -43,6 +54,17 @@
 	return response, nil
 }
 
+func (p *Pool) roundTripOnNewConnection(r *http.Request) (*http.Response, error) {
+	others := p.transport()
+	transport := p.New()
+	transport.DisableKeepAlives = true
+	response, err := transport.RoundTrip(r)
+	if err == nil {
+		p.abandon(others)
+	}
+	return response, err
+}
+
 // CloseIdleConnections closes the idle connections. http.Client calls it by this name.
 func (p *Pool) CloseIdleConnections() { p.transport().CloseIdleConnections() }
 
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -101,6 +101,7 @@
 	Records     []Record
 	ExpectedEnd *units.Offset // offset at which the topic must end, or nil for any
 	Producer    *Producer     // producer of the append, or nil
+	Repeated    bool          // a call with the same append has no answer yet; its connection may be silent
 }
 
 // Store is a client of the platform's store. It is safe for concurrent use. Errors are
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -246,7 +246,7 @@
 }
 
 func (w *Writer) send(ctx context.Context, a *pendingAppend, call appendCall) {
-	request := durable.AppendRequest{Topic: Topic, Keyed: true, Records: a.records,
+	request := durable.AppendRequest{Topic: Topic, Keyed: true, Records: a.records, Repeated: call.repeated,
 		Producer: &durable.Producer{Name: producerName, Epoch: w.Epoch, Sequence: a.sequence}}
 	w.calls.Go(func() {
 		_, err := w.Store.Append(ctx, request)
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"wasabihill.example/wasabihill/internal/durable"
 	"wasabihill.example/wasabihill/internal/fault"
 	"wasabihill.example/wasabihill/internal/jobstore"
+	"wasabihill.example/wasabihill/internal/relay"
 	"wasabihill.example/wasabihill/internal/standin/metastore"
 	"wasabihill.example/wasabihill/platform"
 )
@@ -213,3 +215,45 @@
 		t.Error("writer has not ended 5s after the store has rejected all")
 	}
 }
+
+// Guards against records that wait for the timeout of an append after all open connections to the
+// store have fallen silent: the append is repeated early, and then on a new connection.
+func TestSilentConnectionsDelayRecordsByOneRepetition(t *testing.T) {
+	const beforeRepetition, dialAndAnswer = 200 * time.Millisecond, 300 * time.Millisecond
+	log := metastore.NewLog()
+	server := log.NewServer()
+	defer server.Close()
+	r, err := relay.New(server.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	w := jobstore.New(platform.NewStoreClient(r.Address()), 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if err := w.Fence(ctx); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = w.Run(ctx) }() // ends with ctx
+	for i := range 3 {
+		var wait sync.WaitGroup
+		for range 8 { // as many idle connections
+			wait.Go(func() {
+				if _, err := w.LoadSnapshot(ctx); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wait.Wait()
+		if r.SilenceConnections() == 0 {
+			t.Fatal("got no open connection, want some")
+		}
+		start := time.Now()
+		accepted := make(chan struct{})
+		w.Write(record("job/"+strconv.Itoa(i)), func() { close(accepted) })
+		<-accepted
+		if got, want := time.Since(start), beforeRepetition+dialAndAnswer; got > want {
+			t.Errorf("record %d: durable after %v, want at most %v", i, got, want)
+		}
+	}
+}
--- a/internal/jobstore/window.go
+++ b/internal/jobstore/window.go
@@ -39,6 +39,7 @@
 type appendCall struct {
 	sequence uint64
 	first    bool // no earlier append was pending when it was sent
+	repeated bool // an earlier call of the append has no answer yet
 	records  int  // that it contains
 	sent     bootclock.Instant
 }
@@ -107,7 +108,7 @@
 		}
 		a.calls++
 		a.sentAt, w.lastSent = now, now
-		return a, appendCall{sequence: a.sequence, first: i == 0, records: len(a.records), sent: now}
+		return a, appendCall{sequence: a.sequence, first: i == 0, repeated: a.calls > 1, records: len(a.records), sent: now}
 	}
 	return nil, appendCall{}
 }
--- a/internal/leadership/claim.go
+++ b/internal/leadership/claim.go
@@ -142,9 +142,14 @@
 }
 
 func (e *Elector) append(ctx context.Context, at units.Offset, term Term, released bool) (units.Offset, error) {
+	return e.appendCall(ctx, renewalCall{at: at}, term, released)
+}
+
+// appendCall appends a record as append does, for a call that may repeat another.
+func (e *Elector) appendCall(ctx context.Context, call renewalCall, term Term, released bool) (units.Offset, error) {
 	value, err := proto.Marshal(&wire.LeadershipRecord{Name: e.Name, Address: e.Address, Term: uint64(term), Released: released, MembersEnd: uint64(e.membersEnd())})
 	if err != nil {
 		return 0, fault.Wrap("claim", durable.Invalid, err)
 	}
-	return e.Store.Append(ctx, durable.AppendRequest{Topic: Topic, ExpectedEnd: &at, Records: []durable.Record{{Value: value}}})
+	return e.Store.Append(ctx, durable.AppendRequest{Topic: Topic, ExpectedEnd: &call.at, Records: []durable.Record{{Value: value}}, Repeated: call.repeated})
 }
--- a/internal/leadership/renewal.go
+++ b/internal/leadership/renewal.go
@@ -123,7 +123,7 @@
 	r.wait.Go(func() {
 		ctx, cancel := context.WithTimeout(r.calls, leaseDuration)
 		defer cancel()
-		_, err := r.e.append(ctx, call.at, r.term, false)
+		_, err := r.e.appendCall(ctx, call, r.term, false)
 		r.answers <- renewalAnswer{call, err} // the channel has room for all calls in flight
 	})
 }
--- a/internal/leadership/window.go
+++ b/internal/leadership/window.go
@@ -30,8 +30,9 @@
 
 // renewalCall is a call that appends a renewal.
 type renewalCall struct {
-	at   units.Offset // where the topic must end
-	sent bootclock.Instant
+	at       units.Offset // where the topic must end
+	sent     bootclock.Instant
+	repeated bool // an earlier call for the same offset has no answer yet
 }
 
 const (
@@ -75,7 +76,7 @@
 	if _, sent := w.firstSent[w.end]; !sent || len(w.inFlight) >= maxRenewalCalls {
 		return renewalCall{}, false
 	}
-	call = renewalCall{at: w.end, sent: now}
+	call = renewalCall{at: w.end, sent: now, repeated: w.isTaken(w.end)}
 	w.inFlight = append(w.inFlight, call)
 	return call, true
 }
