--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -118,15 +118,20 @@
 // submit stores the record of a new job and passes the job to the scheduler.
 func (f *fixture) submit(queue workflow.QueueName, steps ...workflow.Step) workflow.JobID {
 	id := workflow.JobID(fmt.Sprintf("%016x", len(f.records)+1))
-	job := &workflow.Job{ID: id, Queue: queue, Spec: "s", Steps: steps, Submitted: f.now.Wall}
-	policy := f.scheduler.operatorState.Configuration.Queue(queue).Policy
+	f.accept(&workflow.Job{ID: id, Queue: queue, Spec: "s", Steps: steps, Submitted: f.now.Wall})
+	return id
+}
+
+// accept stores the record of the job and passes it to the scheduler.
+func (f *fixture) accept(job *workflow.Job) {
+	f.Helper()
+	policy := f.scheduler.operatorState.Configuration.Queue(job.Queue).Policy
 	value, err := workflow.Encode(job, policy)
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.records[JobKey(id)] = value
+	f.records[JobKey(job.ID)] = value
 	f.scheduler.Accept(job, policy, f.now)
-	return id
 }
 
 // tick runs the rules, stores every change and delivers the orders to the agents. It
--- a/internal/scheduler/malformed_test.go
+++ b/internal/scheduler/malformed_test.go
@@ -17,13 +17,7 @@
 	f.Helper()
 	job := &workflow.Job{ID: "00000000000000aa", Queue: queue, Spec: "s", Submitted: f.now.Wall, Repetitions: n, FirstDue: first, Interval: interval,
 		Steps: []workflow.Step{{Count: count, Size: cores(1)}}}
-	policy := f.scheduler.operatorState.Configuration.Queue(queue).Policy
-	value, err := workflow.Encode(job, policy)
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.records[JobKey(job.ID)] = value
-	f.scheduler.Accept(job, policy, f.now)
+	f.accept(job)
 	return job.ID
 }
 
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -154,13 +154,7 @@
 	if repetitions > 0 {
 		job.FirstDue, job.Interval = f.now.Wall.Add(-time.Duration(repetitions)*time.Second), time.Second
 	}
-	policy := f.scheduler.operatorState.Configuration.Queue("runs").Policy
-	value, err := workflow.Encode(job, policy)
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.records[JobKey(job.ID)] = value
-	f.scheduler.Accept(job, policy, f.now)
+	f.accept(job)
 	return job.ID
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,7 +4,7 @@
 // collects its orders, and writes its records to the store.
 //
 // Start reading at scheduler.go (tables), then submit.go, occurrences.go, session.go, report.go, ends.go,
-// tick.go, backlog.go, place.go, records.go, progress.go and recovery.go.
+// tick.go, backlog.go, place.go, records.go, progress.go, parts.go and recovery.go.
 package scheduler
 
 import (
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// TestSilentConnectionsKeepLeases guards against processes that stay out of touch for long after
+// their open connections have fallen silent, without a reset, so that leases end (review/8).
+func TestSilentConnectionsKeepLeases(t *testing.T) {
+	r := &Run{Seed: 4, Faults: 16 * time.Second, Entries: 3, Agents: 4, Binary: binary, Dir: t.TempDir(), Catalog: SilenceFaults,
+		Only: "silentRunners,silentStore,silentEverything", Rate: 0.13}
+	result, err := r.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(result.Faults) == 0 || result.Starts == 0 {
+		t.Fatalf("got %d faults and %d starts, want some of both", len(result.Faults), result.Starts)
+	}
+	if len(result.Broken) > 0 {
+		t.Errorf("broken promises: got %v, want none", result.Broken)
+	}
+}
+
 // TestPlannedStopsLoseNoRequest guards against a planned stop that drops a request
 // which the process has read. Callers notice only the cuts that come late; the log of
 // the process names all of them. No other faults excuse a cut here.
