Sessions: closing one uses no processor

Cause, by the goroutines of that process: while a yamux session closes, until it has closed its connection and then its streams, the read of each stream that waits for data runs in a loop without a pause. On a single processor it keeps the close itself from going on.

Change: the deadlines of all streams are set to the past before the connection is closed, so that these reads fail.

--- a/internal/link/coalesce.go
+++ b/internal/link/coalesce.go
@@ -14,14 +14,15 @@
 // which costs two system calls and two packets per frame.
 type coalescingConn struct {
 	net.Conn
+	onClose func() // called by Close before the connection is closed
 	mu      sync.Mutex
 	changed sync.Cond
 	pending []byte
 	err     error // the first error; later writes return it
 }
 
-func newCoalescingConn(conn net.Conn) *coalescingConn {
-	c := &coalescingConn{Conn: conn}
+func newCoalescingConn(conn net.Conn, onClose func()) *coalescingConn {
+	c := &coalescingConn{Conn: conn, onClose: onClose}
 	c.changed.L = &c.mu
 	go c.flush()
 	return c
@@ -43,6 +44,7 @@
 
 // Close also stops the flushing goroutine. Pending data is dropped.
 func (c *coalescingConn) Close() error {
+	c.onClose()
 	c.fail(net.ErrClosed)
 	return c.Conn.Close()
 }
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -90,13 +90,14 @@
 		conn.Close()
 		return
 	}
-	buffered := newCoalescingConn(conn)
+	streams := &streamSet{}
+	buffered := newCoalescingConn(conn, streams.end)
 	mux, err := yamux.Server(buffered, yamuxConfig())
 	if err != nil {
 		buffered.Close()
 		return
 	}
-	s := newSession(mux, l.Handler, conn.RemoteAddr().String())
+	s := newSession(mux, streams, l.Handler, conn.RemoteAddr().String())
 	l.sessions[s] = struct{}{}
 	go func() {
 		<-s.Done()
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -102,13 +102,14 @@
 	if err != nil {
 		return nil, fault.Wrap("dial", NotSent, err)
 	}
-	buffered := newCoalescingConn(conn)
+	streams := &streamSet{}
+	buffered := newCoalescingConn(conn, streams.end)
 	mux, err := yamux.Client(buffered, yamuxConfig())
 	if err != nil {
 		buffered.Close()
 		return nil, fault.Wrap("dial", NotSent, err)
 	}
-	return newSession(mux, handler, address), nil
+	return newSession(mux, streams, handler, address), nil
 }
 
 func yamuxConfig() *yamux.Config {
@@ -121,16 +122,22 @@
 	return c
 }
 
-func newSession(mux *yamux.Session, handler http.Handler, remote string) *Session {
+func newSession(mux *yamux.Session, streams *streamSet, handler http.Handler, remote string) *Session {
 	s := &Session{mux: mux, remote: remote}
 	s.transport = NewTransport(Options{
-		Dial:               func(context.Context) (net.Conn, error) { return mux.Open() },
+		Dial: func(context.Context) (net.Conn, error) {
+			stream, err := mux.OpenStream()
+			if err != nil {
+				return nil, err
+			}
+			return streams.add(stream), nil
+		},
 		MaxConnections:     maxStreams,
 		MaxIdleConnections: maxIdleStreams,
 		IdleTimeout:        idleStreamTimeout,
 		MaxHeaderBytes:     maxHeaderBytes,
 	})
-	s.listener = &streamListener{mux: mux}
+	s.listener = &streamListener{mux: mux, streams: streams}
 	s.listener.ctx, s.listener.cancel = context.WithCancel(context.Background())
 	// The server has no idle timeout: only the opener closes an idle stream, so
 	// that no request is sent on a stream that is being closed.
@@ -325,9 +332,10 @@
 // it stops accepting without closing the session, so that Shutdown can let
 // requests in flight finish.
 type streamListener struct {
-	mux    *yamux.Session
-	ctx    context.Context // cancelled by Close
-	cancel context.CancelFunc
+	mux     *yamux.Session
+	streams *streamSet
+	ctx     context.Context // cancelled by Close
+	cancel  context.CancelFunc
 }
 
 // Accept returns when the listener is closed, because Server.Shutdown waits for
@@ -337,7 +345,7 @@
 	if err != nil {
 		return nil, net.ErrClosed
 	}
-	return stream, nil
+	return l.streams.add(stream), nil
 }
 
 func (l *streamListener) Close() error {
