Connection pools: a timeout on a new connection says nothing of the others

Now only a timeout on a connection that had been used before counts, and a repeated append on a connection of its own leaves the others alone.

TestTimeoutOnANewConnectionKeepsTheOthers; the test of repetitions names what they do now.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -15,9 +15,10 @@
 )
 
 // Pool is an http.RoundTripper that uses no connection again that was opened before a request was
-// sent which had no answer in time. Later requests dial anew; those under way are left to finish,
-// and their connections are closed then. Set New before the first request. A Pool is safe for
-// concurrent use.
+// sent on one of them which had no answer in time. Later requests dial anew; those under way are
+// left to finish, and their connections are closed then. A request on a connection that was opened
+// for it says nothing of the others: without an answer the peer is slow. Set New before the first
+// request. A Pool is safe for concurrent use.
 type Pool struct {
 	// New returns a transport without connections. It may keep as many idle ones as is useful.
 	New func() *http.Transport
@@ -29,7 +30,7 @@
 type newConnectionKey struct{}
 
 // OnNewConnection returns a context for a request that repeats one which has no answer yet: it is
-// sent on a connection of its own. If it is answered, the others are not used again.
+// sent on a connection of its own.
 func OnNewConnection(ctx context.Context) context.Context {
 	return context.WithValue(ctx, newConnectionKey{}, true)
 }
@@ -40,29 +41,26 @@
 		return p.roundTripOnNewConnection(r)
 	}
 	transport := p.transport()
-	var sent atomic.Bool // on a connection, so that the timeout is not that of a dial
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var reused atomic.Bool // the request was sent on a connection of an earlier one
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	response, err := transport.RoundTrip(r)
 	if err != nil {
-		if sent.Load() && isTimeout(r.Context(), err) {
+		if reused.Load() && isTimeout(r.Context(), err) {
 			p.abandon(transport)
 		}
 		return nil, err
 	}
-	response.Body = &body{ReadCloser: response.Body, ctx: r.Context(), onTimeout: func() { p.abandon(transport) }}
+	if reused.Load() {
+		response.Body = &body{ReadCloser: response.Body, ctx: r.Context(), onTimeout: func() { p.abandon(transport) }}
+	}
 	return response, nil
 }
 
 func (p *Pool) roundTripOnNewConnection(r *http.Request) (*http.Response, error) {
-	others := p.transport()
 	transport := p.New()
 	transport.DisableKeepAlives = true
-	response, err := transport.RoundTrip(r)
-	if err == nil {
-		p.abandon(others)
-	}
-	return response, err
+	return transport.RoundTrip(r)
 }
 
 // CloseIdleConnections closes the idle connections. http.Client calls it by this name.
