--- a/internal/scheduler/parts.go
+++ b/internal/scheduler/parts.go
@@ -89,12 +89,14 @@
 	return records
 }
 
+// checksum tells whether a part has changed since it was stored.
 func checksum(data []byte) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(data) // never fails
 	return h.Sum64()
 }
 
+// largest returns the size of the largest part.
 func largest(parts map[partNumber][]byte) int {
 	size := 0
 	for _, value := range parts {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -61,6 +61,9 @@
 	return !slices.ContainsFunc(records, func(r durable.Record) bool { return r.KeyedSize() > s.MaxRecordBytes })
 }
 
+// encodeProgress returns the records that differ from the stored ones: the main one always, and the
+// parts that have changed. The main record of a job that has ended goes first and its parts are
+// deleted, as nothing of them is needed then.
 func (s *Scheduler) encodeProgress(j *job) ([]durable.Record, error) {
 	main := j.mainRecord()
 	if j.state.Final() {
@@ -99,6 +102,7 @@
 	return encodeRecord(j.parts.update(j.ID, parts), progressKey(j.ID, 0), main)
 }
 
+// encodeRecord appends the record with the key and the message to records.
 func encodeRecord(records []durable.Record, key string, m proto.Message) ([]durable.Record, error) {
 	value, err := proto.Marshal(m)
 	if err != nil {
