Job records: an append whose only record is rejected keeps a placeholder

An append without records "appends nothing", by the page, and so may not use up its sequence number: the store would then reject all later ones, and the term would end. The deletion of a key that never has a value takes the record's place.

TestRejectedOnlyRecordLeavesAPlaceholder failed before (4 appends without records, of 3 at most).

--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -257,3 +257,31 @@
 		}
 	}
 }
+
+// Guards against an append whose only record the store does not accept: without a record its
+// sequence number might not be used up, and all later appends would be rejected.
+func TestRejectedOnlyRecordLeavesAPlaceholder(t *testing.T) {
+	log := metastore.NewLog()
+	log.Limits.RecordBytes = 100 << 10
+	w := newTerm(t, log, 1)
+	rejected := make(chan string, 4)
+	w.OnRejected = func(key string) { rejected <- key }
+	for i := range 2 {
+		accepted := make(chan struct{})
+		w.Write([]durable.Record{{Key: fmt.Sprintf("job/large%d", i), Value: make([]byte, 150<<10)}}, func() { close(accepted) })
+		select {
+		case <-accepted:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the write has not ended after 5s")
+		}
+	}
+	accepted := make(chan struct{})
+	w.Write(record("job/1"), func() { close(accepted) })
+	w.checkAccepted(t, accepted, log, "job/1")
+	if got := len(rejected); got != 2 {
+		t.Errorf("got %d rejected records, want 2", got)
+	}
+	if got := log.EmptyAppends(); got > 3 { // one for each of the two terms, and one more if it is repeated
+		t.Errorf("got %d appends without records, want those that fence a term alone", got)
+	}
+}
--- a/internal/jobstore/window.go
+++ b/internal/jobstore/window.go
@@ -33,6 +33,7 @@
 	sentAt   bootclock.Instant // when it was last sent
 	retryAt  bootclock.Instant // not sent again before
 	overtook bool              // the last call was rejected because the append before it was missing
+	dropped  int               // records that were left out
 }
 
 // appendCall is a call that sends an append.
@@ -40,7 +41,7 @@
 	sequence uint64
 	first    bool // no earlier append was pending when it was sent
 	repeated bool // an earlier call of the append has no answer yet
-	records  int  // that it contains
+	dropped  int  // records that had been left out of the append when it was sent
 	sent     bootclock.Instant
 }
 
@@ -108,7 +109,7 @@
 		}
 		a.calls++
 		a.sentAt, w.lastSent = now, now
-		return a, appendCall{sequence: a.sequence, first: i == 0, repeated: a.calls > 1, records: len(a.records), sent: now}
+		return a, appendCall{sequence: a.sequence, first: i == 0, repeated: a.calls > 1, dropped: a.dropped, sent: now}
 	}
 	return nil, appendCall{}
 }
@@ -154,6 +155,10 @@
 	}
 }
 
+// placeholderKey is a key that never has a value. Its deletion takes the place of the only record of
+// an append, because an append without records may not use up its sequence number.
+const placeholderKey = "none"
+
 // dropLargest processes a call whose append the store has rejected: the largest record of the
 // append is left out, and it is sent again. It returns the key of that record, or an empty one if
 // one has been left out since the call was sent. ok is false if the largest record is smaller
@@ -168,7 +173,7 @@
 	a := w.appends[i]
 	a.calls--
 	a.retryAt, a.overtook = now, false
-	if len(a.records) != c.records {
+	if a.dropped != c.dropped {
 		return "", true
 	}
 	largest := -1
@@ -182,6 +187,10 @@
 	}
 	key = a.records[largest].Key
 	a.records = slices.Delete(slices.Clone(a.records), largest, largest+1) // calls in flight use the slice
+	if len(a.records) == 0 {
+		a.records = []durable.Record{{Key: placeholderKey}}
+	}
+	a.dropped++
 	return key, true
 }
 
--- a/internal/standin/metastore/log.go
+++ b/internal/standin/metastore/log.go
@@ -66,6 +66,14 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{} // closed and replaced at each append
+	empty   int           // number of appends without records
+}
+
+// EmptyAppends returns the number of appends without records.
+func (l *Log) EmptyAppends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.empty
 }
 
 // NewLog returns an empty log.
@@ -112,6 +120,9 @@
 			return appendReply{}, expected, err
 		}
 	}
+	if len(r.records) == 0 {
+		l.empty++
+	}
 	reply.offset = t.end()
 	for _, rec := range r.records {
 		t.add(rec)
