Test of progress written in part: the number of parts rises in it

The last reading of the change: with the parts written in the wrong order TestProgressWrittenInPartLosesNothing still passed, as its job kept 8 parts throughout. It now goes from one record to parts and to more of them, and checks that; with either wrong order (lowest part first, main record first) it fails, on the code as it is it passes. Stricter than before; no product code changes.

--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -187,19 +187,24 @@
 func TestProgressWrittenInPartLosesNothing(t *testing.T) {
 	f := newFixture(t)
 	id := f.acceptLarge([]workflow.Step{{Count: 20_000}}, 0)
-	for failures := 1; failures <= 4; failures++ {
-		before := f.progressOf(id)
+	for round, failing := range []int{1_000, 6_000, 20_000} { // one record, then parts, then more of them
+		before, parts := f.progressOf(id), f.scheduler.jobs[id].parts.count
 		eachTask(f.scheduler.jobs[id], func(t *task) {
-			t.highestAttempt = workflow.Attempt(failures)
-			t.failedAttempts = append(t.failedAttempts, workflow.Attempt(failures))
+			if t.id.Index < failing {
+				t.highestAttempt = workflow.Attempt(round + 1)
+				t.failedAttempts = append(t.failedAttempts, t.highestAttempt)
+			}
 		})
 		f.scheduler.markDirty(f.scheduler.jobs[id])
 		records, _, err := f.scheduler.Flush(f.now)
 		if err != nil {
 			t.Fatal(err)
 		}
+		if got := f.scheduler.jobs[id].parts.count; round > 0 && got <= parts {
+			t.Fatalf("round %d: got %d parts, want more than the %d before", round, got, parts)
+		}
 		for i, r := range records {
-			f.recoveredProgress(id).wantAtLeast(t, fmt.Sprintf("%d failures, after %d of %d records", failures, i, len(records)), before)
+			f.recoveredProgress(id).wantAtLeast(t, fmt.Sprintf("round %d, after %d of %d records", round, i, len(records)), before)
 			f.store(r)
 		}
 	}
